--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+.PHONY: demo test check format lint generate bench
+
+demo: ## run the whole system in one process
+	go run ./cmd/dotterelpost demo
+
+test: ## run all tests
+	go test ./...
+
+check: ## what CI runs
+	bash .ci/run
+
+format: ## format all Go files
+	git ls-files '*.go' | grep -vE '\.pb\.go$$|\.connect\.go$$' | xargs go tool gofumpt -w
+
+lint: ## vet and staticcheck
+	go vet ./...
+	go tool staticcheck ./...
+
+generate: ## generate the messages between instances anew; needs the network
+	GOBIN=$(CURDIR)/.bin go install github.com/bufbuild/buf/cmd/buf@v1.75.0
+	GOBIN=$(CURDIR)/.bin go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(CURDIR)/.bin go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
+	PATH=$(CURDIR)/.bin:$$PATH buf generate
+
+bench: ## run the benchmarks
+	go test -run '^$$' -bench . ./...
--- /dev/null
+++ b/internal/administrator/administrator.go
@@ -0,0 +1,303 @@
+// Package administrator is the front door for operators: change tickets, views of workers and
+// partitions, the report, metrics and health.
+//
+// # Usage
+//
+//	handler := administrator.New(dependencies)
+//	http.Serve(listener, handler)
+//
+// The interface:
+//
+//	POST /v1/tickets             submits a ticket; 409 shows the winner of a lost race
+//	GET  /v1/tickets/{number}    an accepted ticket; "head" is the state in force
+//	GET  /v1/tickets/{number}/status   which instances have it in force
+//	GET  /v1/workers, /v1/partitions, /v1/report
+//	GET  /debug/vars, /healthz, /readyz
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/checker"
+	"dotterelpost.example/dotterelpost/internal/counter"
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/owner"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+)
+
+// patience bounds one operator's call.
+const patience = 15 * time.Second
+
+// Desk accepts tickets.
+type Desk interface {
+	Submit(ctx context.Context, ticket ticketer.Ticket) (*ticketer.State, error)
+	Show(ctx context.Context, number int64) (ticketer.Ticket, error)
+	Head(ctx context.Context) (*ticketer.State, error)
+}
+
+// Control shows what this instance owns.
+type Control interface {
+	Workers(ctx context.Context) ([]owner.WorkerView, error)
+	Partitions(ctx context.Context) ([]owner.PartitionView, error)
+}
+
+// Admission tells who holds a bearer token.
+type Admission interface {
+	HolderOf(request *http.Request) (name string, known bool)
+}
+
+// Dependencies of the operators' front door.
+type Dependencies struct {
+	Instance  string
+	Region    string
+	Desk      Desk
+	Control   Control
+	Admission Admission
+	Counts    *counter.Counts
+	// Tickets returns the state in force here, Offer puts a newer one in force.
+	Tickets func() *ticketer.State
+	Offer   func(*ticketer.State) bool
+	// InForceSince tells since when this instance has its present ticket in force.
+	InForceSince func() time.Time
+	Live         func() map[string]*messenger.Heartbeat
+	Ready        func() error
+}
+
+// Administrator serves operators.
+type Administrator struct {
+	Dependencies
+	mux *http.ServeMux
+}
+
+// New returns the handler.
+func New(dependencies Dependencies) *Administrator {
+	a := &Administrator{Dependencies: dependencies, mux: http.NewServeMux()}
+	a.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, Health{Status: "alive"}) })
+	a.mux.HandleFunc("GET /readyz", a.getReady)
+	a.mux.HandleFunc("POST /v1/tickets", a.admit(a.postTicket))
+	a.mux.HandleFunc("GET /v1/tickets/{number}", a.admit(a.getTicket))
+	a.mux.HandleFunc("GET /v1/tickets/{number}/status", a.admit(a.getTicketStatus))
+	a.mux.HandleFunc("GET /v1/workers", a.admit(a.getWorkers))
+	a.mux.HandleFunc("GET /v1/partitions", a.admit(a.getPartitions))
+	a.mux.HandleFunc("GET /v1/report", a.admit(a.getReport))
+	a.mux.HandleFunc("GET /debug/vars", a.admit(a.Counts.ServeHTTP))
+	return a
+}
+
+// ServeHTTP serves one request.
+func (a *Administrator) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+// Health is the body of the health checks.
+type Health struct {
+	Status string `json:"status"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Refusal is the body of an operator's error. Winner is set when a ticket lost a race.
+type Refusal struct {
+	Error  string          `json:"error"`
+	Faults checker.Faults  `json:"faults,omitempty"`
+	Winner *ticketer.State `json:"winner,omitempty"`
+}
+
+// TicketStatus tells where a ticket is in force.
+type TicketStatus struct {
+	Number     int64            `json:"number"`
+	Head       int64            `json:"head"`
+	AcceptedAt time.Time        `json:"accepted-at,omitzero"`
+	Instances  []InstanceTicket `json:"instances"`
+	InForce    bool             `json:"in-force-everywhere"`
+}
+
+// InstanceTicket is the number that an instance has in force. Since is known only of the instance
+// that answers, for its present number.
+type InstanceTicket struct {
+	Instance string    `json:"instance"`
+	Region   string    `json:"region"`
+	Number   int64     `json:"number"`
+	Since    time.Time `json:"since,omitzero"`
+}
+
+// Report is the three measures of the brief as this instance sees them.
+type Report struct {
+	Instance   string                `json:"instance"`
+	Ticket     int64                 `json:"ticket"`
+	Waits      []counter.Wait        `json:"waits"`
+	Decisions  map[string]int64      `json:"decisions"`
+	Partitions []owner.PartitionView `json:"partitions"`
+}
+
+func (a *Administrator) admit(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, known := a.Admission.HolderOf(r); !known {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeJSON(w, http.StatusUnauthorized, Refusal{Error: "send an operator's bearer token"})
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), patience)
+		defer cancel()
+		serve(w, r.WithContext(ctx))
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The operator went away if this fails, and there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var faults checker.Faults
+	var conflict *ticketer.ConflictError
+	var noTicket *ticketer.NoTicketError
+	switch {
+	case errors.As(err, &faults):
+		writeJSON(w, http.StatusUnprocessableEntity, Refusal{Error: "the ticket has faults; nothing was changed", Faults: faults})
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, Refusal{Error: err.Error(), Winner: &conflict.Winner})
+	case errors.As(err, &noTicket):
+		writeJSON(w, http.StatusNotFound, Refusal{Error: err.Error()})
+	default:
+		writeJSON(w, http.StatusServiceUnavailable, Refusal{Error: err.Error()})
+	}
+}
+
+func (a *Administrator) getReady(w http.ResponseWriter, _ *http.Request) {
+	if err := a.Ready(); err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, Health{Status: "not-ready", Reason: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, Health{Status: "ready"})
+}
+
+func (a *Administrator) postTicket(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, checker.MaxBytes))
+	if err != nil {
+		writeJSON(w, http.StatusRequestEntityTooLarge, Refusal{Error: err.Error()})
+		return
+	}
+	ticket, faults := ticketer.Parse("ticket", text)
+	if len(faults) > 0 {
+		writeError(w, faults)
+		return
+	}
+	state, err := a.Desk.Submit(r.Context(), ticket)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	a.Offer(state)
+	writeJSON(w, http.StatusCreated, TicketStatus{Number: state.Number, Head: state.Number, AcceptedAt: state.AcceptedAt, Instances: a.instances()})
+}
+
+// numberOf reads the number in the path; "head" stands for the latest one.
+func (a *Administrator) numberOf(r *http.Request) (int64, error) {
+	text := r.PathValue("number")
+	if text == "head" {
+		return a.Tickets().Number, nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 1 {
+		return 0, checker.Faults{{Path: "number", Wrong: fmt.Sprintf("%q is no ticket number", text), Right: "give a number from 1, or head"}}
+	}
+	return number, nil
+}
+
+func (a *Administrator) getTicket(w http.ResponseWriter, r *http.Request) {
+	if r.PathValue("number") == "head" {
+		state, err := a.Desk.Head(r.Context())
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, state)
+		return
+	}
+	number, err := a.numberOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	ticket, err := a.Desk.Show(r.Context(), number)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, ticket)
+}
+
+func (a *Administrator) instances() []InstanceTicket {
+	list := []InstanceTicket{{Instance: a.Instance, Region: a.Region, Number: a.Tickets().Number, Since: a.InForceSince()}}
+	for name, beat := range a.Live() {
+		list = append(list, InstanceTicket{Instance: name, Region: beat.GetRegion(), Number: beat.GetTicket()})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
+	return list
+}
+
+func (a *Administrator) getTicketStatus(w http.ResponseWriter, r *http.Request) {
+	number, err := a.numberOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	head, err := a.Desk.Head(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if number > head.Number {
+		writeError(w, &ticketer.NoTicketError{Number: number})
+		return
+	}
+	status := TicketStatus{Number: number, Head: head.Number, AcceptedAt: head.AcceptedAt, Instances: a.instances(), InForce: true}
+	for _, instance := range status.Instances {
+		status.InForce = status.InForce && instance.Number >= number
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (a *Administrator) getWorkers(w http.ResponseWriter, r *http.Request) {
+	workers, err := a.Control.Workers(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	sort.Slice(workers, func(i, j int) bool { return workers[i].Name < workers[j].Name })
+	writeJSON(w, http.StatusOK, workers)
+}
+
+func (a *Administrator) getPartitions(w http.ResponseWriter, r *http.Request) {
+	partitions, err := a.Control.Partitions(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	sort.Slice(partitions, func(i, j int) bool { return partitions[i].Name < partitions[j].Name })
+	writeJSON(w, http.StatusOK, partitions)
+}
+
+func (a *Administrator) getReport(w http.ResponseWriter, r *http.Request) {
+	partitions, err := a.Control.Partitions(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Report{
+		Instance:   a.Instance,
+		Ticket:     a.Tickets().Number,
+		Waits:      a.Counts.Waits(),
+		Decisions:  a.Counts.Decisions(),
+		Partitions: partitions,
+	})
+}
--- /dev/null
+++ b/internal/admitter/admitter.go
@@ -0,0 +1,52 @@
+// Package admitter tells who holds a bearer token.
+//
+// # Usage
+//
+//	tokens := admitter.New(map[string]string{"crew-porto": secret})
+//	name, known := tokens.HolderOf(request)
+//
+// Tokens are compared by digest and in constant time, all of them at every request, so that the
+// time of an answer tells nothing. No token is ever logged.
+package admitter
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+)
+
+// holder is a name with the digest of its token.
+type holder struct {
+	name   string
+	digest [sha256.Size]byte
+}
+
+// Tokens are the holders of one kind of access.
+type Tokens struct {
+	holders []holder
+}
+
+// New returns the tokens of holders by name.
+func New(tokens map[string]string) *Tokens {
+	t := &Tokens{}
+	for name, token := range tokens {
+		t.holders = append(t.holders, holder{name: name, digest: sha256.Sum256([]byte(token))})
+	}
+	return t
+}
+
+// HolderOf returns the name that belongs to a request's bearer token.
+func (t *Tokens) HolderOf(request *http.Request) (name string, known bool) {
+	scheme, token, found := strings.Cut(request.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") {
+		return "", false
+	}
+	digest := sha256.Sum256([]byte(token))
+	for i := range t.holders {
+		if subtle.ConstantTimeCompare(t.holders[i].digest[:], digest[:]) == 1 {
+			name, known = t.holders[i].name, true
+		}
+	}
+	return name, known
+}
--- /dev/null
+++ b/internal/bookkeeper/book.go
@@ -0,0 +1,231 @@
+package bookkeeper
+
+import (
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// Book holds the jobs of a partition by key.
+type Book struct {
+	jobs map[string]*Job
+	// Workers tells the boot of each worker that tasks may have been sent to.
+	Workers map[string]string
+}
+
+// New returns an empty book.
+func New() *Book {
+	return &Book{jobs: make(map[string]*Job), Workers: make(map[string]string)}
+}
+
+// Find returns the job of a key, or nil.
+func (b *Book) Find(key string) *Job { return b.jobs[key] }
+
+// Jobs calls a function with every job.
+func (b *Book) Jobs(visit func(*Job)) {
+	for _, job := range b.jobs {
+		visit(job)
+	}
+}
+
+// Len returns how many jobs the book holds.
+func (b *Book) Len() int { return len(b.jobs) }
+
+// Add enters a job whose tasks are all in one phase.
+func (b *Book) Add(key, digest string, spec modeler.Job, at time.Time, phase Phase) *Job {
+	job := &Job{
+		Key:        key,
+		Digest:     digest,
+		Spec:       spec,
+		AcceptedAt: at,
+		Tasks:      make([]Task, spec.Tasks),
+		open:       spec.Tasks,
+	}
+	for i := range job.Tasks {
+		job.Tasks[i] = Task{Phase: phase, Site: NoSite}
+	}
+	b.jobs[key] = job
+	return job
+}
+
+// Remove forgets a job that was never accepted.
+func (b *Book) Remove(key string) { delete(b.jobs, key) }
+
+// Forget removes what has been final since before a time, and returns how many jobs that were.
+func (b *Book) Forget(durableBefore, quickBefore time.Time) int {
+	count := 0
+	for key, job := range b.jobs {
+		before := quickBefore
+		if job.Durable {
+			before = durableBefore
+		}
+		if job.Final() && job.FinishedAt.Before(before) {
+			delete(b.jobs, key)
+			count++
+		}
+	}
+	return count
+}
+
+// Apply replays one journal entry. Applying it twice changes nothing.
+func (b *Book) Apply(entry journaler.Entry) {
+	switch entry.Kind {
+	case journaler.Accepted:
+		b.applyAccepted(entry)
+	case journaler.Permitted:
+		b.applyPermitted(entry)
+	case journaler.Ended:
+		if job := b.taskOf(entry); job != nil {
+			job.End(entry.Task, entry.State, entry.Reason, entry.Result, entry.At)
+		}
+	case journaler.Cancelled:
+		if job := b.jobs[entry.Key]; job != nil {
+			job.Cancel(entry.State, entry.At)
+		}
+	case journaler.Interrupted:
+		if job := b.taskOf(entry); job != nil {
+			job.Witness(entry.Task, entry.Evidence)
+		}
+	case journaler.WorkerAdded:
+		b.Workers[entry.Worker] = entry.Boot
+	case journaler.WorkerRemoved:
+		delete(b.Workers, entry.Worker)
+	}
+}
+
+func (b *Book) applyAccepted(entry journaler.Entry) {
+	if b.jobs[entry.Key] != nil || entry.Job == nil {
+		return
+	}
+	job := b.Add(entry.Key, entry.Digest, *entry.Job, entry.At, Unproven)
+	job.Durable = true
+	job.Accepted = true
+	job.Ticket = entry.Ticket
+}
+
+func (b *Book) applyPermitted(entry journaler.Entry) {
+	job := b.taskOf(entry)
+	if job == nil || entry.Attempt == nil {
+		return
+	}
+	t := &job.Tasks[entry.Task]
+	t.Permitted = true
+	t.Attempt = *entry.Attempt
+	t.Worker = entry.Worker
+	t.Boot = entry.Boot
+}
+
+func (b *Book) taskOf(entry journaler.Entry) *Job {
+	job := b.jobs[entry.Key]
+	if job == nil || entry.Task < 0 || entry.Task >= len(job.Tasks) {
+		return nil
+	}
+	return job
+}
+
+// AdoptRunning takes over a task that a worker shows as running. A task whose job is not in the
+// book is a quick request of an earlier owner; its job is entered, and a caller that repeats the
+// key finds it. False tells that the book knows a final state or another place for the task, so
+// that this run of it has to be ended.
+func (b *Book) AdoptRunning(site int, worker, boot string, running connector.RunningTask) bool {
+	job := b.jobs[running.Attempt.Key]
+	if job == nil {
+		job = b.adoptQuick(running.Attempt, running.Needs, running.StartedAt)
+	}
+	if running.Attempt.Task >= len(job.Tasks) {
+		return false
+	}
+	t := &job.Tasks[running.Attempt.Task]
+	if t.Phase == Running && t.Attempt == running.Attempt {
+		return true
+	}
+	if t.Phase != Unproven && t.Phase != Queued {
+		return false
+	}
+	job.Place(running.Attempt.Task, site, worker, boot, running.Attempt)
+	t.Phase = Running
+	t.StartedAt = running.StartedAt
+	return true
+}
+
+// AdoptEnded makes sure that the job of a worker's record is in the book. It returns nil if the
+// record is of no use, because the task is final or another attempt of it is under way.
+func (b *Book) AdoptEnded(record connector.TaskEnded) *Job {
+	job := b.jobs[record.Attempt.Key]
+	if job == nil {
+		job = b.adoptQuick(record.Attempt, record.Needs, record.At)
+	}
+	if record.Attempt.Task >= len(job.Tasks) {
+		return nil
+	}
+	t := &job.Tasks[record.Attempt.Task]
+	if t.Phase == Over || t.Phase == Ending {
+		return nil
+	}
+	if t.Phase != Unproven && t.Attempt != record.Attempt {
+		return nil
+	}
+	return job
+}
+
+// adoptQuick enters the job of a quick request that an earlier owner accepted. Its digest is
+// unknown and taken from the next caller that repeats the key.
+func (b *Book) adoptQuick(attempt modeler.Attempt, needs modeler.Resources, at time.Time) *Job {
+	spec := modeler.Job{Class: modeler.Quick, Tasks: 1, Repeatable: true, Needs: needs}
+	job := b.Add(attempt.Key, "", spec, at, Unproven)
+	job.Accepted = true
+	return job
+}
+
+// Decision is a final state that Settle found for a task. It has to be written before it is told.
+type Decision struct {
+	Job    *Job
+	Task   int
+	State  modeler.State
+	Reason string
+}
+
+// Settle decides about every unproven task once all workers of the partition are accounted for:
+// those that still run were adopted, so whatever is left runs nowhere. Evidence is MayHaveRun if a
+// worker restarted or vanished since the last owner used it: any of the tasks may have run there.
+// It returns the jobs that have tasks to be queued now, and the tasks that are never to be.
+func (b *Book) Settle(evidence journaler.Evidence, bootOf func(worker string) string) (queue []*Job, final []Decision) {
+	for _, job := range b.jobs {
+		queued := false
+		for i := range job.Tasks {
+			t := &job.Tasks[i]
+			if t.Phase != Unproven {
+				continue
+			}
+			job.Witness(i, evidence)
+			state, reason := t.settle(job.Cancelled, bootOf)
+			if state == modeler.Waiting {
+				job.Requeue(i)
+				queued = true
+				continue
+			}
+			final = append(final, Decision{Job: job, Task: i, State: state, Reason: reason})
+		}
+		if queued {
+			queue = append(queue, job)
+		}
+	}
+	return queue, final
+}
+
+func (t *Task) settle(cancelled bool, bootOf func(worker string) string) (modeler.State, string) {
+	switch {
+	case t.Permitted && t.Boot != "" && bootOf(t.Worker) == t.Boot:
+		// The worker has its memory of this boot and knows nothing of the attempt, and it obeys
+		// a higher epoch now: the attempt never started and never will.
+		return modeler.NotRun, "its only permitted start did not reach worker " + t.Worker
+	case t.Permitted:
+		return modeler.Unknown, "worker " + t.Worker + ", which alone was permitted to run it, lost its memory"
+	case cancelled:
+		return t.Unfinished(), "cancelled"
+	default:
+		return modeler.Waiting, ""
+	}
+}
--- /dev/null
+++ b/internal/checker/checker.go
@@ -0,0 +1,188 @@
+package checker
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// MaxBytes bounds a file of settings or a ticket.
+const MaxBytes = 4 << 20
+
+// Fault is one thing wrong in a file. Path is a JSON path such as "$.pools[2].name".
+type Fault struct {
+	File  string `json:"file,omitempty"`
+	Path  string `json:"path"`
+	Wrong string `json:"wrong"`
+	Right string `json:"right"`
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: %s: %s; %s", f.File, f.Path, f.Wrong, f.Right)
+}
+
+// Faults is everything wrong in one file. It is an error when it is not empty.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Schema checks one kind of file.
+type Schema struct {
+	schema *jsonschema.Schema
+}
+
+// Compile prepares a schema that is part of the program.
+func Compile(name, text string) (*Schema, error) {
+	document, err := jsonschema.UnmarshalJSON(strings.NewReader(text))
+	if err != nil {
+		return nil, errors.Wrap(err, "read schema "+name)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, document); err != nil {
+		return nil, errors.Wrap(err, "add schema "+name)
+	}
+	compiled, err := compiler.Compile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "compile schema "+name)
+	}
+	return &Schema{schema: compiled}, nil
+}
+
+// Decode checks text and stores it in value. Value is only whole if no fault is returned.
+func (s *Schema) Decode(file string, text []byte, value any) Faults {
+	if fault := checkSyntax(text); fault != nil {
+		fault.File = file
+		return Faults{*fault}
+	}
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return Faults{{File: file, Path: "$", Wrong: err.Error(), Right: "write one JSON value"}}
+	}
+	if faults := s.check(file, document); len(faults) > 0 {
+		return faults
+	}
+	if err := json.Unmarshal(text, value); err != nil {
+		return Faults{decodeFault(file, err)}
+	}
+	return nil
+}
+
+func checkSyntax(text []byte) *Fault {
+	if len(text) > MaxBytes {
+		return &Fault{
+			Path:  "$",
+			Wrong: fmt.Sprintf("the file has %d bytes", len(text)),
+			Right: fmt.Sprintf("keep it within %d bytes", MaxBytes),
+		}
+	}
+	value := jsontext.Value(text)
+	decoder := jsontext.NewDecoder(bytes.NewReader(text))
+	if _, err := decoder.ReadValue(); err != nil {
+		return syntaxFault(text, err)
+	}
+	if !value.IsValid() {
+		return &Fault{Path: "$", Wrong: "there is more after the end of the JSON value", Right: "write one JSON value only"}
+	}
+	return nil
+}
+
+func syntaxFault(text []byte, err error) *Fault {
+	var syntactic *jsontext.SyntacticError
+	if !errors.As(err, &syntactic) {
+		return &Fault{Path: "$", Wrong: "the JSON ends too early", Right: "close every bracket and quote"}
+	}
+	line := 1 + bytes.Count(text[:min(int(syntactic.ByteOffset), len(text))], []byte("\n"))
+	fault := &Fault{
+		Path:  pathOf(strings.Split(strings.TrimPrefix(string(syntactic.JSONPointer), "/"), "/")),
+		Wrong: fmt.Sprintf("line %d: %v", line, syntactic.Err),
+		Right: "write plain JSON as in examples/",
+	}
+	if errors.Is(syntactic.Err, jsontext.ErrDuplicateName) {
+		fault.Wrong = fmt.Sprintf("line %d: the name stands twice in one object", line)
+		fault.Right = "keep one of the two"
+	}
+	return fault
+}
+
+func decodeFault(file string, err error) Fault {
+	fault := Fault{File: file, Path: "$", Wrong: err.Error(), Right: "see docs/operators/ for the units of each field"}
+	var mistyped *json.UnmarshalTypeError
+	if errors.As(err, &mistyped) {
+		fault.Path = "$." + mistyped.Field
+	}
+	return fault
+}
+
+func (s *Schema) check(file string, document any) Faults {
+	err := s.schema.Validate(document)
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return nil
+	}
+	var faults Faults
+	collect(file, invalid, &faults)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+// collect walks to the leaves: an inner error only says that something below it is wrong.
+func collect(file string, invalid *jsonschema.ValidationError, faults *Faults) {
+	if len(invalid.Causes) > 0 {
+		for _, cause := range invalid.Causes {
+			collect(file, cause, faults)
+		}
+		return
+	}
+	path := pathOf(invalid.InstanceLocation)
+	wrong, right := explain(invalid.ErrorKind)
+	*faults = append(*faults, Fault{File: file, Path: path, Wrong: wrong, Right: right})
+}
+
+func explain(fault jsonschema.ErrorKind) (wrong, right string) {
+	switch fault := fault.(type) {
+	case *kind.AdditionalProperties:
+		return "unknown field " + strings.Join(fault.Properties, ", "), "remove it or correct its name"
+	case *kind.Required:
+		return "missing " + strings.Join(fault.Missing, ", "), "add it"
+	case *kind.Type:
+		return "this is a " + fault.Got, "write a " + strings.Join(fault.Want, " or ")
+	case *kind.Pattern:
+		return fmt.Sprintf("%q has the wrong form or unit", fault.Got), "write it to match " + fault.Want
+	case *kind.MinItems:
+		return fmt.Sprintf("the list has %d entries", fault.Got), fmt.Sprintf("give at least %d", fault.Want)
+	default:
+		return fault.LocalizedString(message.NewPrinter(language.English)), "change it to meet this"
+	}
+}
+
+func pathOf(parts []string) string {
+	var path strings.Builder
+	path.WriteString("$")
+	for _, part := range parts {
+		if part == "" {
+			continue
+		}
+		if _, err := strconv.Atoi(part); err == nil {
+			path.WriteString("[" + part + "]")
+			continue
+		}
+		path.WriteString("." + part)
+	}
+	return path.String()
+}
--- /dev/null
+++ b/internal/configurer/instance.go
@@ -0,0 +1,219 @@
+package configurer
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/checker"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+//go:embed instance.json
+var instanceSchemaText string
+
+var instanceSchema = sync.OnceValues(func() (*checker.Schema, error) {
+	return checker.Compile("instance", instanceSchemaText)
+})
+
+// Instance is the settings of one entry instance.
+type Instance struct {
+	Name             string           `json:"name"`
+	Region           string           `json:"region"`
+	AvailabilityZone string           `json:"availability-zone"`
+	Listen           Listen           `json:"listen"`
+	Platform         netip.AddrPort   `json:"platform"`
+	Tokens           TokenFiles       `json:"tokens"`
+	FenceMode        string           `json:"fence-mode"`
+	PartitionLease   modeler.Duration `json:"partition-lease"`
+	TaskLease        modeler.Duration `json:"task-lease"`
+	ClockBound       modeler.Duration `json:"clock-bound"`
+	KeepDurable      modeler.Duration `json:"keep-durable-answers"`
+	KeepQuick        modeler.Duration `json:"keep-quick-answers"`
+	Connections      int              `json:"connections"`
+	Seed             uint64           `json:"seed"`
+	LogLevel         slog.Level       `json:"log-level"`
+}
+
+// Listen is where an instance listens. Port 0 takes any free one.
+type Listen struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Operators netip.AddrPort `json:"operators"`
+	Mesh      netip.AddrPort `json:"mesh"`
+}
+
+// TokenFiles names the files of the bearer tokens, relative to the settings file.
+type TokenFiles struct {
+	Callers   string `json:"callers-file"`
+	Operators string `json:"operators-file"`
+	Mesh      string `json:"mesh-file"`
+}
+
+// Defaults of an instance. The partition lease bounds how long work waits for a successor: it is
+// watched once through before a take-over, which has to fit into the 7.6 s for urgent work.
+const (
+	defaultPartitionLease = 4 * time.Second
+	defaultTaskLease      = 15 * time.Second
+	defaultClockBound     = 500 * time.Millisecond
+	defaultKeepDurable    = 24 * time.Hour
+	defaultKeepQuick      = 10 * time.Minute
+	defaultConnections    = 4096
+)
+
+// NewInstance returns settings with the defaults.
+func NewInstance() Instance {
+	return Instance{
+		FenceMode:      "compare-epochs",
+		PartitionLease: modeler.Duration(defaultPartitionLease),
+		TaskLease:      modeler.Duration(defaultTaskLease),
+		ClockBound:     modeler.Duration(defaultClockBound),
+		KeepDurable:    modeler.Duration(defaultKeepDurable),
+		KeepQuick:      modeler.Duration(defaultKeepQuick),
+		Connections:    defaultConnections,
+		Seed:           1,
+	}
+}
+
+// ReadInstance reads and checks a settings file.
+func ReadInstance(file string) (Instance, checker.Faults) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Instance{}, checker.Faults{{File: file, Path: "$", Wrong: err.Error(), Right: "name a settings file that can be read"}}
+	}
+	return ParseInstance(file, text)
+}
+
+// ParseInstance checks the text of a settings file.
+func ParseInstance(file string, text []byte) (Instance, checker.Faults) {
+	settings := NewInstance()
+	schema, err := instanceSchema()
+	if err != nil {
+		return settings, checker.Faults{{File: file, Path: "$", Wrong: err.Error(), Right: "report this as a bug"}}
+	}
+	if faults := schema.Decode(file, text, &settings); len(faults) > 0 {
+		return settings, faults
+	}
+	return settings, settings.check(file)
+}
+
+func (s *Instance) check(file string) checker.Faults {
+	var faults checker.Faults
+	addresses := []struct {
+		path    string
+		address netip.AddrPort
+	}{
+		{"$.listen.callers", s.Listen.Callers},
+		{"$.listen.operators", s.Listen.Operators},
+		{"$.listen.mesh", s.Listen.Mesh},
+		{"$.platform", s.Platform},
+	}
+	for i, one := range addresses {
+		for _, other := range addresses[:i] {
+			if one.address == other.address && one.address.Port() != 0 {
+				faults = append(faults, checker.Fault{
+					File: file, Path: one.path,
+					Wrong: fmt.Sprintf("%s stands at %s too", one.address, other.path), Right: "give each its own port",
+				})
+			}
+		}
+	}
+	if s.Platform.Port() == 0 {
+		faults = append(faults, checker.Fault{File: file, Path: "$.platform", Wrong: "port 0 can't be called", Right: "give the platform's port"})
+	}
+	faults = append(faults, s.checkLeases(file)...)
+	return faults
+}
+
+func (s *Instance) checkLeases(file string) checker.Faults {
+	const shortest = 200 * time.Millisecond
+	var faults checker.Faults
+	if time.Duration(s.PartitionLease) < shortest {
+		faults = append(faults, checker.Fault{
+			File: file, Path: "$.partition-lease",
+			Wrong: fmt.Sprintf("%s leaves no time to renew", time.Duration(s.PartitionLease)), Right: "give at least " + shortest.String(),
+		})
+	}
+	if s.TaskLease <= s.PartitionLease {
+		faults = append(faults, checker.Fault{
+			File: file, Path: "$.task-lease",
+			Wrong: fmt.Sprintf("%s is not longer than the partition lease of %s", time.Duration(s.TaskLease), time.Duration(s.PartitionLease)),
+			Right: "make it at least three times as long, or a take-over ends the work that runs",
+		})
+	}
+	return faults
+}
+
+// Secrets are the tokens that the files hold.
+type Secrets struct {
+	Callers   map[string]string
+	Operators map[string]string
+	Mesh      string
+}
+
+// ReadSecrets reads the token files next to a settings file.
+func ReadSecrets(settings Instance, file string) (Secrets, checker.Faults) {
+	var secrets Secrets
+	var faults checker.Faults
+	read := func(path, name string, use func(text []byte) error) {
+		if !filepath.IsAbs(name) {
+			name = filepath.Join(filepath.Dir(file), name)
+		}
+		text, err := os.ReadFile(name)
+		if err == nil {
+			err = use(text)
+		}
+		if err != nil {
+			faults = append(faults, checker.Fault{File: file, Path: path, Wrong: err.Error(), Right: "name a readable token file, see docs/operators/settings.md"})
+		}
+	}
+	read("$.tokens.callers-file", settings.Tokens.Callers, func(text []byte) error {
+		return decodeTokens(text, &secrets.Callers)
+	})
+	read("$.tokens.operators-file", settings.Tokens.Operators, func(text []byte) error {
+		return decodeTokens(text, &secrets.Operators)
+	})
+	read("$.tokens.mesh-file", settings.Tokens.Mesh, func(text []byte) error {
+		secrets.Mesh = strings.TrimSpace(string(text))
+		return checkToken("mesh", secrets.Mesh)
+	})
+	return secrets, faults
+}
+
+// TokenError tells that a token file is of no use. It never shows a token.
+type TokenError struct {
+	Name   string
+	Reason string
+}
+
+func (e *TokenError) Error() string { return fmt.Sprintf("token of %q: %s", e.Name, e.Reason) }
+
+// shortestToken is how many characters a token has at least.
+const shortestToken = 16
+
+func checkToken(name, token string) error {
+	if len(token) < shortestToken {
+		return &TokenError{Name: name, Reason: fmt.Sprintf("it has fewer than %d characters", shortestToken)}
+	}
+	return nil
+}
+
+func decodeTokens(text []byte, tokens *map[string]string) error {
+	if err := json.Unmarshal(text, tokens); err != nil {
+		return errors.Wrap(err, "a token file is a JSON object of names and tokens")
+	}
+	for name, token := range *tokens {
+		if err := checkToken(name, token); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/configurer/platform.go
@@ -0,0 +1,92 @@
+package configurer
+
+import (
+	_ "embed"
+	"fmt"
+	"net/netip"
+	"os"
+	"sync"
+
+	"dotterelpost.example/dotterelpost/internal/checker"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+//go:embed platform.json
+var platformSchemaText string
+
+var platformSchema = sync.OnceValues(func() (*checker.Schema, error) {
+	return checker.Compile("platform", platformSchemaText)
+})
+
+// Platform is the settings of the platform's stand-in.
+type Platform struct {
+	Listen          netip.AddrPort   `json:"listen"`
+	WritesPerSecond int              `json:"writes-per-second"`
+	ReadsPerSecond  int              `json:"reads-per-second"`
+	ListLag         modeler.Duration `json:"list-lag"`
+	FenceMode       string           `json:"fence-mode"`
+	Racks           []Rack           `json:"racks"`
+}
+
+// Rack is a rack of equal workers.
+type Rack struct {
+	Name             string            `json:"name"`
+	Region           string            `json:"region"`
+	AvailabilityZone string            `json:"availability-zone"`
+	Workers          int               `json:"workers"`
+	Slots            int               `json:"slots"`
+	Capacity         modeler.Resources `json:"capacity"`
+}
+
+// ReadPlatform reads and checks a settings file of the stand-in.
+func ReadPlatform(file string) (Platform, checker.Faults) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Platform{}, checker.Faults{{File: file, Path: "$", Wrong: err.Error(), Right: "name a settings file that can be read"}}
+	}
+	return ParsePlatform(file, text)
+}
+
+// ParsePlatform checks the text of a settings file of the stand-in.
+func ParsePlatform(file string, text []byte) (Platform, checker.Faults) {
+	settings := Platform{FenceMode: "compare-epochs"}
+	schema, err := platformSchema()
+	if err != nil {
+		return settings, checker.Faults{{File: file, Path: "$", Wrong: err.Error(), Right: "report this as a bug"}}
+	}
+	if faults := schema.Decode(file, text, &settings); len(faults) > 0 {
+		return settings, faults
+	}
+	var faults checker.Faults
+	first := make(map[string]int)
+	for i, rack := range settings.Racks {
+		if j, found := first[rack.Name]; found {
+			faults = append(faults, checker.Fault{
+				File: file, Path: fmt.Sprintf("$.racks[%d].name", i),
+				Wrong: fmt.Sprintf("%q stands at $.racks[%d] too", rack.Name, j), Right: "give each rack its own name",
+			})
+			continue
+		}
+		first[rack.Name] = i
+	}
+	return settings, faults
+}
+
+// WorkersAt lists the workers of all racks, which the stand-in serves at one address.
+func (s *Platform) WorkersAt(address netip.AddrPort) []modeler.Worker {
+	var workers []modeler.Worker
+	for _, rack := range s.Racks {
+		for i := range rack.Workers {
+			workers = append(workers, modeler.Worker{
+				Name:             fmt.Sprintf("%s-w%02d", rack.Name, i+1),
+				Region:           rack.Region,
+				AvailabilityZone: rack.AvailabilityZone,
+				Rack:             rack.Name,
+				Capacity:         rack.Capacity,
+				Slots:            rack.Slots,
+				Address:          address,
+			})
+		}
+	}
+	return workers
+}
--- /dev/null
+++ b/internal/counter/counter.go
@@ -0,0 +1,131 @@
+// Package counter counts what an instance decides and how long work waited, as expvar variables
+// and HDR histograms.
+//
+// # Usage
+//
+//	counts := counter.New(clock)
+//	counts.Decided(modeler.Batch, "placed")
+//	http.Handle("GET /debug/vars", counts)
+//	report := counts.Report()
+//
+// Variables are not published in expvar's global registry: a process may run several instances,
+// as the demo does.
+package counter
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// Waits are recorded in microseconds up to an hour, with three significant digits.
+const (
+	longestWaitMicros = int64(time.Hour / time.Microsecond)
+	significantDigits = 3
+)
+
+// Counts are the counters of one instance.
+type Counts struct {
+	root      *expvar.Map
+	decisions *expvar.Map
+	routes    *expvar.Map
+
+	mu    sync.Mutex
+	waits map[modeler.Class]*hdrhistogram.Histogram
+}
+
+// New returns counters at zero.
+func New() *Counts {
+	c := &Counts{
+		root:      new(expvar.Map).Init(),
+		decisions: new(expvar.Map).Init(),
+		routes:    new(expvar.Map).Init(),
+		waits:     make(map[modeler.Class]*hdrhistogram.Histogram),
+	}
+	c.root.Set("decisions", c.decisions)
+	c.root.Set("routes", c.routes)
+	c.root.Set("waits", expvar.Func(func() any { return c.Waits() }))
+	return c
+}
+
+// Publish adds a variable that is asked for its value when somebody looks.
+func (c *Counts) Publish(name string, value func() any) { c.root.Set(name, expvar.Func(value)) }
+
+// ServeHTTP writes all variables as JSON.
+func (c *Counts) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	// The caller went away if this fails, and there is nobody to tell.
+	_, _ = fmt.Fprintln(w, c.root.String())
+}
+
+// Decided counts a decision about a task.
+func (c *Counts) Decided(class modeler.Class, outcome string) {
+	c.decisions.Add(string(class)+"."+outcome, 1)
+}
+
+// Routed counts where a call was handed.
+func (c *Counts) Routed(where string) { c.routes.Add(where, 1) }
+
+// Waited records the time from acceptance to the first placement of a task.
+func (c *Counts) Waited(class modeler.Class, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	histogram := c.waits[class]
+	if histogram == nil {
+		histogram = hdrhistogram.New(1, longestWaitMicros, significantDigits)
+		c.waits[class] = histogram
+	}
+	// Only a wait of over an hour fails; it counts as an hour.
+	_ = histogram.RecordValue(min(wait.Microseconds(), longestWaitMicros))
+}
+
+// Wait sums up the waits of a class.
+type Wait struct {
+	Class modeler.Class    `json:"class"`
+	Count int64            `json:"count"`
+	P50   modeler.Duration `json:"p50"`
+	P99   modeler.Duration `json:"p99"`
+	Max   modeler.Duration `json:"max"`
+}
+
+// Waits returns the waits of each class that was placed.
+func (c *Counts) Waits() []Wait {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var waits []Wait
+	for _, class := range modeler.Classes() {
+		histogram := c.waits[class]
+		if histogram == nil {
+			continue
+		}
+		waits = append(waits, Wait{
+			Class: class,
+			Count: histogram.TotalCount(),
+			P50:   micros(histogram.ValueAtQuantile(50)),
+			P99:   micros(histogram.ValueAtQuantile(99)),
+			Max:   micros(histogram.Max()),
+		})
+	}
+	return waits
+}
+
+func micros(value int64) modeler.Duration {
+	return modeler.Duration(time.Duration(value) * time.Microsecond)
+}
+
+// Decisions returns how often each decision was taken.
+func (c *Counts) Decisions() map[string]int64 {
+	decisions := make(map[string]int64)
+	c.decisions.Do(func(entry expvar.KeyValue) {
+		if count, isInt := entry.Value.(*expvar.Int); isInt {
+			decisions[entry.Key] = count.Value()
+		}
+	})
+	return decisions
+}
--- /dev/null
+++ b/internal/demonstrator/cell.go
@@ -0,0 +1,254 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/examples"
+	"dotterelpost.example/dotterelpost/internal/configurer"
+	"dotterelpost.example/dotterelpost/internal/counter"
+	"dotterelpost.example/dotterelpost/internal/imitator"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/server"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+	"dotterelpost.example/dotterelpost/pkg/caller"
+)
+
+const (
+	// partitionLease and taskLease are shorter than the defaults, so that a take-over fits into
+	// the demo.
+	partitionLease = 2 * time.Second
+	taskLease      = 8 * time.Second
+	meshToken      = "demo-mesh-token-of-the-demo"
+	operatorToken  = "demo-operator-token-of-the-demo"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// cell is everything that runs in the demo: the stand-in and the entry instances.
+type cell struct {
+	clock    clockwork.Clock
+	log      *slog.Logger
+	seed     uint64
+	platform *imitator.Platform
+	address  netip.AddrPort
+	balancer netip.AddrPort
+	callers  map[string]string
+
+	tickets   []ticketer.Ticket
+	contracts []ticketer.Contract
+
+	mu        sync.Mutex
+	instances map[string]*server.Server
+	retired   []usage
+	count     int
+	closers   []func()
+}
+
+// usage is what an instance that is gone had spent.
+type usage struct {
+	table    server.TableCounts
+	meshNear int64
+	meshFar  int64
+	waits    []counter.Wait
+}
+
+func newCell(seed uint64, log *slog.Logger) (*cell, func(), error) {
+	c := &cell{
+		clock:     clockwork.NewRealClock(),
+		log:       log,
+		seed:      seed,
+		callers:   make(map[string]string),
+		instances: make(map[string]*server.Server),
+	}
+	for _, step := range []func() error{c.readTickets, c.startPlatform, c.startBalancer} {
+		if err := step(); err != nil {
+			c.close()
+			return nil, nil, err
+		}
+	}
+	return c, c.close, nil
+}
+
+func (c *cell) close() {
+	for _, instance := range c.running() {
+		instance.Kill()
+	}
+	for i := len(c.closers) - 1; i >= 0; i-- {
+		c.closers[i]()
+	}
+}
+
+func (c *cell) startPlatform() error {
+	text, err := examples.Files.ReadFile("cell/platform.json")
+	if err != nil {
+		return errors.Wrap(err, "read platform example")
+	}
+	settings, faults := configurer.ParsePlatform("examples/cell/platform.json", text)
+	if len(faults) > 0 {
+		return faults
+	}
+	listener, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	c.address, err = netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "address of the platform")
+	}
+	c.platform = imitator.New(imitator.Settings{
+		WritesPerSecond: settings.WritesPerSecond,
+		ReadsPerSecond:  settings.ReadsPerSecond,
+		ListLag:         settings.ListLag,
+		FenceMode:       imitator.FenceMode(settings.FenceMode),
+		Workers:         settings.WorkersAt(c.address),
+	}, c.clock)
+	web := &http.Server{Handler: c.platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = web.Serve(listener) }()
+	c.closers = append(c.closers, func() { _ = web.Close() })
+	return nil
+}
+
+// start starts an entry instance in a region.
+func (c *cell) start(region string) (*server.Server, error) {
+	c.mu.Lock()
+	c.count++
+	number := c.count
+	c.mu.Unlock()
+	settings := configurer.NewInstance()
+	settings.Name = fmt.Sprintf("%s-%d", region, number)
+	settings.Region = region
+	settings.AvailabilityZone = region + "-a"
+	settings.Listen = configurer.Listen{Callers: loopback, Operators: loopback, Mesh: loopback}
+	settings.Platform = c.address
+	settings.PartitionLease = modeler.Duration(partitionLease)
+	settings.TaskLease = modeler.Duration(taskLease)
+	settings.Seed = c.seed
+	instance, err := server.Start(server.Options{
+		Settings: settings,
+		Secrets: configurer.Secrets{
+			Callers:   c.callers,
+			Operators: map[string]string{"demo": operatorToken},
+			Mesh:      meshToken,
+		},
+		Clock: c.clock,
+		Log:   c.log,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start "+settings.Name)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances[instance.Name()] = instance
+	return instance, nil
+}
+
+// retire notes what an instance had spent and takes it off the list.
+func (c *cell) retire(instance *server.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.instances, instance.Name())
+	c.retired = append(c.retired, usageOf(instance))
+}
+
+func usageOf(instance *server.Server) usage {
+	mesh := instance.MeshCounts()
+	return usage{
+		table:    instance.TableCounts(),
+		meshNear: mesh.BytesNear,
+		meshFar:  mesh.BytesFar,
+		waits:    instance.Waits(),
+	}
+}
+
+func (c *cell) running() []*server.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*server.Server, 0, len(c.instances))
+	for _, instance := range c.instances {
+		list = append(list, instance)
+	}
+	return list
+}
+
+func (c *cell) inRegion(region string) *server.Server {
+	for _, instance := range c.running() {
+		if instance.Describe().Region == region {
+			return instance
+		}
+	}
+	return nil
+}
+
+// startBalancer starts the platform's balancer over the instances that are ready.
+func (c *cell) startBalancer() error {
+	balancer, closeBalancer, err := imitator.NewBalancer(loopback, c.targets)
+	if err != nil {
+		return err
+	}
+	c.closers = append(c.closers, closeBalancer)
+	c.balancer, err = balancer.Address()
+	return err
+}
+
+func (c *cell) targets() []netip.AddrPort {
+	var targets []netip.AddrPort
+	for _, instance := range c.running() {
+		if !instance.Describe().Leaving {
+			targets = append(targets, instance.Addresses().Callers)
+		}
+	}
+	return targets
+}
+
+// client returns a caller's client behind the balancer.
+func (c *cell) client(name string) *caller.Client {
+	client, closeClient := caller.New(caller.Settings{
+		Endpoints: []netip.AddrPort{c.balancer},
+		Token:     c.callers[name],
+		Clock:     c.clock,
+	})
+	c.closers = append(c.closers, closeClient)
+	return client
+}
+
+// readTickets parses the example tickets and gives each caller of their contracts a token.
+func (c *cell) readTickets() error {
+	for _, file := range []string{"cell/ticket.json", "association/ticket.json", "footlights/ticket.json"} {
+		text, err := examples.Files.ReadFile(file)
+		if err != nil {
+			return errors.Wrap(err, "read example ticket")
+		}
+		ticket, faults := ticketer.Parse("examples/"+file, text)
+		if len(faults) > 0 {
+			return faults
+		}
+		for _, contract := range ticket.Contracts {
+			c.callers[contract.Caller] = "demo-token-of-" + contract.Caller
+		}
+		c.contracts = append(c.contracts, ticket.Contracts...)
+		c.tickets = append(c.tickets, ticket)
+	}
+	return nil
+}
+
+// eventually asks until a condition holds or the time is over.
+func (c *cell) eventually(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for a condition")
+		case <-c.clock.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gatekeeper/gatekeeper.go
@@ -0,0 +1,267 @@
+package gatekeeper
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/checker"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+)
+
+//go:embed job.json
+var jobSchemaText string
+
+var jobSchema = sync.OnceValues(func() (*checker.Schema, error) {
+	return checker.Compile("job", jobSchemaText)
+})
+
+const (
+	// maxBodyBytes bounds a request's body.
+	maxBodyBytes = 1 << 20
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 200
+	// defaultPatience is how long a call may take that names no time of its own.
+	defaultPatience = 30 * time.Second
+	// maxPatience bounds what a caller may ask for.
+	maxPatience = 5 * time.Minute
+	// grace is how long after its deadline the end of a quick request may still be told.
+	grace = time.Second
+)
+
+// Router hands calls to the owners of their keys.
+type Router interface {
+	Submit(ctx context.Context, caller, key string, job []byte, wait bool) (modeler.Answer, error)
+	Status(ctx context.Context, caller, key string, wait bool) (modeler.Answer, error)
+	Cancel(ctx context.Context, caller, key string) (modeler.Answer, error)
+}
+
+// Admission tells who holds a bearer token.
+type Admission interface {
+	HolderOf(request *http.Request) (name string, known bool)
+}
+
+// Dependencies of the front door.
+type Dependencies struct {
+	Router    Router
+	Admission Admission
+	Tickets   func() *ticketer.State
+	Log       *slog.Logger
+}
+
+// Gatekeeper serves callers.
+type Gatekeeper struct {
+	Dependencies
+	mux *http.ServeMux
+
+	mu       sync.Mutex
+	inFlight map[string]int
+}
+
+// New returns the handler.
+func New(dependencies Dependencies) *Gatekeeper {
+	g := &Gatekeeper{Dependencies: dependencies, mux: http.NewServeMux(), inFlight: make(map[string]int)}
+	g.mux.HandleFunc("POST /v1/requests", g.admit(g.postRequest))
+	g.mux.HandleFunc("POST /v1/jobs", g.admit(g.postJob))
+	g.mux.HandleFunc("GET /v1/jobs/{key}", g.admit(g.getJob))
+	g.mux.HandleFunc("DELETE /v1/jobs/{key}", g.admit(g.deleteJob))
+	return g
+}
+
+// ServeHTTP serves one request.
+func (g *Gatekeeper) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.mux.ServeHTTP(w, r) }
+
+// admit lets known callers with a contract in, within their number of requests in flight.
+func (g *Gatekeeper) admit(serve func(w http.ResponseWriter, r *http.Request, contract ticketer.Contract)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		caller, known := g.Admission.HolderOf(r)
+		if !known {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			newProblem("not-admitted", "No valid token", http.StatusUnauthorized, RanNo, "send the caller's bearer token").write(w)
+			return
+		}
+		contract, found := g.Tickets().ContractOf(caller)
+		if !found {
+			newProblem("no-contract", "No contract in force", http.StatusForbidden, RanNo,
+				fmt.Sprintf("caller %s has no contract in ticket %d", caller, g.Tickets().Number)).write(w)
+			return
+		}
+		if !g.enter(contract) {
+			problem := newProblem("too-many-in-flight", "Too many requests in flight", http.StatusTooManyRequests, RanNo,
+				fmt.Sprintf("the contract allows %d at a time on one instance", contract.RequestsInFlight))
+			problem.retryAfter = time.Second
+			problem.write(w)
+			return
+		}
+		defer g.leave(contract)
+		serve(w, r, contract)
+	}
+}
+
+func (g *Gatekeeper) enter(contract ticketer.Contract) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.inFlight[contract.Caller] >= contract.RequestsInFlight {
+		return false
+	}
+	g.inFlight[contract.Caller]++
+	return true
+}
+
+func (g *Gatekeeper) leave(contract ticketer.Contract) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight[contract.Caller]--
+}
+
+func (g *Gatekeeper) postRequest(w http.ResponseWriter, r *http.Request, contract ticketer.Contract) {
+	key, job, ok := g.readJob(w, r, contract)
+	if !ok {
+		return
+	}
+	if job.Class != modeler.Quick {
+		badRequest(w, "$.class", fmt.Sprintf("class %s is no quick request", job.Class), "send it to /v1/jobs")
+		return
+	}
+	patience := defaultPatience
+	if job.Deadline > 0 {
+		patience = min(time.Duration(job.Deadline), maxPatience) + grace
+	}
+	g.submit(w, r, contract, key, job, true, patience)
+}
+
+func (g *Gatekeeper) postJob(w http.ResponseWriter, r *http.Request, contract ticketer.Contract) {
+	key, job, ok := g.readJob(w, r, contract)
+	if !ok {
+		return
+	}
+	if job.Class == modeler.Quick {
+		badRequest(w, "$.class", "a quick request is no job", "send it to /v1/requests")
+		return
+	}
+	g.submit(w, r, contract, key, job, false, defaultPatience)
+}
+
+func (g *Gatekeeper) submit(w http.ResponseWriter, r *http.Request, contract ticketer.Contract, key string, job modeler.Job, wait bool, patience time.Duration) {
+	text, err := json.Marshal(job)
+	if err != nil {
+		problemOf(err).write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	answer, err := g.Router.Submit(ctx, contract.Caller, key, text, wait)
+	writeAnswer(w, answer, err)
+}
+
+func (g *Gatekeeper) getJob(w http.ResponseWriter, r *http.Request, contract ticketer.Contract) {
+	patience, wait := defaultPatience, false
+	if text := r.URL.Query().Get("wait"); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked < 0 {
+			badRequest(w, "wait", fmt.Sprintf("%q is no duration", text), "write it as 30s")
+			return
+		}
+		patience, wait = min(asked, maxPatience), asked > 0
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	answer, err := g.Router.Status(ctx, contract.Caller, r.PathValue("key"), wait)
+	writeAnswer(w, answer, err)
+}
+
+func (g *Gatekeeper) deleteJob(w http.ResponseWriter, r *http.Request, contract ticketer.Contract) {
+	ctx, cancel := context.WithTimeout(r.Context(), defaultPatience)
+	defer cancel()
+	answer, err := g.Router.Cancel(ctx, contract.Caller, r.PathValue("key"))
+	writeAnswer(w, answer, err)
+}
+
+func writeAnswer(w http.ResponseWriter, answer modeler.Answer, err error) {
+	if err != nil {
+		problemOf(err).write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !answer.State.Final() {
+		w.WriteHeader(http.StatusAccepted)
+	}
+	// The caller went away if this fails; it will ask again with its key.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func badRequest(w http.ResponseWriter, path, wrong, right string) {
+	problem := newProblem("bad-request", "The request has faults", http.StatusBadRequest, RanNo, path+": "+wrong+"; "+right)
+	problem.Faults = checker.Faults{{Path: path, Wrong: wrong, Right: right}}
+	problem.write(w)
+}
+
+// readJob reads and checks key and body. It has answered already if ok is false.
+func (g *Gatekeeper) readJob(w http.ResponseWriter, r *http.Request, contract ticketer.Contract) (key string, job modeler.Job, ok bool) {
+	key = r.Header.Get("Idempotency-Key")
+	if !validKey(key) {
+		badRequest(w, "Idempotency-Key", fmt.Sprintf("%q is no key", key),
+			fmt.Sprintf("send 1 to %d letters, digits, dots, dashes or underscores", maxKeyBytes))
+		return "", job, false
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		newProblem("too-large", "The body was not read", http.StatusRequestEntityTooLarge, RanNo,
+			fmt.Sprintf("send at most %d bytes: %v", maxBodyBytes, err)).write(w)
+		return "", job, false
+	}
+	job, faults := parseJob(text, contract)
+	if len(faults) > 0 {
+		problem := newProblem("bad-request", "The request has faults", http.StatusBadRequest, RanNo, faults.Error())
+		problem.Faults = faults
+		problem.write(w)
+		return "", job, false
+	}
+	return key, job, true
+}
+
+func validKey(key string) bool {
+	if key == "" || len(key) > maxKeyBytes {
+		return false
+	}
+	for _, r := range key {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '-', r == '_', r == '.':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// parseJob checks a job and fills in what the contract decides.
+func parseJob(text []byte, contract ticketer.Contract) (modeler.Job, checker.Faults) {
+	var job modeler.Job
+	schema, err := jobSchema()
+	if err != nil {
+		return job, checker.Faults{{Path: "$", Wrong: err.Error(), Right: "report this as a bug"}}
+	}
+	if faults := schema.Decode("body", text, &job); len(faults) > 0 {
+		return job, faults
+	}
+	var faults checker.Faults
+	if job.Team != "" && job.Team != contract.Team {
+		faults = append(faults, checker.Fault{
+			File: "body", Path: "$.team",
+			Wrong: fmt.Sprintf("the contract is with team %s", contract.Team), Right: "leave team out",
+		})
+	}
+	job.Team = contract.Team
+	job.Tasks = max(job.Tasks, 1)
+	if job.Class == modeler.Quick && job.Tasks > 1 {
+		faults = append(faults, checker.Fault{File: "body", Path: "$.tasks", Wrong: "a quick request is one task", Right: "leave tasks out"})
+	}
+	return job, faults
+}
--- /dev/null
+++ b/internal/gatekeeper/problem.go
@@ -0,0 +1,88 @@
+package gatekeeper
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/checker"
+	"dotterelpost.example/dotterelpost/internal/owner"
+	"dotterelpost.example/dotterelpost/internal/router"
+)
+
+// Ran says in a problem whether anything ran.
+type Ran string
+
+// What a problem can say: nothing ran by this call, or it is not known.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+)
+
+// Problem is the body of every error, in the form of RFC 9457.
+type Problem struct {
+	Type   string         `json:"type"`
+	Title  string         `json:"title"`
+	Status int            `json:"status"`
+	Detail string         `json:"detail"`
+	Ran    Ran            `json:"ran"`
+	Faults checker.Faults `json:"faults,omitempty"`
+
+	retryAfter time.Duration
+}
+
+// typePrefix begins the type of each problem.
+const typePrefix = "urn:dotterelpost:problem:"
+
+func newProblem(name, title string, status int, ran Ran, detail string) Problem {
+	return Problem{Type: typePrefix + name, Title: title, Status: status, Ran: ran, Detail: detail}
+}
+
+func (p Problem) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	if p.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status)
+	// The caller went away if this fails, and there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// problemOf says in the caller's terms what an error means.
+func problemOf(err error) Problem {
+	var refused *owner.RefusedError
+	var noContract *router.NoContractError
+	var bad *router.BadCallError
+	switch {
+	case errors.As(err, &refused):
+		return refusalOf(refused)
+	case errors.As(err, &noContract):
+		return newProblem("no-contract", "No contract in force", http.StatusForbidden, RanNo, err.Error())
+	case errors.As(err, &bad):
+		return newProblem("bad-request", "The request is not understood", http.StatusBadRequest, RanNo, err.Error())
+	}
+	problem := newProblem("undecided", "The answer is not known yet", http.StatusGatewayTimeout, RanUnknown,
+		err.Error()+"; ask again with the same key")
+	problem.retryAfter = time.Second
+	return problem
+}
+
+func refusalOf(refused *owner.RefusedError) Problem {
+	status, title := http.StatusServiceUnavailable, "Refused for now"
+	switch refused.Kind {
+	case owner.KeyReused:
+		status, title = http.StatusUnprocessableEntity, "The key stands for another request"
+	case owner.UnknownKey:
+		status, title = http.StatusNotFound, "Nothing under this key"
+	case owner.NoPolicy:
+		status, title = http.StatusForbidden, "No policy for this work"
+	case owner.Overloaded, owner.TableDown:
+	}
+	problem := newProblem(string(refused.Kind), title, status, RanNo, refused.Reason)
+	problem.retryAfter = refused.RetryAfter
+	return problem
+}
--- /dev/null
+++ b/internal/imitator/balancer.go
@@ -0,0 +1,111 @@
+package imitator
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// dialTimeout bounds how long the balancer tries one target.
+const dialTimeout = time.Second
+
+// Balancer is a stand-in for the platform's balancer: it hands each connection to the next target.
+type Balancer struct {
+	listener net.Listener
+	targets  func() []netip.AddrPort
+	turn     atomic.Uint64
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewBalancer listens and returns the bound balancer with the function that closes it. Targets is
+// asked at each connection.
+func NewBalancer(listen netip.AddrPort, targets func() []netip.AddrPort) (*Balancer, func(), error) {
+	listener, err := net.Listen("tcp", listen.String())
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for the balancer")
+	}
+	b := &Balancer{listener: listener, targets: targets, conns: make(map[net.Conn]struct{})}
+	go b.accept()
+	return b, b.close, nil
+}
+
+// Address returns the bound address.
+func (b *Balancer) Address() (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(b.listener.Addr().String())
+	if err != nil {
+		return address, errors.Wrap(err, "address of the balancer")
+	}
+	return address, nil
+}
+
+func (b *Balancer) close() {
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for conn := range b.conns {
+		_ = conn.Close()
+	}
+}
+
+func (b *Balancer) accept() {
+	for {
+		conn, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		go b.carry(conn)
+	}
+}
+
+func (b *Balancer) track(conn net.Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.conns[conn] = struct{}{}
+}
+
+func (b *Balancer) release(conn net.Conn) {
+	b.mu.Lock()
+	delete(b.conns, conn)
+	b.mu.Unlock()
+	_ = conn.Close()
+}
+
+// carry copies both ways until either side ends.
+func (b *Balancer) carry(near net.Conn) {
+	b.track(near)
+	defer b.release(near)
+	far := b.dial()
+	if far == nil {
+		return
+	}
+	b.track(far)
+	defer b.release(far)
+	var once sync.Once
+	ended := make(chan struct{})
+	pump := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		once.Do(func() { close(ended) })
+	}
+	go pump(far, near)
+	go pump(near, far)
+	<-ended
+}
+
+func (b *Balancer) dial() net.Conn {
+	targets := b.targets()
+	for range targets {
+		target := targets[int(b.turn.Add(1)%uint64(len(targets)))]
+		conn, err := net.DialTimeout("tcp", target.String(), dialTimeout)
+		if err == nil {
+			return conn
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mesher/link.go
@@ -0,0 +1,165 @@
+package mesher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/panjf2000/gnet/v2"
+
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// link is the dialled connection to one peer, made anew whenever it breaks.
+type link struct {
+	mesh   *Mesh
+	peer   modeler.Instance
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	conn    gnet.Conn
+	closed  chan struct{}
+	nextID  uint64
+	pending map[uint64]chan *messenger.Reply
+}
+
+func newLink(m *Mesh, peer modeler.Instance) *link {
+	ctx, cancel := context.WithCancel(m.ctx)
+	l := &link{mesh: m, peer: peer, ctx: ctx, cancel: cancel, pending: make(map[uint64]chan *messenger.Reply)}
+	go l.run()
+	return l
+}
+
+func (l *link) stop() { l.cancel() }
+
+// run keeps the link up and sends heartbeats over it.
+func (l *link) run() {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = 50 * time.Millisecond
+	delays.MaxInterval = 2 * time.Second
+	for l.ctx.Err() == nil {
+		closed, err := l.dial()
+		if err != nil {
+			l.mesh.Log.Debug("peer not reached", "instance", l.peer.Name, "error", err)
+			l.broke()
+			l.wait(delays.NextBackOff())
+			continue
+		}
+		delays.Reset()
+		l.beat(closed)
+		l.broke()
+	}
+}
+
+func (l *link) wait(delay time.Duration) {
+	select {
+	case <-l.ctx.Done():
+	case <-l.mesh.Clock.After(delay):
+	}
+}
+
+func (l *link) dial() (closed chan struct{}, err error) {
+	closed = make(chan struct{})
+	conn, err := l.mesh.client.DialContext("tcp", l.peer.Mesh.String(), &session{link: l, closed: closed})
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	l.conn = conn
+	l.closed = closed
+	l.mu.Unlock()
+	hello := &messenger.Hello{Instance: l.mesh.settings.Instance, Region: l.mesh.settings.Region, Token: l.mesh.settings.Token}
+	return closed, l.send(&messenger.Frame{Kind: &messenger.Frame_Hello{Hello: hello}})
+}
+
+func (l *link) beat(closed chan struct{}) {
+	ticker := l.mesh.Clock.NewTicker(l.mesh.beatOf(l.peer.Region))
+	defer ticker.Stop()
+	for {
+		beat := &messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: l.mesh.Beat()}}
+		if err := l.send(beat); err != nil {
+			return
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-closed:
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// broke forgets the connection. Calls that wait for a reply on it see that it was closed.
+func (l *link) broke() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		// Closing twice is harmless, and the error of it tells nothing.
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+	clear(l.pending)
+}
+
+func (l *link) send(frame *messenger.Frame) error {
+	data, err := encodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		return &LinkError{Instance: l.peer.Name, Err: &NoLinkError{}}
+	}
+	l.mesh.countSent(l.peer.Region, len(data))
+	return conn.AsyncWrite(data, nil)
+}
+
+// call sends a call with an id of this link and waits for the reply of that id.
+func (l *link) call(ctx context.Context, call *messenger.Call) (*messenger.Reply, error) {
+	replies := make(chan *messenger.Reply, 1)
+	l.mu.Lock()
+	l.nextID++
+	call.Id = l.nextID
+	closed := l.closed
+	connected := l.conn != nil
+	l.pending[call.GetId()] = replies
+	l.mu.Unlock()
+	defer l.forget(call.GetId())
+	if !connected {
+		return nil, &LinkError{Instance: l.peer.Name, Err: &NoLinkError{}}
+	}
+	if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Call{Call: call}}); err != nil {
+		return nil, &LinkError{Instance: l.peer.Name, Err: err}
+	}
+	select {
+	case reply := <-replies:
+		return reply, nil
+	case <-closed:
+		return nil, &LinkError{Instance: l.peer.Name, Err: &ClosedError{}}
+	case <-ctx.Done():
+		return nil, &LinkError{Instance: l.peer.Name, Err: ctx.Err()}
+	}
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, id)
+}
+
+// deliver hands a reply to the call that waits for it. A late or repeated one finds nobody.
+func (l *link) deliver(reply *messenger.Reply) {
+	l.mu.Lock()
+	waiting := l.pending[reply.GetId()]
+	delete(l.pending, reply.GetId())
+	l.mu.Unlock()
+	if waiting != nil {
+		waiting <- reply
+	}
+}
--- /dev/null
+++ b/internal/mesher/mesh.go
@@ -0,0 +1,280 @@
+package mesher
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+const (
+	// nearBeat and farBeat are the times between heartbeats to peers of the same region and of
+	// other regions, whose links are billed.
+	nearBeat = 500 * time.Millisecond
+	farBeat  = 3 * time.Second
+	// beatsUntilSilent is how many heartbeats may be missing before a peer counts as silent.
+	beatsUntilSilent = 5
+)
+
+// LinkError tells that a call has no reply because its connection is not there or broke.
+type LinkError struct {
+	Instance string
+	Err      error
+}
+
+func (e *LinkError) Error() string {
+	return fmt.Sprintf("link to instance %s: %v", e.Instance, e.Err)
+}
+
+func (e *LinkError) Unwrap() error { return e.Err }
+
+// ClosedError is the reason of a LinkError when the connection was closed.
+type ClosedError struct{}
+
+func (*ClosedError) Error() string { return "the connection was closed" }
+
+// NoLinkError is the reason of a LinkError when there is no connection.
+type NoLinkError struct{}
+
+func (*NoLinkError) Error() string { return "there is no connection" }
+
+// Handler answers calls of peers. It is called on a goroutine of its own for each call.
+type Handler interface {
+	ServeCall(ctx context.Context, call *messenger.Call) *messenger.Reply
+}
+
+// Settings of a mesh.
+type Settings struct {
+	Instance string
+	Region   string
+	Listen   netip.AddrPort
+	Token    string
+}
+
+// Dependencies of a mesh.
+type Dependencies struct {
+	Clock   clockwork.Clock
+	Log     *slog.Logger
+	Handler Handler
+	// Beat returns the heartbeat to send now.
+	Beat func() *messenger.Heartbeat
+	// Heard is called with each heartbeat of a peer.
+	Heard func(*messenger.Heartbeat)
+}
+
+// Counts of a mesh, for metrics.
+type Counts struct {
+	BytesNear int64 `json:"bytes-near"`
+	BytesFar  int64 `json:"bytes-far"`
+	Frames    int64 `json:"frames"`
+	BadFrames int64 `json:"bad-frames"`
+}
+
+// Peer is what is known of another instance by its heartbeats.
+type Peer struct {
+	Beat  *messenger.Heartbeat
+	Heard time.Time
+}
+
+// Mesh is this instance's end of all connections.
+type Mesh struct {
+	settings Settings
+	Dependencies
+	ctx    context.Context
+	cancel context.CancelFunc
+	engine gnet.Engine
+	client *gnet.Client
+	bound  netip.AddrPort
+	booted chan error
+
+	mu    sync.Mutex
+	links map[string]*link
+	peers map[string]Peer
+	serve sync.WaitGroup
+
+	bytesNear, bytesFar, frames, badFrames atomic.Int64
+}
+
+// New returns a mesh that listens, and the function that closes all of it.
+func New(settings Settings, dependencies Dependencies) (*Mesh, func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Mesh{
+		settings:     settings,
+		Dependencies: dependencies,
+		ctx:          ctx,
+		cancel:       cancel,
+		booted:       make(chan error, 1),
+		links:        make(map[string]*link),
+		peers:        make(map[string]Peer),
+	}
+	quiet := gnet.WithLogger(silence{})
+	ended := make(chan error, 1)
+	go func() {
+		err := gnet.Run(&side{mesh: m}, "tcp://"+settings.Listen.String(), quiet, gnet.WithReuseAddr(true))
+		ended <- err
+	}()
+	select {
+	case err := <-m.booted:
+		if err != nil {
+			cancel()
+			return nil, nil, err
+		}
+	case err := <-ended:
+		cancel()
+		return nil, nil, errors.Wrap(err, "listen for peers on "+settings.Listen.String())
+	}
+	client, err := gnet.NewClient(&side{mesh: m, dialled: true}, quiet)
+	if err != nil {
+		cancel()
+		return nil, nil, errors.Wrap(err, "make mesh client")
+	}
+	if err := client.Start(); err != nil {
+		cancel()
+		return nil, nil, errors.Wrap(err, "start mesh client")
+	}
+	m.client = client
+	return m, m.close, nil
+}
+
+// closeTimeout bounds how long gnet may take to stop.
+const closeTimeout = 2 * time.Second
+
+func (m *Mesh) close() {
+	m.cancel()
+	m.mu.Lock()
+	for name, l := range m.links {
+		l.stop()
+		delete(m.links, name)
+	}
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := m.engine.Stop(ctx); err != nil {
+		m.Log.Debug("mesh engine stop", "error", err)
+	}
+	if err := m.client.Stop(); err != nil {
+		m.Log.Debug("mesh client stop", "error", err)
+	}
+}
+
+// Address returns the bound address of the listener.
+func (m *Mesh) Address() netip.AddrPort { return m.bound }
+
+// Counts returns the counts so far.
+func (m *Mesh) Counts() Counts {
+	return Counts{
+		BytesNear: m.bytesNear.Load(),
+		BytesFar:  m.bytesFar.Load(),
+		Frames:    m.frames.Load(),
+		BadFrames: m.badFrames.Load(),
+	}
+}
+
+// SetPeers dials new peers and drops the links to those that are gone.
+func (m *Mesh) SetPeers(instances []modeler.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		if instance.Name == m.settings.Instance {
+			continue
+		}
+		listed[instance.Name] = true
+		if m.links[instance.Name] == nil {
+			m.links[instance.Name] = newLink(m, instance)
+		}
+	}
+	for name, l := range m.links {
+		if !listed[name] {
+			l.stop()
+			delete(m.links, name)
+			delete(m.peers, name)
+		}
+	}
+}
+
+// Live returns the peers whose heartbeats still come, by name.
+func (m *Mesh) Live() map[string]*messenger.Heartbeat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	live := make(map[string]*messenger.Heartbeat, len(m.peers))
+	now := m.Clock.Now()
+	for name, peer := range m.peers {
+		if now.Sub(peer.Heard) <= beatsUntilSilent*m.beatOf(peer.Beat.GetRegion()) {
+			live[name] = peer.Beat
+		}
+	}
+	return live
+}
+
+func (m *Mesh) beatOf(region string) time.Duration {
+	if region == m.settings.Region {
+		return nearBeat
+	}
+	return farBeat
+}
+
+func (m *Mesh) heard(beat *messenger.Heartbeat) {
+	m.mu.Lock()
+	m.peers[beat.GetInstance()] = Peer{Beat: beat, Heard: m.Clock.Now()}
+	m.mu.Unlock()
+	m.Heard(beat)
+}
+
+// Call hands a call to a peer and waits for its reply.
+func (m *Mesh) Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error) {
+	m.mu.Lock()
+	l := m.links[instance]
+	m.mu.Unlock()
+	if l == nil {
+		return nil, &LinkError{Instance: instance, Err: &NoLinkError{}}
+	}
+	return l.call(ctx, call)
+}
+
+func (m *Mesh) countSent(region string, size int) {
+	m.frames.Add(1)
+	if region == m.settings.Region {
+		m.bytesNear.Add(int64(size))
+		return
+	}
+	m.bytesFar.Add(int64(size))
+}
+
+// admits compares the token of a hello in constant time.
+func (m *Mesh) admits(hello *messenger.Hello) bool {
+	return subtle.ConstantTimeCompare([]byte(hello.GetToken()), []byte(m.settings.Token)) == 1
+}
+
+// boundAddress asks the system which port the listener got.
+func boundAddress(engine gnet.Engine) (netip.AddrPort, error) {
+	descriptor, err := engine.Dup()
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "find mesh listener")
+	}
+	defer unix.Close(descriptor)
+	name, err := unix.Getsockname(descriptor)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "name of mesh listener")
+	}
+	switch name := name.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(name.Addr), uint16(name.Port)), nil
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(name.Addr), uint16(name.Port)), nil
+	default:
+		return netip.AddrPort{}, &LinkError{Err: &NoLinkError{}}
+	}
+}
--- /dev/null
+++ b/internal/owner/endings.go
@@ -0,0 +1,210 @@
+package owner
+
+import (
+	"dotterelpost.example/dotterelpost/internal/bookkeeper"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/fencer"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// ending is a final state on its way into the journal. Settled runs when it is there.
+type ending struct {
+	state   modeler.State
+	reason  string
+	result  *modeler.Result
+	settled func()
+}
+
+// end makes a task final: at once for a quick request, after the entry is written for a durable
+// job. The place is free in both cases, because the task runs nowhere any more.
+func (p *partition) end(job *bookkeeper.Job, task int, e ending) {
+	p.vacate(job, task)
+	now := p.control.Clock.Now()
+	finish := func() {
+		job.End(task, e.state, e.reason, e.result, now)
+		if e.settled != nil {
+			e.settled()
+		}
+		p.control.Counters.Decided(job.Spec.Class, string(e.state))
+		p.logEnd(job, task, e)
+	}
+	if !job.Durable {
+		finish()
+		return
+	}
+	job.Tasks[task].Phase = bookkeeper.Ending
+	entry := journaler.Entry{
+		Kind:   journaler.Ended,
+		Key:    job.Key,
+		Task:   task,
+		At:     now,
+		State:  e.state,
+		Reason: e.reason,
+		Result: e.result,
+	}
+	p.write(entry, finish)
+}
+
+func (p *partition) logEnd(job *bookkeeper.Job, task int, e ending) {
+	p.control.Log.Info("ended", "key", job.Key, "task", task, "class", job.Spec.Class,
+		"state", e.state, "reason", e.reason, "partition", p.name, "epoch", p.epoch)
+}
+
+// interrupt deals with an attempt that is over unfinished: the task is queued again once that is
+// written, or ends if it may not be tried again.
+func (p *partition) interrupt(job *bookkeeper.Job, task int, evidence journaler.Evidence, reason string, settled func()) {
+	p.vacate(job, task)
+	job.Witness(task, evidence)
+	if job.Cancelled || !job.Spec.Repeatable {
+		p.end(job, task, ending{state: job.Tasks[task].Unfinished(), reason: reason, settled: settled})
+		return
+	}
+	again := func() {
+		if settled != nil {
+			settled()
+		}
+		p.requeue(job, task)
+	}
+	if !job.Durable || evidence == journaler.ProvedNew {
+		again()
+		return
+	}
+	job.Tasks[task].Phase = bookkeeper.Ending
+	entry := journaler.Entry{
+		Kind:     journaler.Interrupted,
+		Key:      job.Key,
+		Task:     task,
+		At:       p.control.Clock.Now(),
+		Evidence: evidence,
+		Reason:   reason,
+	}
+	p.write(entry, again)
+}
+
+// requeue puts a task back into the queue, with its job if that had left it. A gang goes back when
+// its last task does.
+func (p *partition) requeue(job *bookkeeper.Job, task int) {
+	if job.Cancelled {
+		p.end(job, task, ending{state: job.Tasks[task].Unfinished(), reason: "cancelled"})
+		return
+	}
+	waiting := job.Count(bookkeeper.Queued) > 0
+	job.Requeue(task)
+	if !waiting {
+		p.queue.Push(job)
+	}
+	p.dirty = true
+}
+
+// lose deals with a task whose worker can't run it any more and can't tell what became of it.
+func (p *partition) lose(job *bookkeeper.Job, task int, reason string) {
+	evidence := journaler.MayHaveRun
+	if job.Tasks[task].Phase == bookkeeper.Running {
+		evidence = journaler.HasRun
+	}
+	if job.Spec.Repeatable {
+		p.interrupt(job, task, evidence, reason, nil)
+		return
+	}
+	p.end(job, task, ending{state: modeler.Unknown, reason: reason})
+}
+
+// handleRecord deals with a worker's record of a task that ended.
+func (p *partition) handleRecord(index int, record connector.TaskEnded) {
+	if p.yielded() {
+		// The successor will be shown the record; it is not confirmed.
+		return
+	}
+	settled := p.settleRecord(index, record)
+	if settled == nil {
+		return
+	}
+	job := p.book.AdoptEnded(record)
+	if job == nil {
+		settled()
+		return
+	}
+	task := record.Attempt.Task
+	t := &job.Tasks[task]
+	if t.StartedAt.IsZero() {
+		t.StartedAt = record.At
+	}
+	if record.Kind == connector.EndedFinished {
+		p.end(job, task, ending{state: modeler.Done, result: record.Result, settled: settled})
+		return
+	}
+	reason := string(record.Kind) + " on worker " + p.sites[index].info.Name
+	if t.Phase == bookkeeper.Unproven && job.Spec.Repeatable && !job.Cancelled {
+		// Another worker, not yet heard of, may run a later attempt: settle decides.
+		p.witness(job, task, reason, settled)
+		return
+	}
+	p.interrupt(job, task, journaler.HasRun, reason, settled)
+}
+
+// settleRecord returns the function that lets the worker forget the record, or nil if the record
+// was dealt with already.
+func (p *partition) settleRecord(index int, record connector.TaskEnded) func() {
+	s := p.sites[index]
+	if record.Boot != s.boot {
+		return func() {}
+	}
+	if !s.records.arrived(record.Sequence) {
+		return nil
+	}
+	return func() {
+		if record.Boot == s.boot {
+			s.link.Confirm(s.records.settled(record.Sequence))
+		}
+	}
+}
+
+func (p *partition) witness(job *bookkeeper.Job, task int, reason string, settled func()) {
+	job.Witness(task, journaler.HasRun)
+	if !job.Durable {
+		settled()
+		return
+	}
+	entry := journaler.Entry{
+		Kind:     journaler.Interrupted,
+		Key:      job.Key,
+		Task:     task,
+		At:       p.control.Clock.Now(),
+		Evidence: journaler.HasRun,
+		Reason:   reason,
+	}
+	p.write(entry, settled)
+}
+
+// stopTask has the worker end a task, and deals with what the worker says of it.
+func (p *partition) stopTask(job *bookkeeper.Job, task int) {
+	t := &job.Tasks[task]
+	index := t.Site
+	if index == bookkeeper.NoSite {
+		return
+	}
+	s := p.sites[index]
+	attempt, boot := t.Attempt, t.Boot
+	go func() {
+		outcome := s.link.Stop(attempt, boot)
+		p.post(func() { p.stopped(job, task, index, attempt, outcome) })
+	}()
+}
+
+func (p *partition) stopped(job *bookkeeper.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
+	t := &job.Tasks[task]
+	if outcome.Ended != nil {
+		p.handleRecord(index, *outcome.Ended)
+		return
+	}
+	if t.Attempt != attempt || (t.Phase != bookkeeper.Starting && t.Phase != bookkeeper.Running) {
+		return
+	}
+	switch {
+	case outcome.NeverRan != "":
+		p.interrupt(job, task, journaler.ProvedNew, "stopped before it ran", nil)
+	case outcome.Forgotten:
+		p.lose(job, task, "worker "+p.sites[index].info.Name+" restarted while it was told to stop the task")
+	}
+}
--- /dev/null
+++ b/internal/owner/round.go
@@ -0,0 +1,343 @@
+package owner
+
+import (
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/bookkeeper"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/fencer"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/placer"
+	"dotterelpost.example/dotterelpost/internal/queuer"
+)
+
+const (
+	// defaultGangPatience is how long a gang waits before places are kept free for it.
+	defaultGangPatience = 30 * time.Second
+	// holdLength, in patiences, is when places are no longer kept free for a gang. Without an end,
+	// a gang that can't be served would idle its pools for good.
+	holdLength = 4
+	// defaultStartAttempts is after how many refused starts a task is given up.
+	defaultStartAttempts = 20
+	// rememberedAvoids is how many workers that refused a task it is kept off.
+	rememberedAvoids = 3
+	// maxQuickWait bounds how long one call to a worker waits for a quick request to end.
+	maxQuickWait = 30 * time.Second
+)
+
+// hold keeps places free for a gang that has waited long: other long work is not placed while it
+// lasts.
+type hold struct {
+	job   *bookkeeper.Job
+	until time.Time
+}
+
+// shape is what makes two placing questions of a round equal: if one found no place, the other
+// need not be asked.
+type shape struct {
+	team  string
+	class modeler.Class
+	needs modeler.Resources
+}
+
+// round places what can be placed.
+func (p *partition) round() {
+	if p.yielding != nil {
+		p.tryYield()
+		return
+	}
+	if !p.dirty || !p.loaded {
+		return
+	}
+	p.dirty = false
+	now := p.control.Clock.Now()
+	p.endHold(now)
+	full := make(map[shape]bool)
+	capacity, _ := p.cell.Totals()
+	share := func(team string) float64 { return p.share(team, capacity) }
+	p.queue.Visit(share, func(job *bookkeeper.Job) queuer.Verdict { return p.serve(job, full, now) })
+}
+
+// share is a team's dominant share of the partition as a part of its quota's share. A team without
+// a quota counts as if its quota were a hundredth.
+func (p *partition) share(team string, capacity modeler.Resources) float64 {
+	const shareWithoutQuota = 0.01
+	quota := p.control.tickets.QuotaOf(team).DominantShare(capacity)
+	return p.used[team].DominantShare(capacity) / max(quota, shareWithoutQuota)
+}
+
+func (p *partition) endHold(now time.Time) {
+	if p.hold.job == nil {
+		return
+	}
+	if p.hold.job.Count(bookkeeper.Queued) == 0 || now.After(p.hold.until) {
+		p.hold.job = nil
+	}
+}
+
+func (p *partition) serve(job *bookkeeper.Job, full map[shape]bool, now time.Time) queuer.Verdict {
+	if job.Cancelled {
+		return queuer.Served
+	}
+	if _, found := job.NextQueued(); !found {
+		return queuer.Served
+	}
+	if job.Spec.Class == modeler.Quick && p.expired(job, now) {
+		return queuer.Served
+	}
+	kind := shape{team: job.Spec.Team, class: job.Spec.Class, needs: job.Spec.Needs}
+	if full[kind] && job.Spec.Class != modeler.Gang || p.isHeldBack(job) {
+		return queuer.Blocked
+	}
+	if job.Spec.Class == modeler.Gang {
+		return p.serveGang(job, now)
+	}
+	for {
+		task, found := job.NextQueued()
+		if !found {
+			return queuer.Served
+		}
+		ask := p.ask(job, 1)
+		ask.Avoid = job.Tasks[task].Avoid
+		if ask.Spread != modeler.SpreadNone && ask.Class != modeler.Quick {
+			ask.Beside = besideOf(job)
+		}
+		placements, shortage := p.cell.Place(ask)
+		if shortage != placer.NoShortage {
+			full[kind] = len(ask.Avoid) == 0
+			job.Tasks[task].Avoid = nil
+			return queuer.Blocked
+		}
+		p.start(job, task, placements[0], now)
+	}
+}
+
+// expired ends a quick request whose deadline passed in the queue.
+func (p *partition) expired(job *bookkeeper.Job, now time.Time) bool {
+	deadline := time.Duration(job.Spec.Deadline)
+	if deadline == 0 || now.Before(job.AcceptedAt.Add(deadline)) {
+		return false
+	}
+	p.end(job, 0, ending{state: job.Tasks[0].Unfinished(), reason: "its deadline passed before a slot was free"})
+	return true
+}
+
+// isHeldBack tells whether a job has to wait for a gang. Short work may pass: it is over before
+// the gang could be placed.
+func (p *partition) isHeldBack(job *bookkeeper.Job) bool {
+	if p.hold.job == nil || p.hold.job == job || job.Spec.Urgent || job.Spec.Class == modeler.Quick {
+		return false
+	}
+	length := time.Duration(job.Spec.ExpectedRunTime)
+	return length == 0 || length > p.patience(p.hold.job)
+}
+
+func (p *partition) patience(job *bookkeeper.Job) time.Duration {
+	policy, _ := p.control.tickets.PolicyOf(job.Spec.Team, job.Spec.Class)
+	if policy.GangPatience > 0 {
+		return time.Duration(policy.GangPatience)
+	}
+	return defaultGangPatience
+}
+
+// serveGang places all open tasks of a gang or none. Tasks of an earlier try that are still being
+// stopped keep it waiting.
+func (p *partition) serveGang(job *bookkeeper.Job, now time.Time) queuer.Verdict {
+	count := job.Count(bookkeeper.Queued)
+	if count < job.Open() {
+		return queuer.Blocked
+	}
+	placements, shortage := p.cell.Place(p.ask(job, count))
+	if shortage != placer.NoShortage {
+		p.considerHold(job, now)
+		return queuer.Blocked
+	}
+	for _, placement := range placements {
+		task, _ := job.NextQueued()
+		p.start(job, task, placement, now)
+	}
+	return queuer.Served
+}
+
+func (p *partition) considerHold(job *bookkeeper.Job, now time.Time) {
+	patience := p.patience(job)
+	if p.hold.job != nil || now.Sub(job.AcceptedAt) < patience || now.Before(p.hold.until.Add(patience)) {
+		return
+	}
+	p.hold = hold{job: job, until: now.Add(holdLength * patience)}
+	p.control.Log.Info("holding places for gang", "key", job.Key, "partition", p.name, "until", p.hold.until)
+}
+
+func besideOf(job *bookkeeper.Job) []int {
+	var beside []int
+	for i := range job.Tasks {
+		if site := job.Tasks[i].Site; site != bookkeeper.NoSite {
+			beside = append(beside, site)
+		}
+	}
+	return beside
+}
+
+// start sends a task to the place that was just reserved for it. Now is when the round began.
+func (p *partition) start(job *bookkeeper.Job, task int, placement placer.Placement, now time.Time) {
+	index := placement.Worker
+	s := p.sites[index]
+	t := &job.Tasks[task]
+	attempt := modeler.Attempt{Partition: p.name, Epoch: p.epoch, Key: job.Key, Task: task, Number: t.Attempts + 1}
+	job.Place(task, index, s.info.Name, s.boot, attempt)
+	p.occupy(index, job, task)
+	p.logPlacement(job, attempt, placement, now)
+	if t.Attempts == 1 {
+		p.control.Counters.Waited(job.Spec.Class, now.Sub(job.AcceptedAt))
+	}
+	if job.Spec.Repeatable {
+		p.send(job, task)
+		return
+	}
+	p.permit(job, task)
+}
+
+func (p *partition) logPlacement(job *bookkeeper.Job, attempt modeler.Attempt, placement placer.Placement, began time.Time) {
+	p.control.Counters.Decided(job.Spec.Class, "placed")
+	p.control.Log.Info("placed",
+		"key", job.Key,
+		"task", attempt.Task,
+		"class", job.Spec.Class,
+		"worker", p.sites[placement.Worker].info.Name,
+		"partition", p.name,
+		"epoch", p.epoch,
+		"attempt", attempt.Number,
+		"ticket", p.control.tickets.Number,
+		"reason", placement.Reason,
+		"candidates", placement.Candidates,
+		"micros", p.control.Clock.Since(began).Microseconds(),
+	)
+}
+
+// permit writes that the task may be sent to this worker, once.
+func (p *partition) permit(job *bookkeeper.Job, task int) {
+	t := &job.Tasks[task]
+	t.Phase = bookkeeper.Permitting
+	attempt := t.Attempt
+	entry := journaler.Entry{
+		Kind:    journaler.Permitted,
+		Key:     job.Key,
+		Task:    task,
+		At:      p.control.Clock.Now(),
+		Attempt: &attempt,
+		Worker:  t.Worker,
+		Boot:    t.Boot,
+	}
+	p.writeChecked(entry, func(err error) {
+		switch err := err.(type) {
+		case nil:
+			t.Permitted = true
+			p.permitted(job, task)
+		case *journaler.PermitTakenError:
+			p.end(job, task, ending{state: modeler.Unknown, reason: err.Error()})
+		default:
+			p.deposed()
+		}
+	})
+}
+
+func (p *partition) permitted(job *bookkeeper.Job, task int) {
+	if job.Cancelled {
+		p.end(job, task, ending{state: modeler.NotRun, reason: "cancelled before it was sent"})
+		return
+	}
+	p.send(job, task)
+}
+
+// send starts the attempt on its worker. The call goes on until the outcome is certain.
+func (p *partition) send(job *bookkeeper.Job, task int) {
+	t := &job.Tasks[task]
+	t.Phase = bookkeeper.Starting
+	index := t.Site
+	s := p.sites[index]
+	attempt := t.Attempt
+	ask := connector.StartRequest{
+		Attempt:    attempt,
+		Boot:       t.Boot,
+		Class:      job.Spec.Class,
+		Needs:      job.Spec.Needs,
+		LeaseEnd:   s.link.LeaseEnd(),
+		Repeatable: job.Spec.Repeatable,
+		Payload:    job.Spec.Payload,
+	}
+	counts := 1
+	if job.Spec.Class == modeler.Quick {
+		ask.Wait = modeler.Duration(min(maxQuickWait, p.control.settings.TaskLease))
+		counts = 0
+	}
+	p.starting += counts
+	go func() {
+		outcome := s.link.Start(ask)
+		p.post(func() {
+			p.starting -= counts
+			p.started(job, task, index, attempt, outcome)
+		})
+	}()
+}
+
+func (p *partition) started(job *bookkeeper.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
+	if outcome.Ended != nil {
+		p.handleRecord(index, *outcome.Ended)
+		return
+	}
+	t := &job.Tasks[task]
+	if t.Attempt != attempt || t.Phase != bookkeeper.Starting {
+		return
+	}
+	switch {
+	case outcome.Running:
+		t.Phase = bookkeeper.Running
+		t.StartedAt = p.control.Clock.Now()
+		if job.Cancelled {
+			p.stopTask(job, task)
+		}
+	case outcome.NeverRan != "":
+		p.refused(job, task, index, outcome.NeverRan)
+	case outcome.Forgotten:
+		p.lose(job, task, "worker "+p.sites[index].info.Name+" restarted while it was sent the task")
+	}
+}
+
+// refused deals with a start that provably did not and will not run.
+func (p *partition) refused(job *bookkeeper.Job, task, index int, refusal connector.Refusal) {
+	t := &job.Tasks[task]
+	worker := p.sites[index].info.Name
+	p.control.Log.Warn("start refused", "key", job.Key, "task", task, "worker", worker, "refusal", refusal, "attempt", t.Attempts)
+	if refusal == connector.RefusedLeaving {
+		p.setLeaving(index, true)
+	}
+	t.Avoid = append(t.Avoid, index)
+	if len(t.Avoid) > rememberedAvoids {
+		t.Avoid = t.Avoid[1:]
+	}
+	policy, _ := p.control.tickets.PolicyOf(job.Spec.Team, job.Spec.Class)
+	limit := policy.MaxStartAttempts
+	if limit == 0 {
+		limit = defaultStartAttempts
+	}
+	reason := "worker " + worker + " refused it: " + string(refusal)
+	if t.Attempts >= limit {
+		p.end(job, task, ending{state: t.Unfinished(), reason: reason})
+		return
+	}
+	if job.Spec.Class == modeler.Gang {
+		p.regroup(job, task)
+	}
+	p.interrupt(job, task, journaler.ProvedNew, reason, nil)
+}
+
+// regroup stops the other tasks of a gang of which one found no place after all.
+func (p *partition) regroup(job *bookkeeper.Job, refused int) {
+	for task := range job.Tasks {
+		phase := job.Tasks[task].Phase
+		if task != refused && (phase == bookkeeper.Starting || phase == bookkeeper.Running) {
+			p.stopTask(job, task)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/cell.go
@@ -0,0 +1,201 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// site is a worker with what is left of it. Worker indexes are never reused.
+type site struct {
+	info      modeler.Worker
+	pool      int
+	reserved  modeler.Resources
+	freeSlots int
+	usable    bool
+	bucket    int
+	position  int
+	slotAt    int
+}
+
+// pool is an index over the usable workers of one pool. slotted lists those with a free slot.
+type pool struct {
+	name    string
+	members []int
+	buckets [][]int
+	slotted []int
+}
+
+// Cell is the model of the workers of one partition.
+type Cell struct {
+	sites  []site
+	pools  []pool
+	random *rand.Rand
+}
+
+// New returns an empty cell. The seed decides the random choices among slots.
+func New(seed uint64) *Cell {
+	return &Cell{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Add puts a worker into a pool and returns its index. It is not usable before SetUsable.
+func (c *Cell) Add(info modeler.Worker, poolName string) int {
+	index := len(c.sites)
+	number := c.poolNumber(poolName)
+	c.sites = append(c.sites, site{
+		info:      info,
+		pool:      number,
+		freeSlots: info.Slots,
+		slotAt:    -1,
+	})
+	c.pools[number].members = append(c.pools[number].members, index)
+	return index
+}
+
+func (c *Cell) poolNumber(name string) int {
+	for number := range c.pools {
+		if c.pools[number].name == name {
+			return number
+		}
+	}
+	c.pools = append(c.pools, pool{name: name})
+	return len(c.pools) - 1
+}
+
+// Worker returns the description of a worker.
+func (c *Cell) Worker(index int) modeler.Worker { return c.sites[index].info }
+
+// Free returns what is not reserved on a worker.
+func (c *Cell) Free(index int) modeler.Resources { return c.sites[index].free() }
+
+// Reserved returns what is reserved on a worker.
+func (c *Cell) Reserved(index int) modeler.Resources { return c.sites[index].reserved }
+
+// free never goes below nothing: an adopted task may stand on a worker whose declared capacity
+// shrank, and unsigned memory would wrap to a huge amount there.
+func (s *site) free() modeler.Resources {
+	capacity := s.info.Capacity
+	return capacity.Minus(modeler.Resources{
+		Processors:   min(s.reserved.Processors, capacity.Processors),
+		Memory:       min(s.reserved.Memory, capacity.Memory),
+		Accelerators: min(s.reserved.Accelerators, capacity.Accelerators),
+	})
+}
+
+// SetUsable lets a worker take new work or keeps it from doing so. What it runs is not touched.
+func (c *Cell) SetUsable(index int, usable bool) {
+	s := &c.sites[index]
+	if s.usable == usable {
+		return
+	}
+	if !usable {
+		c.unlist(index)
+		s.usable = false
+		return
+	}
+	s.usable = true
+	c.list(index)
+}
+
+// SetPool moves a worker to another pool.
+func (c *Cell) SetPool(index int, poolName string) {
+	number := c.poolNumber(poolName)
+	s := &c.sites[index]
+	if s.pool == number {
+		return
+	}
+	usable := s.usable
+	c.SetUsable(index, false)
+	old := &c.pools[s.pool]
+	old.members = slices.DeleteFunc(old.members, func(member int) bool { return member == index })
+	s.pool = number
+	c.pools[number].members = append(c.pools[number].members, index)
+	c.SetUsable(index, usable)
+}
+
+// Usable tells whether a worker takes new work.
+func (c *Cell) Usable(index int) bool { return c.sites[index].usable }
+
+// Reserve takes needs on a worker for a task that runs there already. It may exceed what is free
+// only if the worker took the task before this cell knew it; the worker's word counts.
+func (c *Cell) Reserve(index int, needs modeler.Resources, class modeler.Class) {
+	c.change(index, func(s *site) {
+		s.reserved = s.reserved.Plus(needs)
+		if class == modeler.Quick {
+			s.freeSlots--
+		}
+	})
+}
+
+// Release gives back what Place or Reserve took.
+func (c *Cell) Release(index int, needs modeler.Resources, class modeler.Class) {
+	c.change(index, func(s *site) {
+		s.reserved = s.reserved.Minus(needs)
+		if class == modeler.Quick {
+			s.freeSlots++
+		}
+	})
+}
+
+func (c *Cell) change(index int, apply func(*site)) {
+	s := &c.sites[index]
+	if s.usable {
+		c.unlist(index)
+	}
+	apply(s)
+	if s.usable {
+		c.list(index)
+	}
+}
+
+// bucketOf numbers the bucket by whole free processors. Slots of quick requests need few
+// processors, so a worker's bucket changes rarely in a storm.
+func bucketOf(free modeler.Resources) int {
+	return int(max(free.Processors, 0) / 1000)
+}
+
+func (c *Cell) list(index int) {
+	s := &c.sites[index]
+	p := &c.pools[s.pool]
+	s.bucket = bucketOf(s.free())
+	for len(p.buckets) <= s.bucket {
+		p.buckets = append(p.buckets, nil)
+	}
+	s.position = len(p.buckets[s.bucket])
+	p.buckets[s.bucket] = append(p.buckets[s.bucket], index)
+	if s.freeSlots > 0 {
+		s.slotAt = len(p.slotted)
+		p.slotted = append(p.slotted, index)
+	}
+}
+
+func (c *Cell) unlist(index int) {
+	s := &c.sites[index]
+	p := &c.pools[s.pool]
+	bucket := p.buckets[s.bucket]
+	last := bucket[len(bucket)-1]
+	bucket[s.position] = last
+	c.sites[last].position = s.position
+	p.buckets[s.bucket] = bucket[:len(bucket)-1]
+	if s.slotAt >= 0 {
+		last = p.slotted[len(p.slotted)-1]
+		p.slotted[s.slotAt] = last
+		c.sites[last].slotAt = s.slotAt
+		p.slotted = p.slotted[:len(p.slotted)-1]
+		s.slotAt = -1
+	}
+}
+
+// Totals returns capacity and reservations of all usable workers together.
+func (c *Cell) Totals() (capacity, reserved modeler.Resources) {
+	for i := range c.sites {
+		s := &c.sites[i]
+		if !s.usable {
+			continue
+		}
+		capacity = capacity.Plus(s.info.Capacity)
+		reserved = reserved.Plus(s.reserved)
+	}
+	return capacity, reserved
+}
--- /dev/null
+++ b/internal/placer/place.go
@@ -0,0 +1,297 @@
+package placer
+
+import (
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// slotChoices is how many random workers a quick request compares.
+const slotChoices = 3
+
+// Ask is one placing question: so many equal tasks of a class in some pools.
+type Ask struct {
+	Class  modeler.Class
+	Needs  modeler.Resources
+	Pools  []string
+	Tasks  int
+	Spread modeler.Spread
+	// Beside lists the workers that hold other tasks of the same job, for spreading.
+	Beside []int
+	// Avoid lists workers that this task is kept off, because it failed to start there.
+	Avoid []int
+}
+
+// Placement is a decision for one task. Candidates is how many workers were looked at.
+type Placement struct {
+	Worker     int
+	Candidates int
+	Reason     string
+}
+
+// Shortage says why nothing was placed.
+type Shortage string
+
+const (
+	// NoShortage: everything asked for was placed.
+	NoShortage Shortage = ""
+	// FullNow: a worker could hold it, but not now.
+	FullNow Shortage = "full-now"
+	// NeverFits: no worker of the pools could hold it even if it were empty, or all of them
+	// together could not hold a gang.
+	NeverFits Shortage = "never-fits"
+)
+
+// Place finds and reserves places for all tasks asked for, or for none.
+func (c *Cell) Place(ask Ask) ([]Placement, Shortage) {
+	placements := make([]Placement, 0, ask.Tasks)
+	beside := ask.Beside
+	for range ask.Tasks {
+		placement, found := c.choose(ask, beside)
+		if !found {
+			c.undo(ask, placements)
+			return nil, FullNow
+		}
+		c.Reserve(placement.Worker, ask.Needs, ask.Class)
+		placements = append(placements, placement)
+		beside = append(beside[:len(beside):len(beside)], placement.Worker)
+	}
+	return placements, NoShortage
+}
+
+func (c *Cell) undo(ask Ask, placements []Placement) {
+	for _, placement := range placements {
+		c.Release(placement.Worker, ask.Needs, ask.Class)
+	}
+}
+
+func (c *Cell) choose(ask Ask, beside []int) (Placement, bool) {
+	switch {
+	case ask.Class == modeler.Quick:
+		return c.chooseSlot(ask)
+	case ask.Class == modeler.StandingService && ask.Spread != modeler.SpreadNone:
+		return c.chooseSpread(ask, beside)
+	case ask.Spread == modeler.SpreadRack, ask.Spread == modeler.SpreadAvailabilityZone:
+		return c.chooseSpread(ask, beside)
+	default:
+		return c.chooseBestFit(ask)
+	}
+}
+
+// chooseSlot compares a few random workers with a free slot. If none of the few can take the
+// request it looks at all of them, so that a free slot is never overlooked.
+func (c *Cell) chooseSlot(ask Ask) (Placement, bool) {
+	best := Placement{Worker: -1, Reason: "most free slots of a few"}
+	for _, name := range ask.Pools {
+		slotted := c.slottedOf(name)
+		for range min(slotChoices, len(slotted)) {
+			c.considerSlot(ask, slotted[c.random.IntN(len(slotted))], &best)
+		}
+	}
+	if best.Worker >= 0 {
+		return best, true
+	}
+	best.Reason = "most free slots of all"
+	for _, name := range ask.Pools {
+		for _, index := range c.slottedOf(name) {
+			c.considerSlot(ask, index, &best)
+		}
+	}
+	return best, best.Worker >= 0
+}
+
+func (c *Cell) slottedOf(name string) []int {
+	for number := range c.pools {
+		if c.pools[number].name == name {
+			return c.pools[number].slotted
+		}
+	}
+	return nil
+}
+
+func (c *Cell) considerSlot(ask Ask, index int, best *Placement) {
+	best.Candidates++
+	s := &c.sites[index]
+	if !ask.Needs.Fits(s.free()) || contains(ask.Avoid, index) {
+		return
+	}
+	if best.Worker < 0 || s.freeSlots > c.sites[best.Worker].freeSlots {
+		best.Worker = index
+	}
+}
+
+// chooseBestFit takes the fullest worker that the task fits on. Workers with accelerators are
+// passed over for work that needs none while another worker has room: a storm of plain work would
+// otherwise leave accelerators idle on workers whose processors are all taken.
+func (c *Cell) chooseBestFit(ask Ask) (Placement, bool) {
+	best := Placement{Worker: -1, Reason: "best fit"}
+	spare := Placement{Worker: -1}
+	for _, name := range ask.Pools {
+		p := c.poolNamed(name)
+		if p == nil {
+			continue
+		}
+		c.searchBuckets(ask, p, &best, &spare)
+	}
+	if best.Worker < 0 && spare.Worker >= 0 {
+		best.Worker = spare.Worker
+		best.Reason = "best fit beside accelerators"
+	}
+	return best, best.Worker >= 0
+}
+
+func (c *Cell) poolNamed(name string) *pool {
+	for number := range c.pools {
+		if c.pools[number].name == name {
+			return &c.pools[number]
+		}
+	}
+	return nil
+}
+
+func (c *Cell) searchBuckets(ask Ask, p *pool, best, spare *Placement) {
+	for number := bucketOf(ask.Needs); number < len(p.buckets); number++ {
+		for _, index := range p.buckets[number] {
+			best.Candidates++
+			s := &c.sites[index]
+			if !ask.Needs.Fits(s.free()) || contains(ask.Avoid, index) {
+				continue
+			}
+			if ask.Needs.Accelerators == 0 && s.info.Capacity.Accelerators > 0 {
+				spare.Worker = c.tighter(spare.Worker, index)
+				continue
+			}
+			best.Worker = c.tighter(best.Worker, index)
+		}
+		if best.Worker >= 0 && c.sites[best.Worker].bucket <= number {
+			return
+		}
+	}
+}
+
+// tighter returns the one of two workers with less memory left, in whose bucket both may stand.
+func (c *Cell) tighter(old, candidate int) int {
+	if old < 0 {
+		return candidate
+	}
+	a, b := c.sites[old].free(), c.sites[candidate].free()
+	if b.Processors < a.Processors {
+		return candidate
+	}
+	if b.Processors == a.Processors && b.Memory < a.Memory {
+		return candidate
+	}
+	return old
+}
+
+// chooseSpread takes the worker whose availability zone, rack and own place hold the fewest tasks
+// of the job, in that order, and of those the emptiest.
+func (c *Cell) chooseSpread(ask Ask, beside []int) (Placement, bool) {
+	best := Placement{Worker: -1, Reason: "fewest tasks of the job around"}
+	bestCrowd := crowd{}
+	for _, name := range ask.Pools {
+		p := c.poolNamed(name)
+		if p == nil {
+			continue
+		}
+		for _, index := range p.members {
+			s := &c.sites[index]
+			if !s.usable {
+				continue
+			}
+			best.Candidates++
+			if !ask.Needs.Fits(s.free()) || contains(ask.Avoid, index) {
+				continue
+			}
+			here := c.crowdAt(index, beside)
+			if best.Worker < 0 || here.less(bestCrowd) {
+				best.Worker = index
+				bestCrowd = here
+			}
+		}
+	}
+	return best, best.Worker >= 0
+}
+
+// crowd counts the tasks of a job around a worker, and the worker's reserved share.
+type crowd struct {
+	zone, rack, worker int
+	share              float64
+}
+
+func (a crowd) less(b crowd) bool {
+	switch {
+	case a.zone != b.zone:
+		return a.zone < b.zone
+	case a.rack != b.rack:
+		return a.rack < b.rack
+	case a.worker != b.worker:
+		return a.worker < b.worker
+	default:
+		return a.share < b.share
+	}
+}
+
+func (c *Cell) crowdAt(index int, beside []int) crowd {
+	s := &c.sites[index]
+	here := crowd{share: s.reserved.DominantShare(s.info.Capacity)}
+	for _, other := range beside {
+		o := &c.sites[other]
+		if o.info.AvailabilityZone == s.info.AvailabilityZone {
+			here.zone++
+		}
+		if o.info.Rack == s.info.Rack {
+			here.rack++
+		}
+		if other == index {
+			here.worker++
+		}
+	}
+	return here
+}
+
+// CanEverHold tells whether the tasks would fit if nothing else ran, on the workers that are there.
+func (c *Cell) CanEverHold(ask Ask) Shortage {
+	room := 0
+	for _, name := range ask.Pools {
+		p := c.poolNamed(name)
+		if p == nil {
+			continue
+		}
+		for _, index := range p.members {
+			room += c.roomIn(ask, &c.sites[index])
+			if room >= c.tasksAtOnce(ask) {
+				return NoShortage
+			}
+		}
+	}
+	return NeverFits
+}
+
+func (c *Cell) tasksAtOnce(ask Ask) int {
+	if ask.Class == modeler.Gang {
+		return ask.Tasks
+	}
+	return 1
+}
+
+// roomIn counts how many of the tasks an empty worker holds.
+func (c *Cell) roomIn(ask Ask, s *site) int {
+	if ask.Class == modeler.Quick && s.info.Slots == 0 {
+		return 0
+	}
+	free := s.info.Capacity
+	count := 0
+	for count < ask.Tasks && ask.Needs.Fits(free) {
+		free = free.Minus(ask.Needs)
+		count++
+	}
+	return count
+}
+
+func contains(list []int, index int) bool {
+	for _, other := range list {
+		if other == index {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,209 @@
+// Package router finds the owner of a caller's key and hands the call on to it.
+//
+// # Usage
+//
+//	router := router.New(settings, dependencies)
+//	answer, err := router.Submit(ctx, caller, key, job, wait)
+//
+// The home region of the caller's contract and the partitions of that region decide the partition
+// of a key, by rendezvous hashing: every instance comes to the same one without asking. Who owns
+// the partition is a hint from heartbeats or from the table. If the hint is wrong or the link
+// breaks, the call is repeated with the same key until its time is over, which is safe because an
+// owner takes a key once.
+package router
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/owner"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+)
+
+// Owner answers for the partitions of this instance.
+type Owner interface {
+	Submit(ctx context.Context, submission owner.Submission) (modeler.Answer, error)
+	Status(ctx context.Context, partition, key string, wait bool) (modeler.Answer, error)
+	Cancel(ctx context.Context, partition, key string) (modeler.Answer, error)
+}
+
+// Mesh hands calls to peers and knows what they own.
+type Mesh interface {
+	Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error)
+	Live() map[string]*messenger.Heartbeat
+}
+
+// Dependencies of a router.
+type Dependencies struct {
+	Instance string
+	Owner    Owner
+	Mesh     Mesh
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	// Tickets returns the state in force.
+	Tickets func() *ticketer.State
+	// IsHeld tells whether this instance holds a partition, OwnerOf what the table showed last.
+	IsHeld  func(partition string) bool
+	OwnerOf func(partition string) string
+	// Routed counts a decision: where a call went.
+	Routed func(where string)
+}
+
+// Router routes calls.
+type Router struct {
+	Dependencies
+}
+
+// New returns a router.
+func New(dependencies Dependencies) *Router { return &Router{Dependencies: dependencies} }
+
+// NoContractError tells that a caller has no contract in force here.
+type NoContractError struct {
+	Caller string
+}
+
+func (e *NoContractError) Error() string {
+	return fmt.Sprintf("caller %s has no contract in force", e.Caller)
+}
+
+// NoRouteError tells that no owner of a partition was reached in time. Whether the call took
+// effect is not known.
+type NoRouteError struct {
+	Partition string
+	Err       error
+}
+
+func (e *NoRouteError) Error() string {
+	return fmt.Sprintf("the owner of partition %s was not reached in time; repeat the request with the same key: %v", e.Partition, e.Err)
+}
+
+func (e *NoRouteError) Unwrap() error { return e.Err }
+
+// PartitionOf returns the partition of a caller's key.
+func PartitionOf(state *ticketer.State, caller, key string) (string, error) {
+	contract, found := state.ContractOf(caller)
+	if !found {
+		return "", &NoContractError{Caller: caller}
+	}
+	var best string
+	var highest uint64
+	for _, name := range state.PartitionsIn(contract.HomeRegion) {
+		if weight := xxhash.Sum64String(name + "\x00" + key); best == "" || weight > highest {
+			best, highest = name, weight
+		}
+	}
+	if best == "" {
+		return "", &NoContractError{Caller: caller}
+	}
+	return best, nil
+}
+
+// FullKey is the key under which a caller's key is known inside: callers can't see each other's.
+func FullKey(caller, key string) string { return caller + "/" + key }
+
+// Submit routes a job. With wait it returns when the job is final.
+func (r *Router) Submit(ctx context.Context, caller, key string, job []byte, wait bool) (modeler.Answer, error) {
+	return r.route(ctx, caller, &messenger.Call{
+		Kind: messenger.CallKind_CALL_KIND_SUBMIT,
+		Key:  FullKey(caller, key),
+		Job:  job,
+		Wait: wait,
+	})
+}
+
+// Status routes a question about a key.
+func (r *Router) Status(ctx context.Context, caller, key string, wait bool) (modeler.Answer, error) {
+	return r.route(ctx, caller, &messenger.Call{
+		Kind: messenger.CallKind_CALL_KIND_STATUS,
+		Key:  FullKey(caller, key),
+		Wait: wait,
+	})
+}
+
+// Cancel routes a cancellation.
+func (r *Router) Cancel(ctx context.Context, caller, key string) (modeler.Answer, error) {
+	return r.route(ctx, caller, &messenger.Call{
+		Kind: messenger.CallKind_CALL_KIND_CANCEL,
+		Key:  FullKey(caller, key),
+	})
+}
+
+func (r *Router) route(ctx context.Context, caller string, call *messenger.Call) (modeler.Answer, error) {
+	partition, err := PartitionOf(r.Tickets(), caller, call.GetKey())
+	if err != nil {
+		return modeler.Answer{}, err
+	}
+	call.Partition = partition
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = 10 * time.Millisecond
+	delays.MaxInterval = 250 * time.Millisecond
+	for tries := 1; ; tries++ {
+		answer, err := r.try(ctx, call, tries)
+		if !mayRepeat(err) {
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			return modeler.Answer{}, &NoRouteError{Partition: partition, Err: err}
+		case <-r.Clock.After(delays.NextBackOff()):
+		}
+	}
+}
+
+// mayRepeat tells whether the failure is one of routing.
+func mayRepeat(err error) bool {
+	var notOwner *owner.NotOwnerError
+	var noRoute *NoRouteError
+	return errors.As(err, &notOwner) || errors.As(err, &noRoute)
+}
+
+func (r *Router) try(ctx context.Context, call *messenger.Call, tries int) (modeler.Answer, error) {
+	where, reason := r.find(call.GetPartition())
+	r.Log.Info("routed", "key", call.GetKey(), "kind", call.GetKind().String(), "partition", call.GetPartition(),
+		"to", where, "reason", reason, "try", tries, "ticket", r.Tickets().Number)
+	switch where {
+	case "":
+		r.Routed("nowhere")
+		return modeler.Answer{}, &NoRouteError{Partition: call.GetPartition(), Err: &owner.NotOwnerError{Partition: call.GetPartition()}}
+	case r.Instance:
+		r.Routed("here")
+		return r.serve(ctx, call)
+	}
+	r.Routed("peer")
+	if deadline, found := ctx.Deadline(); found {
+		call.PatienceNanos = int64(r.Clock.Until(deadline))
+	}
+	reply, err := r.Mesh.Call(ctx, where, call)
+	if err != nil {
+		return modeler.Answer{}, &NoRouteError{Partition: call.GetPartition(), Err: err}
+	}
+	return decodeReply(call.GetPartition(), reply)
+}
+
+// find returns the instance that should own the partition, and how that is known.
+func (r *Router) find(partition string) (instance, reason string) {
+	if r.IsHeld(partition) {
+		return r.Instance, "held here"
+	}
+	epoch := int64(-1)
+	for name, beat := range r.Mesh.Live() {
+		for _, holding := range beat.GetHoldings() {
+			if holding.GetPartition() == partition && holding.GetEpoch() > epoch {
+				instance, epoch = name, holding.GetEpoch()
+			}
+		}
+	}
+	if instance != "" {
+		return instance, "heartbeat"
+	}
+	return r.OwnerOf(partition), "table"
+}
--- /dev/null
+++ b/internal/router/wire.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/owner"
+)
+
+// BadCallError tells that a peer did not understand a call.
+type BadCallError struct {
+	Reason string
+}
+
+func (e *BadCallError) Error() string { return "the owner did not understand the call: " + e.Reason }
+
+// ServeCall answers a call that a peer routed here.
+func (r *Router) ServeCall(ctx context.Context, call *messenger.Call) *messenger.Reply {
+	answer, err := r.serve(ctx, call)
+	return encodeReply(answer, err)
+}
+
+// serve answers a call for a partition of this instance.
+func (r *Router) serve(ctx context.Context, call *messenger.Call) (modeler.Answer, error) {
+	switch call.GetKind() {
+	case messenger.CallKind_CALL_KIND_SUBMIT:
+		var job modeler.Job
+		if err := json.Unmarshal(call.GetJob(), &job); err != nil {
+			return modeler.Answer{}, &BadCallError{Reason: err.Error()}
+		}
+		return r.Owner.Submit(ctx, owner.Submission{
+			Partition: call.GetPartition(),
+			Key:       call.GetKey(),
+			Job:       job,
+			Wait:      call.GetWait(),
+		})
+	case messenger.CallKind_CALL_KIND_STATUS:
+		return r.Owner.Status(ctx, call.GetPartition(), call.GetKey(), call.GetWait())
+	case messenger.CallKind_CALL_KIND_CANCEL:
+		return r.Owner.Cancel(ctx, call.GetPartition(), call.GetKey())
+	case messenger.CallKind_CALL_KIND_UNSPECIFIED:
+	}
+	return modeler.Answer{}, &BadCallError{Reason: "unknown kind " + call.GetKind().String()}
+}
+
+func encodeReply(answer modeler.Answer, err error) *messenger.Reply {
+	if err == nil {
+		text, err := json.Marshal(answer)
+		if err != nil {
+			return &messenger.Reply{Error: messenger.ErrorKind_ERROR_KIND_BAD_CALL, Reason: err.Error()}
+		}
+		return &messenger.Reply{Answer: text}
+	}
+	reply := &messenger.Reply{Reason: err.Error()}
+	var refused *owner.RefusedError
+	var notOwner *owner.NotOwnerError
+	var bad *BadCallError
+	switch {
+	case errors.As(err, &refused):
+		reply.Error = messenger.ErrorKind_ERROR_KIND_REFUSED
+		reply.Reason = refused.Reason
+		reply.Refusal = string(refused.Kind)
+		reply.RetryAfterNanos = int64(refused.RetryAfter)
+	case errors.As(err, &notOwner):
+		reply.Error = messenger.ErrorKind_ERROR_KIND_NOT_OWNER
+	case errors.As(err, &bad):
+		reply.Error = messenger.ErrorKind_ERROR_KIND_BAD_CALL
+	default:
+		reply.Error = messenger.ErrorKind_ERROR_KIND_UNDECIDED
+	}
+	return reply
+}
+
+func decodeReply(partition string, reply *messenger.Reply) (modeler.Answer, error) {
+	switch reply.GetError() {
+	case messenger.ErrorKind_ERROR_KIND_UNSPECIFIED:
+		var answer modeler.Answer
+		if err := json.Unmarshal(reply.GetAnswer(), &answer); err != nil {
+			return modeler.Answer{}, &NoRouteError{Partition: partition, Err: err}
+		}
+		return answer, nil
+	case messenger.ErrorKind_ERROR_KIND_NOT_OWNER:
+		return modeler.Answer{}, &owner.NotOwnerError{Partition: partition}
+	case messenger.ErrorKind_ERROR_KIND_REFUSED:
+		return modeler.Answer{}, &owner.RefusedError{
+			Kind:       owner.RefusalKind(reply.GetRefusal()),
+			Reason:     reply.GetReason(),
+			RetryAfter: time.Duration(reply.GetRetryAfterNanos()),
+		}
+	case messenger.ErrorKind_ERROR_KIND_BAD_CALL:
+		return modeler.Answer{}, &BadCallError{Reason: reply.GetReason()}
+	case messenger.ErrorKind_ERROR_KIND_UNDECIDED:
+	}
+	return modeler.Answer{}, &owner.UndecidedError{Key: reply.GetReason()}
+}
--- /dev/null
+++ b/internal/server/handover.go
@@ -0,0 +1,182 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/admitter"
+	"dotterelpost.example/dotterelpost/internal/holder"
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/owner"
+)
+
+const (
+	// yieldPatience is how long a partition may take to come to rest before it is handed over.
+	yieldPatience = 2 * time.Second
+	// handOverTimeout bounds the calls of one hand-over.
+	handOverTimeout = 3 * time.Second
+	// maxPeerBody bounds what a peer may send; the state of a partition is the largest.
+	maxPeerBody = 64 << 20
+)
+
+// callHandler answers the calls that peers route here. The router comes to be after the mesh.
+type callHandler struct {
+	server *Server
+}
+
+func (h callHandler) ServeCall(ctx context.Context, call *messenger.Call) *messenger.Reply {
+	if h.server.router == nil {
+		return &messenger.Reply{Error: messenger.ErrorKind_ERROR_KIND_NOT_OWNER}
+	}
+	return h.server.router.ServeCall(ctx, call)
+}
+
+// ownership passes gains and losses on to the control goroutine.
+type ownership struct {
+	server *Server
+}
+
+func (o ownership) Gained(grant holder.Grant) {
+	o.server.control.Adopt(owner.Grant{Partition: grant.Partition, Epoch: grant.Epoch, Version: grant.Version})
+}
+
+func (o ownership) Lost(grant holder.Grant) {
+	o.server.control.DropEpoch(grant.Partition, grant.Epoch)
+}
+
+// peerService answers peers over connect.
+type peerService struct {
+	server *Server
+}
+
+func (p peerService) HandOver(_ context.Context, request *messenger.HandOverRequest) (*messenger.HandOverResponse, error) {
+	grant := holder.Grant{
+		Partition: request.GetPartition(),
+		Epoch:     modeler.Epoch(request.GetEpoch()),
+		Version:   request.GetVersion(),
+	}
+	if p.server.holder.Accept(grant) {
+		p.server.control.Adopt(owner.Grant{
+			Partition: grant.Partition,
+			Epoch:     grant.Epoch,
+			Version:   grant.Version,
+			State:     request.GetState(),
+			Agreed:    true,
+		})
+	}
+	return &messenger.HandOverResponse{}, nil
+}
+
+func (p peerService) Tickets(_ context.Context, request *messenger.TicketsRequest) (*messenger.TicketsResponse, error) {
+	state := p.server.follower.State()
+	response := &messenger.TicketsResponse{Number: state.Number}
+	if state.Number <= request.GetKnown() {
+		return response, nil
+	}
+	text, err := json.Marshal(state)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	response.State = text
+	return response, nil
+}
+
+// handlePeers serves the peer service to holders of the mesh token only.
+func (s *Server) handlePeers(mux *http.ServeMux) {
+	tokens := admitter.New(map[string]string{"mesh": s.options.Secrets.Mesh})
+	path, handler := messenger.NewPeerHandler(peerService{server: s}, connect.WithReadMaxBytes(maxPeerBody))
+	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		if _, known := tokens.HolderOf(r); !known {
+			http.Error(w, "not a peer", http.StatusUnauthorized)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// Shutdown hands all partitions over, finishes the open answers and ends the instance.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.log.Info("graceful shutdown begins")
+	s.leaving.Store(true)
+	s.holder.Leave()
+	if err := s.applyList(); err != nil {
+		s.log.Warn("platform not told of leaving", "error", err)
+	}
+	for _, grant := range s.holder.Held() {
+		if err := s.handOver(ctx, grant.Partition, s.successor()); err != nil {
+			s.log.Error("hand-over failed; a peer will take over after the lease", "partition", grant.Partition, "error", err)
+		}
+	}
+	err := s.callers.Shutdown(ctx)
+	s.Kill()
+	s.log.Info("graceful shutdown ended", "error", err)
+	if err != nil {
+		return errors.Wrap(err, "finish open answers")
+	}
+	return nil
+}
+
+// successor returns the live peer of the region that holds the fewest partitions, or "".
+func (s *Server) successor() string {
+	best, least := "", 0
+	for name, beat := range s.mesh.Live() {
+		if beat.GetRegion() != s.options.Settings.Region || beat.GetLeaving() {
+			continue
+		}
+		count := len(beat.GetHoldings())
+		if best == "" || count < least || count == least && name < best {
+			best, least = name, count
+		}
+	}
+	return best
+}
+
+// handOver moves one partition to a successor. Without one the row is left without an owner, so
+// that the next instance of the region claims it at once.
+func (s *Server) handOver(ctx context.Context, partition, successor string) error {
+	began := s.clock.Now()
+	state, err := s.yield(ctx, partition)
+	if err != nil {
+		// It did not come to rest. A successor then reads the journal like after a crash.
+		s.log.Warn("partition handed over without its state", "partition", partition, "error", err)
+		s.control.Drop(partition)
+		successor = ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	next, err := s.holder.Transfer(ctx, partition, successor)
+	if err != nil {
+		return err
+	}
+	defer s.control.Drop(partition)
+	if successor == "" {
+		return nil
+	}
+	client, err := s.peerClient(successor)
+	if err != nil {
+		return err
+	}
+	_, err = client.HandOver(ctx, &messenger.HandOverRequest{
+		Partition: partition,
+		Epoch:     int64(next.Epoch),
+		Version:   next.Version,
+		State:     state,
+	})
+	s.log.Info("handed over", "partition", partition, "to", successor, "epoch", next.Epoch, "took", s.clock.Since(began), "error", err)
+	if err != nil {
+		return errors.Wrap(err, "give the state to "+successor)
+	}
+	return nil
+}
+
+func (s *Server) yield(ctx context.Context, partition string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, yieldPatience)
+	defer cancel()
+	return s.control.Yield(ctx, partition)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,410 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/net/netutil"
+
+	"dotterelpost.example/dotterelpost/internal/administrator"
+	"dotterelpost.example/dotterelpost/internal/admitter"
+	"dotterelpost.example/dotterelpost/internal/configurer"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/counter"
+	"dotterelpost.example/dotterelpost/internal/fencer"
+	"dotterelpost.example/dotterelpost/internal/gatekeeper"
+	"dotterelpost.example/dotterelpost/internal/holder"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/mesher"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/owner"
+	"dotterelpost.example/dotterelpost/internal/router"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+)
+
+// Options of an entry instance.
+type Options struct {
+	Settings configurer.Instance
+	Secrets  configurer.Secrets
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+}
+
+// Addresses are where an instance listens.
+type Addresses struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Operators netip.AddrPort `json:"operators"`
+	Mesh      netip.AddrPort `json:"mesh"`
+}
+
+// Server is a running entry instance.
+type Server struct {
+	options   Options
+	name      string
+	log       *slog.Logger
+	clock     clockwork.Clock
+	ctx       context.Context
+	cancel    context.CancelFunc
+	platform  *connector.Platform
+	journal   *journaler.Journal
+	control   *owner.Control
+	holder    *holder.Holder
+	mesh      *mesher.Mesh
+	router    *router.Router
+	follower  *ticketer.Follower
+	desk      *ticketer.Desk
+	counts    *counter.Counts
+	callers   *http.Server
+	operators *http.Server
+	addresses Addresses
+	peers     peerBook
+
+	leaving     atomic.Bool
+	inForceAt   atomic.Int64
+	workers     sync.WaitGroup
+	closers     []func()
+	closeOnce   sync.Once
+	tableReads  atomic.Int64
+	tableWrites atomic.Int64
+}
+
+// HTTP limits of the listeners.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Start starts an entry instance. It returns as soon as all listeners are bound.
+func Start(options Options) (*Server, error) {
+	name, err := uniqueName(options.Settings.Name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		options:  options,
+		name:     name,
+		log:      options.Log.With("instance", name),
+		clock:    options.Clock,
+		ctx:      ctx,
+		cancel:   cancel,
+		follower: ticketer.NewFollower(),
+		counts:   counter.New(),
+	}
+	if err := s.assemble(); err != nil {
+		s.Kill()
+		return nil, err
+	}
+	s.workers.Go(s.followList)
+	s.workers.Go(s.followTickets)
+	s.log.Info("listening", "callers", s.addresses.Callers, "operators", s.addresses.Operators, "mesh", s.addresses.Mesh,
+		"region", options.Settings.Region, "availability-zone", options.Settings.AvailabilityZone)
+	return s, nil
+}
+
+// uniqueName makes the name of this run. Rows that an earlier run of the same name left in the
+// table must not be taken for ours.
+func uniqueName(name string) (string, error) {
+	var suffix [4]byte
+	if _, err := rand.Read(suffix[:]); err != nil {
+		return "", errors.Wrap(err, "make a name for this run")
+	}
+	return name + "." + hex.EncodeToString(suffix[:]), nil
+}
+
+// onClose adds a clean-up function. They run in reverse order.
+func (s *Server) onClose(closer func()) { s.closers = append(s.closers, closer) }
+
+func (s *Server) assemble() error {
+	platform, closePlatform := connector.New(s.options.Settings.Platform)
+	s.platform = platform
+	s.onClose(closePlatform)
+	if err := s.listenMesh(); err != nil {
+		return err
+	}
+	s.startOwner()
+	s.startHolder()
+	s.router = router.New(router.Dependencies{
+		Instance: s.name,
+		Owner:    s.control,
+		Mesh:     s.mesh,
+		Clock:    s.clock,
+		Log:      s.log,
+		Tickets:  s.follower.State,
+		IsHeld:   s.isHeld,
+		OwnerOf:  s.holder.OwnerOf,
+		Routed:   s.counts.Routed,
+	})
+	s.desk = ticketer.NewDesk(s.table(), s.newWriter("tickets"), s.clock)
+	s.follower.OnChange(s.ticketChanged)
+	s.publish()
+	if err := s.listenOperators(); err != nil {
+		return err
+	}
+	return s.listenCallers()
+}
+
+func (s *Server) newWriter(use string) *journaler.Writer {
+	return journaler.NewWriter(s.table(), s.name+"/"+use, s.clock)
+}
+
+func (s *Server) listenMesh() error {
+	mesh, closeMesh, err := mesher.New(mesher.Settings{
+		Instance: s.name,
+		Region:   s.options.Settings.Region,
+		Listen:   s.options.Settings.Listen.Mesh,
+		Token:    s.options.Secrets.Mesh,
+	}, mesher.Dependencies{
+		Clock:   s.clock,
+		Log:     s.log,
+		Handler: callHandler{server: s},
+		Beat:    s.heartbeat,
+		Heard:   s.heard,
+	})
+	if err != nil {
+		return err
+	}
+	s.mesh = mesh
+	s.addresses.Mesh = mesh.Address()
+	s.onClose(closeMesh)
+	return nil
+}
+
+func (s *Server) startOwner() {
+	journal, stopJournal := journaler.New(s.newWriter("journal"), s.clock, s.log)
+	s.journal = journal
+	s.onClose(stopJournal)
+	settings := s.options.Settings
+	control, stopControl := owner.New(owner.Settings{
+		Instance:    s.name,
+		Seed:        settings.Seed,
+		TaskLease:   time.Duration(settings.TaskLease),
+		ClockBound:  time.Duration(settings.ClockBound),
+		KeepDurable: time.Duration(settings.KeepDurable),
+		KeepQuick:   time.Duration(settings.KeepQuick),
+		Mode:        s.mode(),
+	}, owner.Dependencies{
+		Clock:      s.clock,
+		Log:        s.log,
+		Platform:   s.platform,
+		Journal:    journal,
+		Counters:   s.counts,
+		OwnedUntil: func() time.Time { return s.holder.OwnedUntil() },
+		Deposed:    func(partition string) { s.holder.Forget(partition) },
+	})
+	s.control = control
+	s.onClose(stopControl)
+}
+
+func (s *Server) mode() fencer.Mode {
+	if s.options.Settings.FenceMode == "wait-out" {
+		return fencer.WaitOut{ClockBound: time.Duration(s.options.Settings.ClockBound)}
+	}
+	return fencer.CompareEpochs{}
+}
+
+func (s *Server) startHolder() {
+	held, stopHolder := holder.New(holder.Settings{
+		Instance: s.name,
+		Lease:    time.Duration(s.options.Settings.PartitionLease),
+	}, holder.Dependencies{
+		Reader:    s.table(),
+		Committer: s.newWriter("holder"),
+		Listener:  ownership{server: s},
+		Clock:     s.clock,
+		Log:       s.log,
+		Peers:     s.peersInRegion,
+	})
+	s.holder = held
+	s.onClose(stopHolder)
+}
+
+func (s *Server) isHeld(partition string) bool {
+	for _, grant := range s.holder.Held() {
+		if grant.Partition == partition {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) listen(address netip.AddrPort) (net.Listener, netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, netip.AddrPort{}, errors.Wrap(err, "listen")
+	}
+	bound, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return nil, netip.AddrPort{}, errors.Wrap(err, "bound address")
+	}
+	return netutil.LimitListener(listener, s.options.Settings.Connections), bound, nil
+}
+
+func (s *Server) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+	}
+	s.workers.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("listener ended", "address", listener.Addr().String(), "error", err)
+		}
+	})
+	s.onClose(func() { _ = server.Close() })
+	return server
+}
+
+func (s *Server) listenCallers() error {
+	listener, bound, err := s.listen(s.options.Settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	s.addresses.Callers = bound
+	s.callers = s.serve(listener, gatekeeper.New(gatekeeper.Dependencies{
+		Router:    s.router,
+		Admission: admitter.New(s.options.Secrets.Callers),
+		Tickets:   s.follower.State,
+		Log:       s.log,
+	}))
+	return nil
+}
+
+func (s *Server) listenOperators() error {
+	listener, bound, err := s.listen(s.options.Settings.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	s.addresses.Operators = bound
+	mux := http.NewServeMux()
+	mux.Handle("/", administrator.New(administrator.Dependencies{
+		Instance:     s.name,
+		Region:       s.options.Settings.Region,
+		Desk:         s.desk,
+		Control:      s.control,
+		Admission:    admitter.New(s.options.Secrets.Operators),
+		Counts:       s.counts,
+		Tickets:      s.follower.State,
+		Offer:        s.follower.Offer,
+		InForceSince: func() time.Time { return time.Unix(0, s.inForceAt.Load()) },
+		Live:         s.mesh.Live,
+		Ready:        s.ready,
+	}))
+	s.handlePeers(mux)
+	s.operators = s.serve(listener, mux)
+	return nil
+}
+
+// Name returns the name of this run of the instance.
+func (s *Server) Name() string { return s.name }
+
+// Addresses returns where the instance listens.
+func (s *Server) Addresses() Addresses { return s.addresses }
+
+// Describe returns the instance as the platform's list shows it.
+func (s *Server) Describe() modeler.Instance {
+	return modeler.Instance{
+		Name:             s.name,
+		Region:           s.options.Settings.Region,
+		AvailabilityZone: s.options.Settings.AvailabilityZone,
+		Mesh:             s.addresses.Mesh,
+		Peer:             s.addresses.Operators,
+		Leaving:          s.leaving.Load(),
+	}
+}
+
+// Kill ends everything at once; nothing is handed over and no answer is finished.
+func (s *Server) Kill() {
+	s.closeOnce.Do(func() {
+		s.cancel()
+		for i := len(s.closers) - 1; i >= 0; i-- {
+			s.closers[i]()
+		}
+		s.workers.Wait()
+	})
+}
+
+// NotReadyError tells why an instance should get no requests.
+type NotReadyError struct {
+	Reason string
+}
+
+func (e *NotReadyError) Error() string { return e.Reason }
+
+func (s *Server) ready() error {
+	switch {
+	case s.leaving.Load():
+		return &NotReadyError{Reason: "shutting down"}
+	case s.follower.State().Number == 0:
+		return &NotReadyError{Reason: "no ticket in force yet"}
+	}
+	return nil
+}
+
+func (s *Server) publish() {
+	s.counts.Publish("ticket", func() any { return s.follower.State().Number })
+	s.counts.Publish("held", func() any { return s.holder.Held() })
+	s.counts.Publish("mesh", func() any { return s.mesh.Counts() })
+	s.counts.Publish("journal", func() any {
+		commits, entries := s.journal.Counts()
+		return JournalCounts{Commits: commits, Entries: entries}
+	})
+	s.counts.Publish("table", func() any { return s.TableCounts() })
+}
+
+// JournalCounts are the transactions and entries that the journal wrote.
+type JournalCounts struct {
+	Commits int64 `json:"commits"`
+	Entries int64 `json:"entries"`
+}
+
+// TableCounts are the calls to the table service, failed ones included.
+type TableCounts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+// TableCounts returns how often this instance called the table service.
+func (s *Server) TableCounts() TableCounts {
+	return TableCounts{Reads: s.tableReads.Load(), Writes: s.tableWrites.Load()}
+}
+
+// MeshCounts returns what this instance sent to its peers.
+func (s *Server) MeshCounts() mesher.Counts { return s.mesh.Counts() }
+
+// Waits returns how long work waited for its first placement by this instance.
+func (s *Server) Waits() []counter.Wait { return s.counts.Waits() }
+
+// TicketNumber returns the number of the ticket in force here.
+func (s *Server) TicketNumber() int64 { return s.follower.State().Number }
+
+// SettledPartitions returns how many partitions this instance owns with all workers accounted for.
+func (s *Server) SettledPartitions(ctx context.Context) int {
+	views, err := s.control.Partitions(ctx)
+	if err != nil {
+		return 0
+	}
+	count := 0
+	for _, view := range views {
+		if view.Ready {
+			count++
+		}
+	}
+	return count
+}
+
+// Sees tells whether heartbeats of another instance arrive here.
+func (s *Server) Sees(instance string) bool { return s.mesh.Live()[instance] != nil }
