--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -70,6 +70,7 @@
 	InForceSince func() time.Time
 	Live         func() map[string]*messenger.Heartbeat
 	Ready        func() error
+	Cost         func() Cost
 }
 
 // Administrator serves operators.
@@ -127,12 +128,20 @@
 	Since    time.Time `json:"since,omitzero"`
 }
 
+// Cost is what running the system cost since this instance started.
+type Cost struct {
+	TableWrites      int64 `json:"table-writes"`
+	TableReads       int64 `json:"table-reads"`
+	CrossRegionBytes int64 `json:"cross-region-bytes"`
+}
+
 // Report is the three measures of the brief as this instance sees them.
 type Report struct {
 	Instance   string                `json:"instance"`
 	Ticket     int64                 `json:"ticket"`
 	Waits      []counter.Wait        `json:"waits"`
 	Decisions  map[string]int64      `json:"decisions"`
+	Cost       Cost                  `json:"cost"`
 	Partitions []owner.PartitionView `json:"partitions"`
 }
 
@@ -298,6 +307,7 @@
 		Ticket:     a.Tickets().Number,
 		Waits:      a.Counts.Waits(),
 		Decisions:  a.Counts.Decisions(),
+		Cost:       a.Cost(),
 		Partitions: partitions,
 	})
 }
--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -6,10 +6,14 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
+	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/demonstrator"
 )
 
+// clock is the real one: the command line is where the process meets the world.
+var clock = clockwork.NewRealClock()
+
 // entry describes a command to the parser.
 type entry struct {
 	name, short, long string
@@ -18,6 +22,16 @@
 
 func addCommands(parser *flags.Parser) error {
 	for _, e := range []entry{
+		{"serve", "run an entry instance", "Runs an entry instance until SIGTERM, then hands its partitions over and finishes open answers.", &serveCommand{}},
+		{"stand-in", "run the platform's stand-in", "Runs a small stand-in of the platform (table service, object store, instance list, workers) for trials and tests.", &standInCommand{}},
+		{"ticket", "check, submit and look at change tickets", "Change tickets carry the whole new state of what they touch.", &ticketCommand{}},
+		{"job", "submit and follow jobs", "Batch, gang and standing-service jobs, as a caller.", &jobCommand{}},
+		{"request", "send quick requests", "Quick requests, as a caller.", &requestCommand{}},
+		{"workers", "show the workers of an instance's partitions", "Shows the workers of the partitions that the asked instance owns.", &workersCommand{}},
+		{"partitions", "show an instance's partitions", "Shows the partitions that the asked instance owns.", &partitionsCommand{}},
+		{"report", "show waiting time, packing and control cost", "Shows the three measures as the asked instance sees them.", &reportCommand{}},
+		{"settings", "check settings files", "Checks settings before an instance is started with them.", &settingsCommand{}},
+		{"load", "measure with bounded load", "Sends quick requests at a steady rate and writes percentiles of their times.", &loadCommand{}},
 		{"demo", "run the whole system in one process", "Runs the stand-in platform and three entry instances in one process, with both users' work and faults on the way, and checks the promises.", &demoCommand{}},
 	} {
 		if _, err := parser.AddCommand(e.name, e.short, e.long, e.data); err != nil {
--- /dev/null
+++ b/internal/commander/servers.go
@@ -0,0 +1,117 @@
+package commander
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/configurer"
+	"dotterelpost.example/dotterelpost/internal/imitator"
+	"dotterelpost.example/dotterelpost/internal/server"
+)
+
+// shutdownTimeout bounds a graceful shutdown. What is open then is cut off, and a peer takes the
+// partitions over after the lease.
+const shutdownTimeout = 60 * time.Second
+
+type settingsCommand struct {
+	Check settingsCheckCommand `command:"check" description:"check a settings file and the token files that it names"`
+}
+
+type settingsCheckCommand struct {
+	unused
+	Kind string       `long:"kind" choice:"instance" choice:"stand-in" default:"instance" description:"what the settings are for"`
+	JSON bool         `long:"json" description:"write JSON"`
+	Args fileArgument `positional-args:"yes"`
+}
+
+func (c *settingsCheckCommand) run(s *session) error {
+	if c.Kind == "stand-in" {
+		if _, faults := configurer.ReadPlatform(c.Args.File); len(faults) > 0 {
+			return faults
+		}
+	} else if _, _, err := readInstance(c.Args.File); err != nil {
+		return err
+	}
+	return say(s, c.JSON, CheckResult{File: c.Args.File, Checked: c.Kind}, "%s: no faults\n", c.Args.File)
+}
+
+func readInstance(file string) (configurer.Instance, configurer.Secrets, error) {
+	settings, faults := configurer.ReadInstance(file)
+	if len(faults) > 0 {
+		return settings, configurer.Secrets{}, faults
+	}
+	secrets, faults := configurer.ReadSecrets(settings, file)
+	if len(faults) > 0 {
+		return settings, secrets, faults
+	}
+	return settings, secrets, nil
+}
+
+type serveCommand struct {
+	unused
+	Settings string `long:"settings" required:"true" description:"settings file of the entry instance"`
+}
+
+// run serves until SIGTERM or SIGINT, then shuts down gracefully.
+func (c *serveCommand) run(s *session) error {
+	settings, secrets, err := readInstance(c.Settings)
+	if err != nil {
+		return err
+	}
+	instance, err := server.Start(server.Options{
+		Settings: settings,
+		Secrets:  secrets,
+		Clock:    clock,
+		Log:      newLogger(s.errs, settings.LogLevel),
+	})
+	if err != nil {
+		return err
+	}
+	<-s.ctx.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	return instance.Shutdown(ctx)
+}
+
+type standInCommand struct {
+	unused
+	Settings string `long:"settings" required:"true" description:"settings file of the stand-in"`
+}
+
+func (c *standInCommand) run(s *session) error {
+	settings, faults := configurer.ReadPlatform(c.Settings)
+	if len(faults) > 0 {
+		return faults
+	}
+	log := newLogger(s.errs, 0)
+	listener, err := net.Listen("tcp", settings.Listen.String())
+	if err != nil {
+		return &InputError{Reason: err.Error(), Right: "choose another address for $.listen, or port 0"}
+	}
+	bound, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "bound address")
+	}
+	platform := imitator.New(imitator.Settings{
+		WritesPerSecond: settings.WritesPerSecond,
+		ReadsPerSecond:  settings.ReadsPerSecond,
+		ListLag:         settings.ListLag,
+		FenceMode:       imitator.FenceMode(settings.FenceMode),
+		Workers:         settings.WorkersAt(bound),
+	}, clock)
+	web := &http.Server{Handler: platform.Handler(), ReadHeaderTimeout: time.Second}
+	log.Info("listening", "platform", bound, "workers", len(settings.WorkersAt(bound)))
+	go func() {
+		<-s.ctx.Done()
+		_ = web.Close()
+	}()
+	if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve the platform")
+	}
+	return nil
+}
--- a/internal/modeler/work.go
+++ b/internal/modeler/work.go
@@ -27,7 +27,7 @@
 type Job struct {
 	Class           Class           `json:"class"`
 	Team            string          `json:"team"`
-	Tasks           int             `json:"tasks"`
+	Tasks           int             `json:"tasks,omitempty"`
 	Needs           Resources       `json:"needs"`
 	ExpectedRunTime Duration        `json:"expected-run-time,omitempty"`
 	Deadline        Duration        `json:"deadline,omitempty"`
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -302,6 +302,7 @@
 		InForceSince: func() time.Time { return time.Unix(0, s.inForceAt.Load()) },
 		Live:         s.mesh.Live,
 		Ready:        s.ready,
+		Cost:         s.cost,
 	}))
 	s.handlePeers(mux)
 	s.operators = s.serve(listener, mux)
@@ -365,6 +366,14 @@
 	s.counts.Publish("table", func() any { return s.TableCounts() })
 }
 
+func (s *Server) cost() administrator.Cost {
+	return administrator.Cost{
+		TableWrites:      s.tableWrites.Load(),
+		TableReads:       s.tableReads.Load(),
+		CrossRegionBytes: s.mesh.Counts().BytesFar,
+	}
+}
+
 // JournalCounts are the transactions and entries that the journal wrote.
 type JournalCounts struct {
 	Commits int64 `json:"commits"`
