--- a/internal/demonstrator/cell.go
+++ b/internal/demonstrator/cell.go
@@ -36,13 +36,13 @@
 
 // cell is everything that runs in the demo: the stand-in and the entry instances.
 type cell struct {
-	clock    clockwork.Clock
-	log      *slog.Logger
-	seed     uint64
-	platform *imitator.Platform
-	address  netip.AddrPort
-	balancer netip.AddrPort
-	callers  map[string]string
+	clock     clockwork.Clock
+	log       *slog.Logger
+	seed      uint64
+	platform  *imitator.Platform
+	address   netip.AddrPort
+	balancers map[string]netip.AddrPort
+	callers   map[string]string
 
 	tickets   []ticketer.Ticket
 	contracts []ticketer.Contract
@@ -68,9 +68,10 @@
 		log:       log,
 		seed:      seed,
 		callers:   make(map[string]string),
+		balancers: make(map[string]netip.AddrPort),
 		instances: make(map[string]*server.Server),
 	}
-	for _, step := range []func() error{c.readTickets, c.startPlatform, c.startBalancer} {
+	for _, step := range []func() error{c.readTickets, c.startPlatform, c.startBalancers} {
 		if err := step(); err != nil {
 			c.close()
 			return nil, nil, err
@@ -189,31 +190,46 @@
 	return nil
 }
 
-// startBalancer starts the platform's balancer over the instances that are ready.
-func (c *cell) startBalancer() error {
-	balancer, closeBalancer, err := imitator.NewBalancer(loopback, c.targets)
-	if err != nil {
-		return err
+// startBalancers starts the platform's balancer in each region.
+func (c *cell) startBalancers() error {
+	for _, region := range regions {
+		targets := func() []netip.AddrPort { return c.targets(region) }
+		balancer, closeBalancer, err := imitator.NewBalancer(loopback, targets)
+		if err != nil {
+			return err
+		}
+		c.closers = append(c.closers, closeBalancer)
+		if c.balancers[region], err = balancer.Address(); err != nil {
+			return err
+		}
 	}
-	c.closers = append(c.closers, closeBalancer)
-	c.balancer, err = balancer.Address()
-	return err
+	return nil
 }
 
-func (c *cell) targets() []netip.AddrPort {
-	var targets []netip.AddrPort
+// targets returns the instances of a region that are ready, or those of other regions if there are
+// none.
+func (c *cell) targets(region string) []netip.AddrPort {
+	var near, far []netip.AddrPort
 	for _, instance := range c.running() {
-		if !instance.Describe().Leaving {
-			targets = append(targets, instance.Addresses().Callers)
+		described := instance.Describe()
+		switch {
+		case described.Leaving:
+		case described.Region == region:
+			near = append(near, instance.Addresses().Callers)
+		default:
+			far = append(far, instance.Addresses().Callers)
 		}
 	}
-	return targets
+	if len(near) > 0 {
+		return near
+	}
+	return far
 }
 
-// client returns a caller's client behind the balancer.
-func (c *cell) client(name string) *caller.Client {
+// client returns a caller's client behind the balancer of a region.
+func (c *cell) client(name, region string) *caller.Client {
 	client, closeClient := caller.New(caller.Settings{
-		Endpoints: []netip.AddrPort{c.balancer},
+		Endpoints: []netip.AddrPort{c.balancers[region]},
 		Token:     c.callers[name],
 		Clock:     c.clock,
 	})
--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -38,6 +38,16 @@
 // regions of the shared cell.
 var regions = []string{"north", "centre", "south"}
 
+// regionAfter returns another region than the given one.
+func regionAfter(region string) string {
+	for i, name := range regions {
+		if name == region {
+			return regions[(i+1)%len(regions)]
+		}
+	}
+	return regions[0]
+}
+
 // demo is one run.
 type demo struct {
 	options Options
@@ -148,7 +158,8 @@
 	var open sync.WaitGroup
 	d.say("callers of both users begin: quotes, holds, orders, charges, surveys, runs, services")
 	for i, contract := range d.cell.contracts {
-		client := d.cell.client(contract.Caller)
+		client := d.cell.client(contract.Caller, contract.HomeRegion)
+		away := d.cell.client(contract.Caller, regionAfter(contract.HomeRegion))
 		for j, kind := range kindsOf(contract.Team) {
 			load := &workload{
 				cell:     d.cell,
@@ -165,7 +176,7 @@
 				}
 			})
 		}
-		open.Go(func() { d.tryKeys(ctx, contract) })
+		open.Go(func() { d.tryKeys(ctx, contract, client, away) })
 	}
 	open.Go(func() { d.faults(ctx) })
 	open.Wait()
--- a/internal/demonstrator/keys.go
+++ b/internal/demonstrator/keys.go
@@ -14,12 +14,11 @@
 )
 
 // tryKeys uses keys in ways that only seldom happen: the same one twice at a time, one with
-// another body, and work that fits on no worker.
-func (d *demo) tryKeys(ctx context.Context, contract ticketer.Contract) {
-	client := d.cell.client(contract.Caller)
-	d.sameKeyTwice(ctx, contract, client)
-	d.reusedKey(ctx, contract, client)
-	d.impossible(ctx, contract, client)
+// another body, and work that fits on no worker. Half of the calls go through another region.
+func (d *demo) tryKeys(ctx context.Context, contract ticketer.Contract, home, away *caller.Client) {
+	d.sameKeyTwice(ctx, contract, home, away)
+	d.reusedKey(ctx, contract, away)
+	d.impossible(ctx, contract, home)
 }
 
 func (d *demo) quickJob(number int) (modeler.Job, bool) {
@@ -31,7 +30,7 @@
 	return job, err == nil
 }
 
-func (d *demo) sameKeyTwice(ctx context.Context, contract ticketer.Contract, client *caller.Client) {
+func (d *demo) sameKeyTwice(ctx context.Context, contract ticketer.Contract, home, away *caller.Client) {
 	job, ok := d.quickJob(1)
 	if !ok {
 		return
@@ -39,11 +38,11 @@
 	r := d.ledger.open(contract, "same-key-twice", job, d.cell.clock.Now())
 	second := make(chan caller.Answer, 1)
 	go func() {
-		answer, err := client.Request(ctx, "same-key-twice", job)
+		answer, err := away.Request(ctx, "same-key-twice", job)
 		d.ledger.told(r, answer, err)
 		second <- answer
 	}()
-	answer, err := client.Request(ctx, "same-key-twice", job)
+	answer, err := home.Request(ctx, "same-key-twice", job)
 	d.ledger.told(r, answer, err)
 	other := <-second
 	if err != nil || len(answer.Results) != 1 || len(other.Results) != 1 || answer.Results[0] != other.Results[0] {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -97,6 +97,7 @@
 	seen     map[string]sighting
 	watches  map[string]watch
 	renewals int64
+	renewed  time.Time
 	leaving  bool
 
 	ownedUntil atomic.Int64
@@ -216,9 +217,41 @@
 	h.act(ctx, rows)
 }
 
-// renew writes the renewal row if anything is held.
-func (h *Holder) renew(ctx context.Context, patience time.Duration) {
+// Puts returns the renewal row, for a transaction that is sent anyway. It makes Holder the
+// journal's companion.
+func (h *Holder) Puts() []connector.Put {
 	if len(h.Held()) == 0 {
+		return nil
+	}
+	put, err := h.renewalPut()
+	if err != nil {
+		h.Log.Error("renewal not encoded", "error", err)
+		return nil
+	}
+	return []connector.Put{put}
+}
+
+// Committed notes a renewal that was sent at a time and took effect.
+func (h *Holder) Committed(sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.held) == 0 || sent.Before(h.renewed) {
+		return
+	}
+	h.renewed = sent
+	h.ownedUntil.Store(sent.Add(h.settings.Lease).UnixNano())
+}
+
+// isRenewed tells whether the journal renewed so lately that a write of our own is not due.
+func (h *Holder) isRenewed(within time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Clock.Since(h.renewed) < within
+}
+
+// renew writes the renewal row if anything is held and no journal transaction carried it.
+func (h *Holder) renew(ctx context.Context, patience time.Duration) {
+	if len(h.Held()) == 0 || h.isRenewed(patience) {
 		return
 	}
 	put, err := h.renewalPut()
@@ -234,7 +267,7 @@
 		h.Log.Warn("renewal not written", "error", err)
 		return
 	}
-	h.ownedUntil.Store(sent.Add(h.settings.Lease).UnixNano())
+	h.Committed(sent)
 }
 
 func (h *Holder) renewalPut() (connector.Put, error) {
@@ -367,10 +400,10 @@
 		h.Log.Info("claim lost or in doubt", "partition", name, "epoch", epoch, "error", err)
 		return
 	}
-	h.ownedUntil.Store(sent.Add(h.settings.Lease).UnixNano())
 	grant := Grant{Partition: name, Epoch: epoch, Version: outcome.Version}
 	h.Log.Info("claimed", "partition", name, "epoch", epoch, "from", now.row.Owner)
 	if h.Accept(grant) {
+		h.Committed(sent)
 		h.Listener.Gained(grant)
 	}
 }
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -42,6 +42,21 @@
 	return fmt.Sprintf("%s: a permit was written for it before, and a second attempt is not allowed", e.Key)
 }
 
+// Companion rides along with the journal: its rows go into every transaction for nothing, which
+// saves writes of their own.
+type Companion interface {
+	// Puts returns rows to add to the next transaction.
+	Puts() []connector.Put
+	// Committed tells when the transaction that carried them was sent first.
+	Committed(sent time.Time)
+}
+
+// Pace spreads transactions over time.
+type Pace interface {
+	// Gap returns the least time between two transactions that keeps to the write budget.
+	Gap() time.Duration
+}
+
 // pending is an entry with the function that is told how its write ended.
 type pending struct {
 	entry Entry
@@ -67,6 +82,11 @@
 	mu    sync.Mutex
 	books map[string]*book
 	wake  chan struct{}
+	// due is when the queued entry that may linger least has to go; zero if nothing is queued.
+	due time.Time
+
+	companion Companion
+	pace      Pace
 	// stuckSince is when the commit in flight began to fail, in Unix nanoseconds; 0 if it does not.
 	stuckSince atomic.Int64
 	commits    atomic.Int64
@@ -75,14 +95,16 @@
 
 // New returns a journal and the function that stops it. Entries whose commit is in flight then
 // may or may not have been written; those still queued were not.
-func New(writer *Writer, clock clockwork.Clock, log *slog.Logger) (*Journal, func()) {
+func New(writer *Writer, companion Companion, pace Pace, clock clockwork.Clock, log *slog.Logger) (*Journal, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	j := &Journal{
-		writer: writer,
-		clock:  clock,
-		log:    log,
-		books:  make(map[string]*book),
-		wake:   make(chan struct{}, 1),
+		writer:    writer,
+		companion: companion,
+		pace:      pace,
+		clock:     clock,
+		log:       log,
+		books:     make(map[string]*book),
+		wake:      make(chan struct{}, 1),
 	}
 	var running sync.WaitGroup
 	running.Go(func() { j.run(ctx) })
@@ -112,9 +134,9 @@
 	go finish([]batch{{taken: b.queue}}, &DeposedError{Partition: partition})
 }
 
-// Append queues an entry. Done is called once, from another goroutine, when the entry is durable
-// or provably never will be.
-func (j *Journal) Append(partition string, entry Entry, done func(error)) {
+// Append queues an entry that may linger for a while, so that others share its transaction. Done is
+// called once, from another goroutine, when the entry is durable or provably never will be.
+func (j *Journal) Append(partition string, entry Entry, linger time.Duration, done func(error)) {
 	j.mu.Lock()
 	b := j.books[partition]
 	if b == nil {
@@ -123,6 +145,9 @@
 		return
 	}
 	b.queue = append(b.queue, pending{entry: entry, done: done})
+	if due := j.clock.Now().Add(linger); j.due.IsZero() || due.Before(j.due) {
+		j.due = due
+	}
 	j.mu.Unlock()
 	select {
 	case j.wake <- struct{}{}:
@@ -142,21 +167,36 @@
 	return j.commits.Load(), j.entries.Load()
 }
 
+// run commits whenever something is due and the budget allows a transaction. What is queued until
+// then goes along, whether it is due or not.
 func (j *Journal) run(ctx context.Context) {
+	var next time.Time
 	for {
+		due, queued := j.dueAt()
+		var timer <-chan time.Time
+		if queued {
+			if due.Before(next) {
+				due = next
+			}
+			timer = j.clock.After(j.clock.Until(due))
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-j.wake:
-		}
-		for j.commitOnce(ctx) {
-			if ctx.Err() != nil {
-				return
-			}
+		case <-timer:
+			next = j.clock.Now().Add(j.pace.Gap())
+			j.commitOnce(ctx)
 		}
 	}
 }
 
+func (j *Journal) dueAt() (due time.Time, queued bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.due, !j.due.IsZero()
+}
+
 // batch is what one transaction carries: some entries of each partition.
 type batch struct {
 	partition string
@@ -193,34 +233,36 @@
 		b.queue = b.queue[count:]
 		room -= count
 	}
+	if room > 0 {
+		j.due = time.Time{}
+	}
 	return batches
 }
 
-// commitOnce writes one transaction and tells whether there was anything to write.
-func (j *Journal) commitOnce(ctx context.Context) bool {
+// commitOnce writes what is queued as one transaction.
+func (j *Journal) commitOnce(ctx context.Context) {
 	batches := j.take()
-	if len(batches) == 0 {
-		return false
-	}
 	for len(batches) > 0 {
 		transaction, err := assemble(batches)
 		if err != nil {
 			finish(batches, err)
-			return true
+			return
 		}
+		transaction.Puts = append(transaction.Puts, j.companion.Puts()...)
+		sent := j.clock.Now()
 		outcome, err := j.commit(ctx, transaction)
 		if err != nil {
 			// Stopped in doubt: nobody is told anything, because nothing certain can be said.
 			j.log.Warn("journal stopped with a transaction in doubt", "error", err)
-			return true
+			return
 		}
 		if outcome.Committed {
+			j.companion.Committed(sent)
 			j.settle(batches)
-			return true
+			return
 		}
 		batches = strike(batches, outcome.Conflicts)
 	}
-	return true
 }
 
 func (j *Journal) commit(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
--- a/internal/owner/calls.go
+++ b/internal/owner/calls.go
@@ -266,7 +266,7 @@
 		Digest: digest,
 		Job:    &job.Spec,
 	}
-	p.write(entry, func() {
+	p.write(entry, lingerNone, func() {
 		job.Accept()
 		p.queue.Push(job)
 		p.dirty = true
@@ -291,7 +291,7 @@
 		return
 	}
 	entry := journaler.Entry{Kind: journaler.Cancelled, Key: job.Key, At: p.control.Clock.Now(), State: state}
-	p.write(entry, func() { p.cancelled(job, state) })
+	p.write(entry, lingerNone, func() { p.cancelled(job, state) })
 }
 
 // stateIfQueued returns the final state of all tasks of a cancelled job if every one of them is
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -33,7 +33,7 @@
 type Journal interface {
 	Open(partition string, epoch modeler.Epoch, version int64)
 	Close(partition string)
-	Append(partition string, entry journaler.Entry, done func(error))
+	Append(partition string, entry journaler.Entry, linger time.Duration, done func(error))
 	Writable() bool
 	SnapshotDue(partition string) (upTo string, due bool)
 	SaveSnapshot(ctx context.Context, store journaler.Store, partition, upTo string, state []byte) error
--- a/internal/owner/endings.go
+++ b/internal/owner/endings.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"dotterelpost.example/dotterelpost/internal/bookkeeper"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/fencer"
@@ -43,7 +45,19 @@
 		Reason: e.reason,
 		Result: e.result,
 	}
-	p.write(entry, finish)
+	p.write(entry, lingerOfEnd(job), finish)
+}
+
+// lingerOfEnd returns how long the entry about the end of a task may linger.
+func lingerOfEnd(job *bookkeeper.Job) time.Duration {
+	switch {
+	case job.Spec.Class == modeler.Quick:
+		return lingerNone
+	case job.Open() == 1:
+		return lingerShort
+	default:
+		return lingerLong
+	}
 }
 
 func (p *partition) logEnd(job *bookkeeper.Job, task int, e ending) {
@@ -79,7 +93,7 @@
 		Evidence: evidence,
 		Reason:   reason,
 	}
-	p.write(entry, again)
+	p.write(entry, lingerShort, again)
 }
 
 // requeue puts a task back into the queue, with its job if that had left it. A gang goes back when
@@ -174,7 +188,7 @@
 		Evidence: journaler.HasRun,
 		Reason:   reason,
 	}
-	p.write(entry, settled)
+	p.write(entry, lingerLong, settled)
 }
 
 // stopTask has the worker end a task, and deals with what the worker says of it.
--- a/internal/owner/partition.go
+++ b/internal/owner/partition.go
@@ -73,6 +73,14 @@
 	hold     hold
 }
 
+// How long an entry may linger, so that others share its transaction. Nobody waits for the end of
+// one task of many; somebody may wait for the last one, and somebody surely waits for a quick one.
+const (
+	lingerNone  = 0
+	lingerShort = 100 * time.Millisecond
+	lingerLong  = time.Second
+)
+
 // maxHeld bounds the calls that wait for a partition to be read or settled.
 const maxHeld = 10000
 
@@ -87,8 +95,8 @@
 
 // write appends a journal entry; written runs on the control goroutine once it is durable. If
 // another owner prevents that, the partition is given up.
-func (p *partition) write(entry journaler.Entry, written func()) {
-	p.writeChecked(entry, func(err error) {
+func (p *partition) write(entry journaler.Entry, linger time.Duration, written func()) {
+	p.writeChecked(entry, linger, func(err error) {
 		if err == nil {
 			written()
 			return
@@ -97,9 +105,9 @@
 	})
 }
 
-func (p *partition) writeChecked(entry journaler.Entry, done func(error)) {
+func (p *partition) writeChecked(entry journaler.Entry, linger time.Duration, done func(error)) {
 	p.writing++
-	p.control.Journal.Append(p.name, entry, func(err error) {
+	p.control.Journal.Append(p.name, entry, linger, func(err error) {
 		p.post(func() {
 			p.writing--
 			done(err)
--- a/internal/owner/round.go
+++ b/internal/owner/round.go
@@ -229,7 +229,7 @@
 		Worker:  t.Worker,
 		Boot:    t.Boot,
 	}
-	p.writeChecked(entry, func(err error) {
+	p.writeChecked(entry, lingerNone, func(err error) {
 		switch err := err.(type) {
 		case nil:
 			t.Permitted = true
--- a/internal/owner/sites.go
+++ b/internal/owner/sites.go
@@ -157,7 +157,7 @@
 	s.written = false
 	p.updateUsable(index)
 	entry := journaler.Entry{Kind: journaler.WorkerAdded, Worker: s.info.Name, Boot: boot, At: p.control.Clock.Now()}
-	p.write(entry, func() {
+	p.write(entry, lingerNone, func() {
 		p.book.Apply(entry)
 		s.written = s.boot == boot
 		p.updateUsable(index)
@@ -253,7 +253,7 @@
 
 func (p *partition) removeWorker(name string) {
 	entry := journaler.Entry{Kind: journaler.WorkerRemoved, Worker: name, At: p.control.Clock.Now()}
-	p.write(entry, func() { p.book.Apply(entry) })
+	p.write(entry, lingerLong, func() { p.book.Apply(entry) })
 }
 
 // loseTasks deals with all tasks of a worker that can't run any of them any more.
--- a/internal/server/table.go
+++ b/internal/server/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
 )
@@ -22,3 +23,31 @@
 	t.server.tableReads.Add(1)
 	return t.server.platform.Read(ctx, keys...)
 }
+
+// companion has renewals ride along with the journal. The holder comes to be after the journal.
+type companion struct {
+	server *Server
+}
+
+func (c companion) Puts() []connector.Put {
+	if c.server.holder == nil {
+		return nil
+	}
+	return c.server.holder.Puts()
+}
+
+func (c companion) Committed(sent time.Time) {
+	if c.server.holder != nil {
+		c.server.holder.Committed(sent)
+	}
+}
+
+// pace keeps to this instance's share of the write budget of the ticket in force.
+type pace struct {
+	server *Server
+}
+
+func (p pace) Gap() time.Duration {
+	instances := 1 + len(p.server.mesh.Live())
+	return time.Duration(instances) * time.Second / time.Duration(p.server.follower.State().WriteBudget())
+}
--- a/internal/ticketer/ticket.go
+++ b/internal/ticketer/ticket.go
@@ -23,6 +23,23 @@
 	Policies   []Policy    `json:"policies,omitempty"`
 	Limits     []Limit     `json:"limits,omitempty"`
 	Contracts  []Contract  `json:"contracts,omitempty"`
+	Table      *Table      `json:"table,omitempty"`
+}
+
+// Table limits what all instances together write to the table service.
+type Table struct {
+	WritesPerSecond int `json:"writes-per-second"`
+}
+
+// defaultWritesPerSecond leaves the platform's other users some of its several hundred writes.
+const defaultWritesPerSecond = 240
+
+// WriteBudget returns how many writes a second all instances together may spend.
+func (s *State) WriteBudget() int {
+	if s.Table == nil {
+		return defaultWritesPerSecond
+	}
+	return s.Table.WritesPerSecond
 }
 
 // Partition is a set of racks of one region that has one owner at a time.
@@ -86,6 +103,10 @@
 	next.Policies = mergePolicies(s.Policies, ticket.Policies)
 	next.Limits = mergeLimits(s.Limits, ticket.Limits)
 	next.Contracts = mergeContracts(s.Contracts, ticket.Contracts)
+	next.Table = s.Table
+	if ticket.Table != nil {
+		next.Table = ticket.Table
+	}
 	return next
 }
 
