Split the owner: control goroutine, dispatcher of a partition, roster of workers

Refusals moved to modeler, so that router and front door no longer import the owner for an error type.

--- /dev/null
+++ b/internal/dispatcher/calls.go
@@ -0,0 +1,271 @@
+package dispatcher
+
+import (
+	"fmt"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/bookkeeper"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/placer"
+)
+
+// retryAfter is what a refused caller is told to wait.
+const retryAfter = time.Second
+
+// Submission is a job under a caller's key. With Wait, as for every quick request, the answer is
+// held back until the job is final.
+type Submission struct {
+	Partition string
+	Key       string
+	Job       modeler.Job
+	Wait      bool
+}
+
+// Reply ends a call. Only the first reply counts.
+type Reply func(answer modeler.Answer, err error)
+
+// Status replies with the state of a key; with wait it holds the answer back until the job is
+// final.
+func (p *Partition) Status(key string, wait bool, reply Reply) {
+	p.withJob(key, reply, func(job *bookkeeper.Job) {
+		if wait {
+			p.answerFinal(job, reply)
+			return
+		}
+		reply(job.Answer(), nil)
+	})
+}
+
+// Cancel ends a job and replies with its final answer.
+func (p *Partition) Cancel(key string, reply Reply) {
+	p.withJob(key, reply, func(job *bookkeeper.Job) { p.cancelJob(job, reply) })
+}
+
+// Present returns what is true of a key now, if its job was accepted.
+func (p *Partition) Present(key string) (answer modeler.Answer, accepted bool) {
+	job := p.book.Find(key)
+	if job == nil || !job.Accepted {
+		return answer, false
+	}
+	return job.Answer(), true
+}
+
+// answerFinal replies when the job is final, or when the partition was lost.
+func (p *Partition) answerFinal(job *bookkeeper.Job, reply Reply) {
+	job.WhenFinal(func() {
+		if !job.Final() {
+			reply(modeler.Answer{}, &modeler.NotOwnerError{Partition: p.name})
+			return
+		}
+		reply(job.Answer(), nil)
+	})
+}
+
+// withJob finds the accepted job of a key. A key that is not in the book may be a quick request
+// that some worker still runs; that is known when the partition is settled.
+func (p *Partition) withJob(key string, reply Reply, use func(*bookkeeper.Job)) {
+	if p.closed(reply) {
+		return
+	}
+	job := p.book.Find(key)
+	if job != nil && p.loaded {
+		job.WhenAccepted(func() {
+			if !p.closed(reply) {
+				use(job)
+			}
+		})
+		return
+	}
+	if p.settled {
+		reply(modeler.Answer{}, &modeler.RefusedError{Kind: modeler.UnknownKey, Reason: "there is no work under the key " + key})
+		return
+	}
+	p.holdCall(&p.atSettle, reply, func() { p.withJob(key, reply, use) })
+}
+
+func (p *Partition) closed(reply Reply) bool {
+	if p.ctx.Err() == nil {
+		return false
+	}
+	reply(modeler.Answer{}, &modeler.NotOwnerError{Partition: p.name})
+	return true
+}
+
+// holdCall keeps a call until the partition can serve it.
+func (p *Partition) holdCall(list *[]func(), reply Reply, again func()) {
+	if len(*list) >= maxHeld {
+		reply(modeler.Answer{}, overloaded("too many calls wait for partition "+p.name))
+		return
+	}
+	*list = append(*list, again)
+}
+
+func overloaded(reason string) *modeler.RefusedError {
+	return &modeler.RefusedError{Kind: modeler.Overloaded, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Submit takes a job.
+func (p *Partition) Submit(submission Submission, digest string, reply Reply) {
+	if p.closed(reply) {
+		return
+	}
+	if !p.loaded || p.Workers() == nil {
+		p.holdCall(&p.atLoad, reply, func() { p.Submit(submission, digest, reply) })
+		return
+	}
+	if p.yielding != nil {
+		p.holdCall(&p.atSettle, reply, func() { p.Submit(submission, digest, reply) })
+		return
+	}
+	job := p.book.Find(submission.Key)
+	if job == nil {
+		var err error
+		if job, err = p.enter(submission, digest); err != nil {
+			reply(modeler.Answer{}, err)
+			return
+		}
+	}
+	if job.Digest == "" {
+		job.Digest = digest
+	}
+	if job.Digest != digest {
+		reply(modeler.Answer{}, &modeler.RefusedError{Kind: modeler.KeyReused, Reason: fmt.Sprintf("the key %s stands for another request; nothing was done for this one", submission.Key)})
+		return
+	}
+	job.WhenAccepted(func() {
+		switch {
+		case p.closed(reply):
+		case submission.Wait:
+			p.answerFinal(job, reply)
+		default:
+			reply(job.Answer(), nil)
+		}
+	})
+}
+
+// enter checks a new job and begins its acceptance.
+func (p *Partition) enter(submission Submission, digest string) (*bookkeeper.Job, error) {
+	spec := submission.Job
+	policy, found := p.Tickets().PolicyOf(spec.Team, spec.Class)
+	if !found {
+		return nil, &modeler.RefusedError{Kind: modeler.NoPolicy, Reason: fmt.Sprintf("team %s has no policy for class %s", spec.Team, spec.Class)}
+	}
+	if p.queue.Len(spec.Team, spec.Class) >= policy.QueueLimit {
+		return nil, overloaded(fmt.Sprintf("%d jobs of team %s and class %s wait already", policy.QueueLimit, spec.Team, spec.Class))
+	}
+	now := p.Clock.Now()
+	durable := spec.Class != modeler.Quick || !spec.Repeatable
+	if durable && !p.Journal.Writable() {
+		return nil, &modeler.RefusedError{Kind: modeler.TableDown, Reason: "the table service does not answer, so nothing durable is accepted; nothing was done", RetryAfter: retryAfter}
+	}
+	if p.settled && p.neverFits(spec) {
+		job := p.book.Add(submission.Key, digest, spec, now, bookkeeper.Queued)
+		job.Accept()
+		for i := range job.Tasks {
+			job.End(i, modeler.NotRun, "no worker of partition "+p.name+" that the policy allows could ever hold it", nil, now)
+		}
+		p.Counters.Decided(spec.Class, "never-fits")
+		return job, nil
+	}
+	if durable {
+		return p.enterDurable(submission, digest, now), nil
+	}
+	return p.enterQuick(submission, digest, now), nil
+}
+
+func (p *Partition) neverFits(spec modeler.Job) bool {
+	probe := &bookkeeper.Job{Spec: spec}
+	return p.cell.CanEverHold(p.ask(probe, spec.Tasks)) == placer.NeverFits
+}
+
+func (p *Partition) enterQuick(submission Submission, digest string, now time.Time) *bookkeeper.Job {
+	phase := bookkeeper.Queued
+	if !p.settled {
+		phase = bookkeeper.Unproven
+	}
+	job := p.book.Add(submission.Key, digest, submission.Job, now, phase)
+	job.Ticket = p.Tickets().Number
+	job.Accept()
+	if p.settled {
+		p.queue.Push(job)
+		p.dirty = true
+	}
+	return job
+}
+
+func (p *Partition) enterDurable(submission Submission, digest string, now time.Time) *bookkeeper.Job {
+	job := p.book.Add(submission.Key, digest, submission.Job, now, bookkeeper.Queued)
+	job.Durable = true
+	job.Ticket = p.Tickets().Number
+	entry := journaler.Entry{
+		Kind:   journaler.Accepted,
+		Key:    job.Key,
+		At:     now,
+		Ticket: job.Ticket,
+		Digest: digest,
+		Job:    &job.Spec,
+	}
+	p.write(entry, lingerNone, func() {
+		job.Accept()
+		p.queue.Push(job)
+		p.dirty = true
+	})
+	return job
+}
+
+func (p *Partition) cancelJob(job *bookkeeper.Job, reply Reply) {
+	if job.Final() || job.Cancelled {
+		p.answerFinal(job, reply)
+		return
+	}
+	if job.Durable && !p.Journal.Writable() {
+		reply(modeler.Answer{}, &modeler.RefusedError{Kind: modeler.TableDown, Reason: "the table service does not answer, so the cancellation was not accepted", RetryAfter: retryAfter})
+		return
+	}
+	p.answerFinal(job, reply)
+	job.Cancelled = true
+	state := p.stateIfQueued(job)
+	if !job.Durable {
+		p.cancelled(job, state)
+		return
+	}
+	entry := journaler.Entry{Kind: journaler.Cancelled, Key: job.Key, At: p.Clock.Now(), State: state}
+	p.write(entry, lingerNone, func() { p.cancelled(job, state) })
+}
+
+// stateIfQueued returns the final state of all tasks of a cancelled job if every one of them is
+// queued and they share it. One entry then ends them all.
+func (p *Partition) stateIfQueued(job *bookkeeper.Job) modeler.State {
+	if job.Count(bookkeeper.Queued) < len(job.Tasks) {
+		return ""
+	}
+	state := job.Tasks[0].Unfinished()
+	for i := range job.Tasks {
+		if job.Tasks[i].Unfinished() != state {
+			return ""
+		}
+	}
+	return state
+}
+
+// cancelled ends what is queued and stops what runs. Unproven tasks wait for settle, tasks with a
+// permit under way for that.
+func (p *Partition) cancelled(job *bookkeeper.Job, state modeler.State) {
+	if state != "" {
+		job.Cancel(state, p.Clock.Now())
+		p.Counters.Decided(job.Spec.Class, string(state))
+		p.Log.Info("cancelled", "key", job.Key, "class", job.Spec.Class, "state", state, "partition", p.name, "epoch", p.epoch)
+		return
+	}
+	for task := range job.Tasks {
+		t := &job.Tasks[task]
+		switch t.Phase {
+		case bookkeeper.Queued:
+			p.end(job, task, ending{state: t.Unfinished(), reason: "cancelled"})
+		case bookkeeper.Starting, bookkeeper.Running:
+			p.stopTask(job, task)
+		case bookkeeper.Unproven, bookkeeper.Permitting, bookkeeper.Ending, bookkeeper.Over:
+		}
+	}
+}
--- a/internal/owner/endings.go
+++ b/internal/dispatcher/endings.go
@@ -1,4 +1,4 @@
-package owner
+package dispatcher
 
 import (
 	"time"
@@ -20,15 +20,15 @@
 
 // end makes a task final: at once for a quick request, after the entry is written for a durable
 // job. The place is free in both cases, because the task runs nowhere any more.
-func (p *partition) end(job *bookkeeper.Job, task int, e ending) {
+func (p *Partition) end(job *bookkeeper.Job, task int, e ending) {
 	p.vacate(job, task)
-	now := p.control.Clock.Now()
+	now := p.Clock.Now()
 	finish := func() {
 		job.End(task, e.state, e.reason, e.result, now)
 		if e.settled != nil {
 			e.settled()
 		}
-		p.control.Counters.Decided(job.Spec.Class, string(e.state))
+		p.Counters.Decided(job.Spec.Class, string(e.state))
 		p.logEnd(job, task, e)
 	}
 	if !job.Durable {
@@ -60,14 +60,14 @@
 	}
 }
 
-func (p *partition) logEnd(job *bookkeeper.Job, task int, e ending) {
-	p.control.Log.Info("ended", "key", job.Key, "task", task, "class", job.Spec.Class,
+func (p *Partition) logEnd(job *bookkeeper.Job, task int, e ending) {
+	p.Log.Info("ended", "key", job.Key, "task", task, "class", job.Spec.Class,
 		"state", e.state, "reason", e.reason, "partition", p.name, "epoch", p.epoch)
 }
 
 // interrupt deals with an attempt that is over unfinished: the task is queued again once that is
 // written, or ends if it may not be tried again.
-func (p *partition) interrupt(job *bookkeeper.Job, task int, evidence journaler.Evidence, reason string, settled func()) {
+func (p *Partition) interrupt(job *bookkeeper.Job, task int, evidence journaler.Evidence, reason string, settled func()) {
 	p.vacate(job, task)
 	job.Witness(task, evidence)
 	if job.Cancelled || !job.Spec.Repeatable {
@@ -89,7 +89,7 @@
 		Kind:     journaler.Interrupted,
 		Key:      job.Key,
 		Task:     task,
-		At:       p.control.Clock.Now(),
+		At:       p.Clock.Now(),
 		Evidence: evidence,
 		Reason:   reason,
 	}
@@ -98,7 +98,7 @@
 
 // requeue puts a task back into the queue, with its job if that had left it. A gang goes back when
 // its last task does.
-func (p *partition) requeue(job *bookkeeper.Job, task int) {
+func (p *Partition) requeue(job *bookkeeper.Job, task int) {
 	if job.Cancelled {
 		p.end(job, task, ending{state: job.Tasks[task].Unfinished(), reason: "cancelled"})
 		return
@@ -112,7 +112,7 @@
 }
 
 // lose deals with a task whose worker can't run it any more and can't tell what became of it.
-func (p *partition) lose(job *bookkeeper.Job, task int, reason string) {
+func (p *Partition) lose(job *bookkeeper.Job, task int, reason string) {
 	evidence := journaler.MayHaveRun
 	if job.Tasks[task].Phase == bookkeeper.Running {
 		evidence = journaler.HasRun
@@ -124,13 +124,13 @@
 	p.end(job, task, ending{state: modeler.Unknown, reason: reason})
 }
 
-// handleRecord deals with a worker's record of a task that ended.
-func (p *partition) handleRecord(index int, record connector.TaskEnded) {
+// Ended deals with a worker's record of a task that ended.
+func (p *Partition) Ended(index int, record connector.TaskEnded) {
 	if p.yielded() {
 		// The successor will be shown the record; it is not confirmed.
 		return
 	}
-	settled := p.settleRecord(index, record)
+	settled := p.roster.Arrived(index, record)
 	if settled == nil {
 		return
 	}
@@ -148,7 +148,7 @@
 		p.end(job, task, ending{state: modeler.Done, result: record.Result, settled: settled})
 		return
 	}
-	reason := string(record.Kind) + " on worker " + p.sites[index].info.Name
+	reason := string(record.Kind) + " on worker " + p.roster.Worker(index).Name
 	if t.Phase == bookkeeper.Unproven && job.Spec.Repeatable && !job.Cancelled {
 		// Another worker, not yet heard of, may run a later attempt: settle decides.
 		p.witness(job, task, reason, settled)
@@ -157,24 +157,7 @@
 	p.interrupt(job, task, journaler.HasRun, reason, settled)
 }
 
-// settleRecord returns the function that lets the worker forget the record, or nil if the record
-// was dealt with already.
-func (p *partition) settleRecord(index int, record connector.TaskEnded) func() {
-	s := p.sites[index]
-	if record.Boot != s.boot {
-		return func() {}
-	}
-	if !s.records.arrived(record.Sequence) {
-		return nil
-	}
-	return func() {
-		if record.Boot == s.boot {
-			s.link.Confirm(s.records.settled(record.Sequence))
-		}
-	}
-}
-
-func (p *partition) witness(job *bookkeeper.Job, task int, reason string, settled func()) {
+func (p *Partition) witness(job *bookkeeper.Job, task int, reason string, settled func()) {
 	job.Witness(task, journaler.HasRun)
 	if !job.Durable {
 		settled()
@@ -184,7 +167,7 @@
 		Kind:     journaler.Interrupted,
 		Key:      job.Key,
 		Task:     task,
-		At:       p.control.Clock.Now(),
+		At:       p.Clock.Now(),
 		Evidence: journaler.HasRun,
 		Reason:   reason,
 	}
@@ -192,24 +175,24 @@
 }
 
 // stopTask has the worker end a task, and deals with what the worker says of it.
-func (p *partition) stopTask(job *bookkeeper.Job, task int) {
+func (p *Partition) stopTask(job *bookkeeper.Job, task int) {
 	t := &job.Tasks[task]
 	index := t.Site
 	if index == bookkeeper.NoSite {
 		return
 	}
-	s := p.sites[index]
+	link := p.roster.Link(index)
 	attempt, boot := t.Attempt, t.Boot
 	go func() {
-		outcome := s.link.Stop(attempt, boot)
+		outcome := link.Stop(attempt, boot)
 		p.post(func() { p.stopped(job, task, index, attempt, outcome) })
 	}()
 }
 
-func (p *partition) stopped(job *bookkeeper.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
+func (p *Partition) stopped(job *bookkeeper.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
 	t := &job.Tasks[task]
 	if outcome.Ended != nil {
-		p.handleRecord(index, *outcome.Ended)
+		p.Ended(index, *outcome.Ended)
 		return
 	}
 	if t.Attempt != attempt || (t.Phase != bookkeeper.Starting && t.Phase != bookkeeper.Running) {
@@ -219,6 +202,6 @@
 	case outcome.NeverRan != "":
 		p.interrupt(job, task, journaler.ProvedNew, "stopped before it ran", nil)
 	case outcome.Forgotten:
-		p.lose(job, task, "worker "+p.sites[index].info.Name+" restarted while it was told to stop the task")
+		p.lose(job, task, "worker "+p.roster.Worker(index).Name+" restarted while it was told to stop the task")
 	}
 }
--- a/internal/owner/round.go
+++ b/internal/dispatcher/round.go
@@ -1,4 +1,4 @@
-package owner
+package dispatcher
 
 import (
 	"time"
@@ -41,8 +41,8 @@
 	needs modeler.Resources
 }
 
-// round places what can be placed.
-func (p *partition) round() {
+// Round places what can be placed.
+func (p *Partition) Round() {
 	if p.yielding != nil {
 		p.tryYield()
 		return
@@ -51,7 +51,7 @@
 		return
 	}
 	p.dirty = false
-	now := p.control.Clock.Now()
+	now := p.Clock.Now()
 	p.endHold(now)
 	full := make(map[shape]bool)
 	capacity, _ := p.cell.Totals()
@@ -61,13 +61,13 @@
 
 // share is a team's dominant share of the partition as a part of its quota's share. A team without
 // a quota counts as if its quota were a hundredth.
-func (p *partition) share(team string, capacity modeler.Resources) float64 {
+func (p *Partition) share(team string, capacity modeler.Resources) float64 {
 	const shareWithoutQuota = 0.01
-	quota := p.control.tickets.QuotaOf(team).DominantShare(capacity)
+	quota := p.Tickets().QuotaOf(team).DominantShare(capacity)
 	return p.used[team].DominantShare(capacity) / max(quota, shareWithoutQuota)
 }
 
-func (p *partition) endHold(now time.Time) {
+func (p *Partition) endHold(now time.Time) {
 	if p.hold.job == nil {
 		return
 	}
@@ -76,7 +76,7 @@
 	}
 }
 
-func (p *partition) serve(job *bookkeeper.Job, full map[shape]bool, now time.Time) queuer.Verdict {
+func (p *Partition) serve(job *bookkeeper.Job, full map[shape]bool, now time.Time) queuer.Verdict {
 	if job.Cancelled {
 		return queuer.Served
 	}
@@ -114,7 +114,7 @@
 }
 
 // expired ends a quick request whose deadline passed in the queue.
-func (p *partition) expired(job *bookkeeper.Job, now time.Time) bool {
+func (p *Partition) expired(job *bookkeeper.Job, now time.Time) bool {
 	deadline := time.Duration(job.Spec.Deadline)
 	if deadline == 0 || now.Before(job.AcceptedAt.Add(deadline)) {
 		return false
@@ -125,7 +125,7 @@
 
 // isHeldBack tells whether a job has to wait for a gang. Short work may pass: it is over before
 // the gang could be placed.
-func (p *partition) isHeldBack(job *bookkeeper.Job) bool {
+func (p *Partition) isHeldBack(job *bookkeeper.Job) bool {
 	if p.hold.job == nil || p.hold.job == job || job.Spec.Urgent || job.Spec.Class == modeler.Quick {
 		return false
 	}
@@ -133,8 +133,8 @@
 	return length == 0 || length > p.patience(p.hold.job)
 }
 
-func (p *partition) patience(job *bookkeeper.Job) time.Duration {
-	policy, _ := p.control.tickets.PolicyOf(job.Spec.Team, job.Spec.Class)
+func (p *Partition) patience(job *bookkeeper.Job) time.Duration {
+	policy, _ := p.Tickets().PolicyOf(job.Spec.Team, job.Spec.Class)
 	if policy.GangPatience > 0 {
 		return time.Duration(policy.GangPatience)
 	}
@@ -143,7 +143,7 @@
 
 // serveGang places all open tasks of a gang or none. Tasks of an earlier try that are still being
 // stopped keep it waiting.
-func (p *partition) serveGang(job *bookkeeper.Job, now time.Time) queuer.Verdict {
+func (p *Partition) serveGang(job *bookkeeper.Job, now time.Time) queuer.Verdict {
 	count := job.Count(bookkeeper.Queued)
 	if count < job.Open() {
 		return queuer.Blocked
@@ -160,13 +160,13 @@
 	return queuer.Served
 }
 
-func (p *partition) considerHold(job *bookkeeper.Job, now time.Time) {
+func (p *Partition) considerHold(job *bookkeeper.Job, now time.Time) {
 	patience := p.patience(job)
 	if p.hold.job != nil || now.Sub(job.AcceptedAt) < patience || now.Before(p.hold.until.Add(patience)) {
 		return
 	}
 	p.hold = hold{job: job, until: now.Add(holdLength * patience)}
-	p.control.Log.Info("holding places for gang", "key", job.Key, "partition", p.name, "until", p.hold.until)
+	p.Log.Info("holding places for gang", "key", job.Key, "partition", p.name, "until", p.hold.until)
 }
 
 func besideOf(job *bookkeeper.Job) []int {
@@ -180,16 +180,15 @@
 }
 
 // start sends a task to the place that was just reserved for it. Now is when the round began.
-func (p *partition) start(job *bookkeeper.Job, task int, placement placer.Placement, now time.Time) {
+func (p *Partition) start(job *bookkeeper.Job, task int, placement placer.Placement, now time.Time) {
 	index := placement.Worker
-	s := p.sites[index]
 	t := &job.Tasks[task]
 	attempt := modeler.Attempt{Partition: p.name, Epoch: p.epoch, Key: job.Key, Task: task, Number: t.Attempts + 1}
-	job.Place(task, index, s.info.Name, s.boot, attempt)
+	job.Place(task, index, p.roster.Worker(index).Name, p.roster.Boot(index), attempt)
 	p.occupy(index, job, task)
 	p.logPlacement(job, attempt, placement, now)
 	if t.Attempts == 1 {
-		p.control.Counters.Waited(job.Spec.Class, now.Sub(job.AcceptedAt))
+		p.Counters.Waited(job.Spec.Class, now.Sub(job.AcceptedAt))
 	}
 	if job.Spec.Repeatable {
 		p.send(job, task)
@@ -198,25 +197,25 @@
 	p.permit(job, task)
 }
 
-func (p *partition) logPlacement(job *bookkeeper.Job, attempt modeler.Attempt, placement placer.Placement, began time.Time) {
-	p.control.Counters.Decided(job.Spec.Class, "placed")
-	p.control.Log.Info("placed",
+func (p *Partition) logPlacement(job *bookkeeper.Job, attempt modeler.Attempt, placement placer.Placement, began time.Time) {
+	p.Counters.Decided(job.Spec.Class, "placed")
+	p.Log.Info("placed",
 		"key", job.Key,
 		"task", attempt.Task,
 		"class", job.Spec.Class,
-		"worker", p.sites[placement.Worker].info.Name,
+		"worker", p.roster.Worker(placement.Worker).Name,
 		"partition", p.name,
 		"epoch", p.epoch,
 		"attempt", attempt.Number,
-		"ticket", p.control.tickets.Number,
+		"ticket", p.Tickets().Number,
 		"reason", placement.Reason,
 		"candidates", placement.Candidates,
-		"micros", p.control.Clock.Since(began).Microseconds(),
+		"micros", p.Clock.Since(began).Microseconds(),
 	)
 }
 
 // permit writes that the task may be sent to this worker, once.
-func (p *partition) permit(job *bookkeeper.Job, task int) {
+func (p *Partition) permit(job *bookkeeper.Job, task int) {
 	t := &job.Tasks[task]
 	t.Phase = bookkeeper.Permitting
 	attempt := t.Attempt
@@ -224,7 +223,7 @@
 		Kind:    journaler.Permitted,
 		Key:     job.Key,
 		Task:    task,
-		At:      p.control.Clock.Now(),
+		At:      p.Clock.Now(),
 		Attempt: &attempt,
 		Worker:  t.Worker,
 		Boot:    t.Boot,
@@ -237,12 +236,12 @@
 		case *journaler.PermitTakenError:
 			p.end(job, task, ending{state: modeler.Unknown, reason: err.Error()})
 		default:
-			p.deposed()
+			p.Dependencies.Deposed(p)
 		}
 	})
 }
 
-func (p *partition) permitted(job *bookkeeper.Job, task int) {
+func (p *Partition) permitted(job *bookkeeper.Job, task int) {
 	if job.Cancelled {
 		p.end(job, task, ending{state: modeler.NotRun, reason: "cancelled before it was sent"})
 		return
@@ -251,29 +250,29 @@
 }
 
 // send starts the attempt on its worker. The call goes on until the outcome is certain.
-func (p *partition) send(job *bookkeeper.Job, task int) {
+func (p *Partition) send(job *bookkeeper.Job, task int) {
 	t := &job.Tasks[task]
 	t.Phase = bookkeeper.Starting
 	index := t.Site
-	s := p.sites[index]
+	link := p.roster.Link(index)
 	attempt := t.Attempt
 	ask := connector.StartRequest{
 		Attempt:    attempt,
 		Boot:       t.Boot,
 		Class:      job.Spec.Class,
 		Needs:      job.Spec.Needs,
-		LeaseEnd:   s.link.LeaseEnd(),
+		LeaseEnd:   link.LeaseEnd(),
 		Repeatable: job.Spec.Repeatable,
 		Payload:    job.Spec.Payload,
 	}
 	counts := 1
 	if job.Spec.Class == modeler.Quick {
-		ask.Wait = modeler.Duration(min(maxQuickWait, p.control.settings.TaskLease))
+		ask.Wait = modeler.Duration(min(maxQuickWait, p.settings.TaskLease))
 		counts = 0
 	}
 	p.starting += counts
 	go func() {
-		outcome := s.link.Start(ask)
+		outcome := link.Start(ask)
 		p.post(func() {
 			p.starting -= counts
 			p.started(job, task, index, attempt, outcome)
@@ -281,9 +280,9 @@
 	}()
 }
 
-func (p *partition) started(job *bookkeeper.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
+func (p *Partition) started(job *bookkeeper.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
 	if outcome.Ended != nil {
-		p.handleRecord(index, *outcome.Ended)
+		p.Ended(index, *outcome.Ended)
 		return
 	}
 	t := &job.Tasks[task]
@@ -293,30 +292,30 @@
 	switch {
 	case outcome.Running:
 		t.Phase = bookkeeper.Running
-		t.StartedAt = p.control.Clock.Now()
+		t.StartedAt = p.Clock.Now()
 		if job.Cancelled {
 			p.stopTask(job, task)
 		}
 	case outcome.NeverRan != "":
 		p.refused(job, task, index, outcome.NeverRan)
 	case outcome.Forgotten:
-		p.lose(job, task, "worker "+p.sites[index].info.Name+" restarted while it was sent the task")
+		p.lose(job, task, "worker "+p.roster.Worker(index).Name+" restarted while it was sent the task")
 	}
 }
 
 // refused deals with a start that provably did not and will not run.
-func (p *partition) refused(job *bookkeeper.Job, task, index int, refusal connector.Refusal) {
+func (p *Partition) refused(job *bookkeeper.Job, task, index int, refusal connector.Refusal) {
 	t := &job.Tasks[task]
-	worker := p.sites[index].info.Name
-	p.control.Log.Warn("start refused", "key", job.Key, "task", task, "worker", worker, "refusal", refusal, "attempt", t.Attempts)
+	worker := p.roster.Worker(index).Name
+	p.Log.Warn("start refused", "key", job.Key, "task", task, "worker", worker, "refusal", refusal, "attempt", t.Attempts)
 	if refusal == connector.RefusedLeaving {
-		p.setLeaving(index, true)
+		p.roster.SetLeaving(index, true)
 	}
 	t.Avoid = append(t.Avoid, index)
 	if len(t.Avoid) > rememberedAvoids {
 		t.Avoid = t.Avoid[1:]
 	}
-	policy, _ := p.control.tickets.PolicyOf(job.Spec.Team, job.Spec.Class)
+	policy, _ := p.Tickets().PolicyOf(job.Spec.Team, job.Spec.Class)
 	limit := policy.MaxStartAttempts
 	if limit == 0 {
 		limit = defaultStartAttempts
@@ -333,7 +332,7 @@
 }
 
 // regroup stops the other tasks of a gang of which one found no place after all.
-func (p *partition) regroup(job *bookkeeper.Job, refused int) {
+func (p *Partition) regroup(job *bookkeeper.Job, refused int) {
 	for task := range job.Tasks {
 		phase := job.Tasks[task].Phase
 		if task != refused && (phase == bookkeeper.Starting || phase == bookkeeper.Running) {
--- /dev/null
+++ b/internal/dispatcher/yield.go
@@ -0,0 +1,53 @@
+package dispatcher
+
+// Yielding is a hand-over under way. Once the state was given away the partition changes nothing
+// more.
+type Yielding struct {
+	state chan []byte
+	ended bool
+}
+
+// NewYielding returns a hand-over that was not begun.
+func NewYielding() *Yielding { return &Yielding{state: make(chan []byte, 1)} }
+
+// State delivers the state for the successor, or is closed if there will be none.
+func (y *Yielding) State() <-chan []byte { return y.state }
+
+// Fail ends the hand-over without a state. It runs on the control goroutine, like all that follows.
+func (y *Yielding) Fail() {
+	if !y.ended {
+		y.ended = true
+		close(y.state)
+	}
+}
+
+func (y *Yielding) give(state []byte) {
+	y.ended = true
+	y.state <- state
+}
+
+// Yield begins to hand the partition over. False tells that it can't be handed over now.
+func (p *Partition) Yield(yielding *Yielding) bool {
+	if !p.settled || p.yielding != nil {
+		return false
+	}
+	p.yielding = yielding
+	return true
+}
+
+// yielded tells whether the state was given away.
+func (p *Partition) yielded() bool { return p.yielding != nil && p.yielding.ended }
+
+// tryYield gives the state away if nothing is under way.
+func (p *Partition) tryYield() {
+	if p.yielding.ended || p.writing > 0 || p.starting > 0 {
+		return
+	}
+	state, err := p.book.Save()
+	if err != nil {
+		p.Log.Error("state not encoded for hand-over", "partition", p.name, "error", err)
+		p.yielding.Fail()
+		return
+	}
+	p.yielding.give(state)
+}
--- a/internal/owner/tally.go
+++ b/internal/enroller/tally.go
@@ -1,4 +1,4 @@
-package owner
+package enroller
 
 import "dotterelpost.example/dotterelpost/internal/connector"
 
--- a/internal/gatekeeper/problem.go
+++ b/internal/gatekeeper/problem.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/checker"
-	"dotterelpost.example/dotterelpost/internal/owner"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/router"
 )
 
@@ -54,7 +54,7 @@
 
 // problemOf says in the caller's terms what an error means.
 func problemOf(err error) Problem {
-	var refused *owner.RefusedError
+	var refused *modeler.RefusedError
 	var noContract *router.NoContractError
 	var bad *router.BadCallError
 	switch {
@@ -71,16 +71,16 @@
 	return problem
 }
 
-func refusalOf(refused *owner.RefusedError) Problem {
+func refusalOf(refused *modeler.RefusedError) Problem {
 	status, title := http.StatusServiceUnavailable, "Refused for now"
 	switch refused.Kind {
-	case owner.KeyReused:
+	case modeler.KeyReused:
 		status, title = http.StatusUnprocessableEntity, "The key stands for another request"
-	case owner.UnknownKey:
+	case modeler.UnknownKey:
 		status, title = http.StatusNotFound, "Nothing under this key"
-	case owner.NoPolicy:
+	case modeler.NoPolicy:
 		status, title = http.StatusForbidden, "No policy for this work"
-	case owner.Overloaded, owner.TableDown:
+	case modeler.Overloaded, modeler.TableDown:
 	}
 	problem := newProblem(string(refused.Kind), title, status, RanNo, refused.Reason)
 	problem.retryAfter = refused.RetryAfter
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -10,8 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
-	"dotterelpost.example/dotterelpost/internal/fencer"
-	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/dispatcher"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/ticketer"
 )
@@ -23,74 +21,41 @@
 // row are then used by one round.
 const messagesPerRound = 64
 
-// Platform is what the owner needs of the platform.
-type Platform interface {
-	fencer.Workers
-	journaler.Store
-}
-
-// Journal is where entries are written.
-type Journal interface {
-	Open(partition string, epoch modeler.Epoch, version int64)
-	Close(partition string)
-	Append(partition string, entry journaler.Entry, linger time.Duration, done func(error))
-	Writable() bool
-	SnapshotDue(partition string) (upTo string, due bool)
-	SaveSnapshot(ctx context.Context, store journaler.Store, partition, upTo string, state []byte) error
-}
-
-// Settings of the owner.
-type Settings struct {
-	Instance string
-	Seed     uint64
-	// TaskLease is how long a worker keeps a task without hearing from the owner.
-	TaskLease time.Duration
-	// ClockBound is the largest difference between two machines' clocks.
-	ClockBound time.Duration
-	// KeepDurable and KeepQuick are how long final answers are kept.
-	KeepDurable time.Duration
-	KeepQuick   time.Duration
-	Mode        fencer.Mode
-}
+// tickInterval is the time between two looks at what is due by time alone.
+const tickInterval = time.Second
 
-// Dependencies of the owner.
+// Dependencies of the control goroutine.
 type Dependencies struct {
 	Clock    clockwork.Clock
 	Log      *slog.Logger
-	Platform Platform
-	Journal  Journal
-	Counters Counters
+	Platform dispatcher.Platform
+	Journal  dispatcher.Journal
+	Counters dispatcher.Counters
 	// OwnedUntil tells until when this instance's ownership is known to hold.
 	OwnedUntil func() time.Time
 	// Deposed is called when a worker or the table shows that another instance owns a partition.
 	Deposed func(partition string)
 }
 
-// Counters receives what the owner counts. The calls come from the control goroutine.
-type Counters interface {
-	Decided(class modeler.Class, outcome string)
-	Waited(class modeler.Class, wait time.Duration)
-}
-
 // Control is the control state of an instance.
 type Control struct {
-	settings Settings
+	settings dispatcher.Settings
 	Dependencies
 	mailbox    chan func()
-	partitions map[string]*partition
+	partitions map[string]*dispatcher.Partition
 	tickets    *ticketer.State
 	workers    []modeler.Worker
 	ctx        context.Context
 }
 
 // New returns a control goroutine that owns nothing, and the function that stops it.
-func New(settings Settings, dependencies Dependencies) (*Control, func()) {
+func New(settings dispatcher.Settings, dependencies Dependencies) (*Control, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
 		settings:     settings,
 		Dependencies: dependencies,
 		mailbox:      make(chan func(), mailboxSize),
-		partitions:   make(map[string]*partition),
+		partitions:   make(map[string]*dispatcher.Partition),
 		tickets:      &ticketer.State{},
 		ctx:          ctx,
 	}
@@ -111,7 +76,7 @@
 }
 
 func (c *Control) run() {
-	ticker := c.Clock.NewTicker(time.Second)
+	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -125,7 +90,7 @@
 			c.tick()
 		}
 		for _, p := range c.partitions {
-			p.round()
+			p.Round()
 		}
 	}
 }
@@ -144,7 +109,7 @@
 
 func (c *Control) closeAll() {
 	for _, p := range c.partitions {
-		p.close()
+		p.Close()
 	}
 	clear(c.partitions)
 }
@@ -152,56 +117,61 @@
 func (c *Control) tick() {
 	now := c.Clock.Now()
 	for _, p := range c.partitions {
-		p.tick(now)
+		p.Tick(now)
 	}
 }
 
-// Grant is an ownership that was just gained. State is what the predecessor handed over, nil
-// after a take-over; it makes reading the journal unnecessary.
-type Grant struct {
-	Partition string
-	Epoch     modeler.Epoch
-	Version   int64
-	State     []byte
-	Agreed    bool
-}
-
 // Adopt begins to own a partition.
-func (c *Control) Adopt(grant Grant) {
+func (c *Control) Adopt(grant dispatcher.Grant) {
 	c.post(func() {
 		if old := c.partitions[grant.Partition]; old != nil {
-			old.close()
+			old.Close()
 		}
 		c.Journal.Open(grant.Partition, grant.Epoch, grant.Version)
-		p := newPartition(c, grant)
+		p := dispatcher.New(grant, c.settings, dispatcher.Dependencies{
+			Context:    c.ctx,
+			Clock:      c.Clock,
+			Log:        c.Log,
+			Platform:   c.Platform,
+			Journal:    c.Journal,
+			Counters:   c.Counters,
+			OwnedUntil: c.OwnedUntil,
+			Post:       c.post,
+			Deposed:    c.deposed,
+			Tickets:    func() *ticketer.State { return c.tickets },
+			Workers:    func() []modeler.Worker { return c.workers },
+		})
 		c.partitions[grant.Partition] = p
 		c.Log.Info("partition adopted", "partition", grant.Partition, "epoch", grant.Epoch, "handed-over", grant.Agreed)
-		p.load(grant)
+		p.Load(grant)
 	})
 }
 
-// Drop ends the ownership of a partition. Whoever waits for an answer gets a *NotOwnerError.
-func (c *Control) Drop(partition string) {
+// Drop ends the ownership of a partition, unless it was gained anew under a higher epoch meanwhile.
+// Whoever waits for an answer gets a *modeler.NotOwnerError.
+func (c *Control) Drop(partition string, epoch modeler.Epoch) {
 	c.post(func() {
 		p := c.partitions[partition]
-		if p == nil {
+		if p == nil || p.Epoch() > epoch {
 			return
 		}
-		delete(c.partitions, partition)
-		p.close()
-		c.Log.Info("partition dropped", "partition", partition, "epoch", p.epoch)
+		c.remove(p)
+		c.Log.Info("partition dropped", "partition", partition, "epoch", epoch)
 	})
 }
 
-// DropEpoch is Drop, unless the partition was gained anew under a higher epoch meanwhile.
-func (c *Control) DropEpoch(partition string, epoch modeler.Epoch) {
-	c.post(func() {
-		if p := c.partitions[partition]; p != nil && p.epoch <= epoch {
-			delete(c.partitions, partition)
-			p.close()
-			c.Log.Info("partition dropped", "partition", partition, "epoch", p.epoch)
-		}
-	})
+// deposed gives a partition up because somebody obeys another owner already.
+func (c *Control) deposed(p *dispatcher.Partition) {
+	c.Log.Warn("deposed", "partition", p.Name(), "epoch", p.Epoch())
+	c.remove(p)
+	go c.Deposed(p.Name())
+}
+
+func (c *Control) remove(p *dispatcher.Partition) {
+	if c.partitions[p.Name()] == p {
+		delete(c.partitions, p.Name())
+	}
+	p.Close()
 }
 
 // SetTickets puts a state of tickets in force.
@@ -209,7 +179,7 @@
 	c.post(func() {
 		c.tickets = state
 		for _, p := range c.partitions {
-			p.applyTickets()
+			p.ApplyTickets()
 		}
 	})
 }
@@ -219,53 +189,12 @@
 	c.post(func() {
 		c.workers = workers
 		for _, p := range c.partitions {
-			p.applyWorkers()
+			p.ApplyWorkers()
 		}
 	})
 }
 
-// NotOwnerError tells that this instance does not own the partition, or stopped owning it while
-// the call waited. The call may be repeated with the same key at the owner.
-type NotOwnerError struct {
-	Partition string
-}
-
-func (e *NotOwnerError) Error() string {
-	return fmt.Sprintf("partition %s is not owned here; repeat the request with the same key", e.Partition)
-}
-
-// RefusedError tells that nothing was accepted or done by this call.
-type RefusedError struct {
-	Kind       RefusalKind
-	Reason     string
-	RetryAfter time.Duration
-}
-
-// RefusalKind sorts refusals for callers.
-type RefusalKind string
-
-// The kinds of refusal.
-const (
-	Overloaded    RefusalKind = "overloaded"
-	TableDown     RefusalKind = "table-down"
-	NoPolicy      RefusalKind = "no-policy"
-	KeyReused     RefusalKind = "key-reused"
-	UnknownKey    RefusalKind = "unknown-key"
-	NotCancelable RefusalKind = "not-cancelable"
-)
-
-func (e *RefusedError) Error() string { return fmt.Sprintf("%s: %s", e.Kind, e.Reason) }
-
-// UndecidedError tells that the wait ended while it was not certain that the job was accepted.
-type UndecidedError struct {
-	Key string
-}
-
-func (e *UndecidedError) Error() string {
-	return fmt.Sprintf("%s: not known yet whether it was accepted; repeat the request with the same key", e.Key)
-}
-
-// view is a copy of what a partition holds, made on the control goroutine.
+// view runs a function on the control goroutine and waits for it.
 func (c *Control) view(ctx context.Context, collect func()) error {
 	done := make(chan struct{})
 	c.post(func() {
@@ -282,51 +211,26 @@
 	}
 }
 
-// WorkerView shows a worker as its owner sees it.
-type WorkerView struct {
-	Name      string            `json:"name"`
-	Partition string            `json:"partition"`
-	Rack      string            `json:"rack"`
-	Pool      string            `json:"pool"`
-	Condition string            `json:"condition"`
-	Tasks     int               `json:"tasks"`
-	Capacity  modeler.Resources `json:"capacity"`
-	Reserved  modeler.Resources `json:"reserved"`
-}
-
-// PartitionView shows a partition as its owner sees it.
-type PartitionView struct {
-	Name     string            `json:"name"`
-	Owner    string            `json:"owner"`
-	Epoch    modeler.Epoch     `json:"epoch"`
-	Ready    bool              `json:"ready"`
-	Workers  int               `json:"workers"`
-	Jobs     int               `json:"jobs"`
-	Waiting  int               `json:"waiting"`
-	Capacity modeler.Resources `json:"capacity"`
-	Reserved modeler.Resources `json:"reserved"`
-}
-
 // Workers returns the workers of all partitions owned here.
-func (c *Control) Workers(ctx context.Context) ([]WorkerView, error) {
-	var views []WorkerView
+func (c *Control) Workers(ctx context.Context) ([]dispatcher.WorkerView, error) {
+	var views []dispatcher.WorkerView
 	err := c.view(ctx, func() {
 		for _, p := range c.partitions {
-			views = append(views, p.workerViews()...)
+			views = append(views, p.WorkerViews()...)
 		}
 	})
 	return views, err
 }
 
 // Partitions returns the partitions owned here.
-func (c *Control) Partitions(ctx context.Context) ([]PartitionView, error) {
-	var views []PartitionView
+func (c *Control) Partitions(ctx context.Context) ([]dispatcher.PartitionView, error) {
+	var views []dispatcher.PartitionView
 	err := c.view(ctx, func() {
 		for _, p := range c.partitions {
-			views = append(views, p.view())
+			views = append(views, p.View())
 		}
 	})
 	return views, err
 }
 
-var _ Platform = (*connector.Platform)(nil)
+var _ dispatcher.Platform = (*connector.Platform)(nil)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,15 +23,15 @@
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
+	"dotterelpost.example/dotterelpost/internal/dispatcher"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
-	"dotterelpost.example/dotterelpost/internal/owner"
 	"dotterelpost.example/dotterelpost/internal/ticketer"
 )
 
 // Owner answers for the partitions of this instance.
 type Owner interface {
-	Submit(ctx context.Context, submission owner.Submission) (modeler.Answer, error)
+	Submit(ctx context.Context, submission dispatcher.Submission) (modeler.Answer, error)
 	Status(ctx context.Context, partition, key string, wait bool) (modeler.Answer, error)
 	Cancel(ctx context.Context, partition, key string) (modeler.Answer, error)
 }
@@ -161,7 +161,7 @@
 
 // mayRepeat tells whether the failure is one of routing.
 func mayRepeat(err error) bool {
-	var notOwner *owner.NotOwnerError
+	var notOwner *modeler.NotOwnerError
 	var noRoute *NoRouteError
 	return errors.As(err, &notOwner) || errors.As(err, &noRoute)
 }
@@ -173,7 +173,7 @@
 	switch where {
 	case "":
 		r.Routed("nowhere")
-		return modeler.Answer{}, &NoRouteError{Partition: call.GetPartition(), Err: &owner.NotOwnerError{Partition: call.GetPartition()}}
+		return modeler.Answer{}, &NoRouteError{Partition: call.GetPartition(), Err: &modeler.NotOwnerError{Partition: call.GetPartition()}}
 	case r.Instance:
 		r.Routed("here")
 		return r.serve(ctx, call)
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/dispatcher"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
-	"dotterelpost.example/dotterelpost/internal/owner"
 )
 
 // BadCallError tells that a peer did not understand a call.
@@ -33,7 +33,7 @@
 		if err := json.Unmarshal(call.GetJob(), &job); err != nil {
 			return modeler.Answer{}, &BadCallError{Reason: err.Error()}
 		}
-		return r.Owner.Submit(ctx, owner.Submission{
+		return r.Owner.Submit(ctx, dispatcher.Submission{
 			Partition: call.GetPartition(),
 			Key:       call.GetKey(),
 			Job:       job,
@@ -57,8 +57,8 @@
 		return &messenger.Reply{Answer: text}
 	}
 	reply := &messenger.Reply{Reason: err.Error()}
-	var refused *owner.RefusedError
-	var notOwner *owner.NotOwnerError
+	var refused *modeler.RefusedError
+	var notOwner *modeler.NotOwnerError
 	var bad *BadCallError
 	switch {
 	case errors.As(err, &refused):
@@ -85,10 +85,10 @@
 		}
 		return answer, nil
 	case messenger.ErrorKind_ERROR_KIND_NOT_OWNER:
-		return modeler.Answer{}, &owner.NotOwnerError{Partition: partition}
+		return modeler.Answer{}, &modeler.NotOwnerError{Partition: partition}
 	case messenger.ErrorKind_ERROR_KIND_REFUSED:
-		return modeler.Answer{}, &owner.RefusedError{
-			Kind:       owner.RefusalKind(reply.GetRefusal()),
+		return modeler.Answer{}, &modeler.RefusedError{
+			Kind:       modeler.RefusalKind(reply.GetRefusal()),
 			Reason:     reply.GetReason(),
 			RetryAfter: time.Duration(reply.GetRetryAfterNanos()),
 		}
@@ -96,5 +96,5 @@
 		return modeler.Answer{}, &BadCallError{Reason: reply.GetReason()}
 	case messenger.ErrorKind_ERROR_KIND_UNDECIDED:
 	}
-	return modeler.Answer{}, &owner.UndecidedError{Key: reply.GetReason()}
+	return modeler.Answer{}, &modeler.UndecidedError{Key: reply.GetReason()}
 }
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -10,10 +10,10 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/admitter"
+	"dotterelpost.example/dotterelpost/internal/dispatcher"
 	"dotterelpost.example/dotterelpost/internal/holder"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
-	"dotterelpost.example/dotterelpost/internal/owner"
 )
 
 const (
@@ -43,11 +43,11 @@
 }
 
 func (o ownership) Gained(grant holder.Grant) {
-	o.server.control.Adopt(owner.Grant{Partition: grant.Partition, Epoch: grant.Epoch, Version: grant.Version})
+	o.server.control.Adopt(dispatcher.Grant{Partition: grant.Partition, Epoch: grant.Epoch, Version: grant.Version})
 }
 
 func (o ownership) Lost(grant holder.Grant) {
-	o.server.control.DropEpoch(grant.Partition, grant.Epoch)
+	o.server.control.Drop(grant.Partition, grant.Epoch)
 }
 
 // peerService answers peers over connect.
@@ -62,7 +62,7 @@
 		Version:   request.GetVersion(),
 	}
 	if p.server.holder.Accept(grant) {
-		p.server.control.Adopt(owner.Grant{
+		p.server.control.Adopt(dispatcher.Grant{
 			Partition: grant.Partition,
 			Epoch:     grant.Epoch,
 			Version:   grant.Version,
@@ -109,7 +109,7 @@
 		s.log.Warn("platform not told of leaving", "error", err)
 	}
 	for _, grant := range s.holder.Held() {
-		if err := s.handOver(ctx, grant.Partition, s.successor()); err != nil {
+		if err := s.handOver(ctx, grant, s.successor()); err != nil {
 			s.log.Error("hand-over failed; a peer will take over after the lease", "partition", grant.Partition, "error", err)
 		}
 	}
@@ -139,13 +139,14 @@
 
 // handOver moves one partition to a successor. Without one the row is left without an owner, so
 // that the next instance of the region claims it at once.
-func (s *Server) handOver(ctx context.Context, partition, successor string) error {
+func (s *Server) handOver(ctx context.Context, grant holder.Grant, successor string) error {
+	partition := grant.Partition
 	began := s.clock.Now()
 	state, err := s.yield(ctx, partition)
 	if err != nil {
 		// It did not come to rest. A successor then reads the journal like after a crash.
 		s.log.Warn("partition handed over without its state", "partition", partition, "error", err)
-		s.control.Drop(partition)
+		s.control.Drop(partition, grant.Epoch)
 		successor = ""
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
@@ -154,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	defer s.control.Drop(partition)
+	defer s.control.Drop(partition, grant.Epoch)
 	if successor == "" {
 		return nil
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,6 +21,7 @@
 	"dotterelpost.example/dotterelpost/internal/configurer"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/counter"
+	"dotterelpost.example/dotterelpost/internal/dispatcher"
 	"dotterelpost.example/dotterelpost/internal/fencer"
 	"dotterelpost.example/dotterelpost/internal/gatekeeper"
 	"dotterelpost.example/dotterelpost/internal/holder"
@@ -186,7 +187,7 @@
 	s.journal = journal
 	s.onClose(stopJournal)
 	settings := s.options.Settings
-	control, stopControl := owner.New(owner.Settings{
+	control, stopControl := owner.New(dispatcher.Settings{
 		Instance:    s.name,
 		Seed:        settings.Seed,
 		TaskLease:   time.Duration(settings.TaskLease),
