--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -50,7 +50,7 @@
 	return job
 }
 
-// Remove forgets a job that was never accepted.
+// Remove forgets a job that can't be run again and has no final state.
 func (b *Book) Remove(key string) { delete(b.jobs, key) }
 
 // Forget removes what has been final since before a time, and returns how many jobs that were.
@@ -176,6 +176,7 @@
 	spec := modeler.Job{Class: modeler.Quick, Tasks: 1, Repeatable: true, Needs: needs}
 	job := b.Add(attempt.Key, "", spec, at, Unproven)
 	job.Accepted = true
+	job.Adopted = true
 	return job
 }
 
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -60,7 +60,11 @@
 	Durable    bool
 	Accepted   bool
 	Cancelled  bool
-	Tasks      []Task
+	// Adopted is set for a quick request of an earlier owner: what the workers show of it is not
+	// enough to run it again. Supplied is its body once a caller repeated the key.
+	Adopted  bool
+	Supplied *modeler.Job
+	Tasks    []Task
 
 	open    int
 	next    int
@@ -140,6 +144,19 @@
 	t.Boot = boot
 }
 
+// Resume makes an adopted job one that can be run again, if a caller supplied its body. The task
+// must hold no place: its needs are those of the body from now on.
+func (j *Job) Resume() bool {
+	if j.Adopted && j.Supplied == nil {
+		return false
+	}
+	if j.Adopted {
+		j.Spec = *j.Supplied
+		j.Adopted = false
+	}
+	return true
+}
+
 // Requeue puts a task back whose attempt provably did not run, or provably ended unfinished.
 func (j *Job) Requeue(task int) {
 	t := &j.Tasks[task]
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -62,11 +62,15 @@
 		DisableCompression:  true,
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 	}
-	platform := &Platform{
+	return NewWith(address, transport), transport.CloseIdleConnections
+}
+
+// NewWith returns a client that sends through a transport of the caller's.
+func NewWith(address netip.AddrPort, transport http.RoundTripper) *Platform {
+	return &Platform{
 		base:   "http://" + address.String(),
 		client: &http.Client{Transport: transport},
 	}
-	return platform, transport.CloseIdleConnections
 }
 
 func (p *Platform) call(ctx context.Context, method, target string, ask, reply any) error {
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -33,7 +33,7 @@
 			p.answerFinal(job, reply)
 			return
 		}
-		reply(job.Answer(), nil)
+		p.answer(job, reply)
 	})
 }
 
@@ -42,15 +42,40 @@
 	p.withJob(key, reply, func(job *bookkeeper.Job) { p.cancelJob(job, reply) })
 }
 
-// Present returns what is true of a key now, if its job was accepted.
+// Present returns what is true of a key now, if its job was accepted and this owner can know it.
 func (p *Partition) Present(key string) (answer modeler.Answer, accepted bool) {
 	job := p.book.Find(key)
-	if job == nil || !job.Accepted {
+	if job == nil || !job.Accepted || !isLasting(job) && !p.isCertain() {
 		return answer, false
 	}
 	return job.Answer(), true
 }
 
+// isCertain tells whether nobody else can own the partition now. An owner that was cut off from the
+// table may have a successor that it has not heard of, and must not speak for the partition then.
+func (p *Partition) isCertain() bool {
+	return !p.yielded() && p.Clock.Now().Before(p.OwnedUntil())
+}
+
+// isLasting tells whether an answer stays true whoever owns the partition. The end of a durable job
+// is in the journal, which only the owner can write, and a result of a quick request comes from a
+// worker that obeyed this owner. Everything else is only what this owner believes.
+func isLasting(job *bookkeeper.Job) bool {
+	if !job.Final() {
+		return false
+	}
+	return job.Durable || job.Answer().State == modeler.Done
+}
+
+// answer replies with what is true of the job, if this owner can know it.
+func (p *Partition) answer(job *bookkeeper.Job, reply Reply) {
+	if isLasting(job) || p.isCertain() {
+		reply(job.Answer(), nil)
+		return
+	}
+	reply(modeler.Answer{}, &modeler.UndecidedError{Key: job.Key})
+}
+
 // answerFinal replies when the job is final, or when the partition was lost.
 func (p *Partition) answerFinal(job *bookkeeper.Job, reply Reply) {
 	job.WhenFinal(func() {
@@ -58,7 +83,7 @@
 			reply(modeler.Answer{}, &modeler.NotOwnerError{Partition: p.name})
 			return
 		}
-		reply(job.Answer(), nil)
+		p.answer(job, reply)
 	})
 }
 
@@ -77,6 +102,10 @@
 		})
 		return
 	}
+	if p.settled && !p.isCertain() {
+		reply(modeler.Answer{}, &modeler.UndecidedError{Key: key})
+		return
+	}
 	if p.settled {
 		reply(modeler.Answer{}, &modeler.RefusedError{Kind: modeler.UnknownKey, Reason: "there is no work under the key " + key})
 		return
@@ -128,6 +157,7 @@
 	}
 	if job.Digest == "" {
 		job.Digest = digest
+		job.Supplied = &submission.Job
 	}
 	if job.Digest != digest {
 		reply(modeler.Answer{}, &modeler.RefusedError{Kind: modeler.KeyReused, Reason: fmt.Sprintf("the key %s stands for another request; nothing was done for this one", submission.Key)})
@@ -139,7 +169,7 @@
 		case submission.Wait:
 			p.answerFinal(job, reply)
 		default:
-			reply(job.Answer(), nil)
+			p.answer(job, reply)
 		}
 	})
 }
--- a/internal/dispatcher/endings.go
+++ b/internal/dispatcher/endings.go
@@ -106,9 +106,20 @@
 	waiting := job.Count(bookkeeper.Queued) > 0
 	job.Requeue(task)
 	if !waiting {
-		p.queue.Push(job)
+		p.enqueue(job)
 	}
+}
+
+// enqueue puts a job with queued tasks into the queue. An adopted quick request whose body nobody
+// supplied can't be run again: its callers are told to repeat the key, and it comes back whole.
+func (p *Partition) enqueue(job *bookkeeper.Job) {
 	p.dirty = true
+	if job.Resume() {
+		p.queue.Push(job)
+		return
+	}
+	p.book.Remove(job.Key)
+	job.Abandon()
 }
 
 // lose deals with a task whose worker can't run it any more and can't tell what became of it.
--- a/internal/dispatcher/partition.go
+++ b/internal/dispatcher/partition.go
@@ -300,7 +300,7 @@
 	}
 	queue, final := p.book.Settle(evidence, p.roster.BootOf)
 	for _, job := range queue {
-		p.queue.Push(job)
+		p.enqueue(job)
 	}
 	for _, decision := range final {
 		p.end(decision.Job, decision.Task, ending{state: decision.State, reason: decision.Reason})
--- a/internal/dispatcher/round.go
+++ b/internal/dispatcher/round.go
@@ -47,11 +47,11 @@
 		p.tryYield()
 		return
 	}
-	if !p.dirty || !p.loaded {
+	now := p.Clock.Now()
+	if !p.dirty || !p.loaded || !p.mayGrant(now) {
 		return
 	}
 	p.dirty = false
-	now := p.Clock.Now()
 	p.endHold(now)
 	full := make(map[shape]bool)
 	capacity, _ := p.cell.Totals()
@@ -59,6 +59,12 @@
 	p.queue.Visit(share, func(job *bookkeeper.Job) queuer.Verdict { return p.serve(job, full, now) })
 }
 
+// mayGrant tells whether a lease granted now would not be over already, as it would be for workers
+// that know only leases while this owner can't renew its ownership.
+func (p *Partition) mayGrant(now time.Time) bool {
+	return p.settings.Mode.LeaseEnd(now, p.OwnedUntil(), p.settings.TaskLease).After(now)
+}
+
 // share is a team's dominant share of the partition as a part of its quota's share. A team without
 // a quota counts as if its quota were a hundredth.
 func (p *Partition) share(team string, capacity modeler.Resources) float64 {
--- a/internal/fencer/link.go
+++ b/internal/fencer/link.go
@@ -50,6 +50,9 @@
 	callTimeout = 3 * time.Second
 	// syncsPerLease is how often a lease is renewed before it would end.
 	syncsPerLease = 3
+	// shortestWait keeps heartbeats from following each other without a pause when the lease that
+	// may be granted is over, as in a table outage.
+	shortestWait = 100 * time.Millisecond
 	// unsentTries is how often a start that never left is tried before another worker is better.
 	unsentTries = 3
 )
@@ -185,13 +188,16 @@
 }
 
 func (l *Link) syncOnce(known int64) (connector.SyncReply, error) {
-	wait := l.terms.TaskLease / syncsPerLease
+	leaseEnd := l.LeaseEnd()
+	// In mode WaitOut a lease ends with the ownership, long before the task lease would. The next
+	// heartbeat follows the lease that was granted, or long tasks lapse one after the other.
+	wait := max(l.clock.Until(leaseEnd)/syncsPerLease, shortestWait)
 	ctx, cancel := context.WithTimeout(l.ctx, wait+callTimeout)
 	defer cancel()
 	return l.workers.Sync(ctx, l.worker, connector.SyncRequest{
 		Partition: l.terms.Partition,
 		Epoch:     l.terms.Epoch,
-		LeaseEnd:  l.LeaseEnd(),
+		LeaseEnd:  leaseEnd,
 		Confirmed: l.confirmed.Load(),
 		Known:     known,
 		Wait:      modeler.Duration(wait),
--- a/internal/journaler/writer.go
+++ b/internal/journaler/writer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -46,19 +45,19 @@
 	clock clockwork.Clock
 	name  string
 
-	mu      sync.Mutex
+	// turn holds one token, for the one transaction at a time. It is no mutex: a transaction may
+	// take long, and whoever waits for its turn gives up when its context ends.
+	turn    chan struct{}
 	count   int64
 	version int64
 	// inDoubt is set from a send whose reply was lost until it is known what became of it.
-	inDoubt   string
-	resent    int64
-	readBacks int64
+	inDoubt string
 }
 
 // NewWriter returns a writer. The name must be new for every run of a process: the writer takes
 // for granted that its row is not there yet.
 func NewWriter(table Table, name string, clock clockwork.Clock) *Writer {
-	return &Writer{table: table, clock: clock, name: name}
+	return &Writer{table: table, clock: clock, name: name, turn: make(chan struct{}, 1)}
 }
 
 // Key is the row that the writer puts with each transaction.
@@ -68,8 +67,12 @@
 // its id. When ctx ends first the error is an *InDoubtError, or the last refusal if nothing that
 // was sent can still take effect.
 func (w *Writer) Commit(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	select {
+	case w.turn <- struct{}{}:
+	case <-ctx.Done():
+		return connector.Outcome{}, errors.Wrap(ctx.Err(), "wait for writer "+w.name)
+	}
+	defer func() { <-w.turn }()
 	w.count++
 	transaction.ID = fmt.Sprintf("%s/%d", w.name, w.count)
 	if err := w.seal(&transaction); err != nil {
@@ -88,7 +91,6 @@
 			return connector.Outcome{}, w.failure(transaction.ID, err)
 		case <-w.clock.After(delays.NextBackOff()):
 		}
-		w.resent++
 	}
 }
 
@@ -127,7 +129,6 @@
 // readBack learns the row's version and the id that it names. Another id than the one in doubt
 // does not prove that the latter never takes effect later; that is what the precondition is for.
 func (w *Writer) readBack(ctx context.Context) (string, error) {
-	w.readBacks++
 	rows, err := w.table.Read(ctx, w.Key())
 	if err != nil {
 		return "", err
--- /dev/null
+++ b/internal/owner/world_test.go
@@ -0,0 +1,452 @@
+package owner_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/c2h5oh/datasize"
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/auditor"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/dispatcher"
+	"dotterelpost.example/dotterelpost/internal/fencer"
+	"dotterelpost.example/dotterelpost/internal/holder"
+	"dotterelpost.example/dotterelpost/internal/imitator"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/owner"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+)
+
+const (
+	testLease      = 4 * time.Second
+	testTaskLease  = 15 * time.Second
+	testClockBound = 500 * time.Millisecond
+)
+
+var partitions = []string{"p-1", "p-2"}
+
+// wire is an instance's way to the platform, without a network: it calls the stand-in's handler.
+// It can be cut, lose replies after delivery, and freeze like a paused process.
+type wire struct {
+	handler http.Handler
+
+	mu      sync.Mutex
+	thaw    chan struct{}
+	noTable bool
+	noWork  bool
+	lose    int
+}
+
+func newWire(handler http.Handler) *wire {
+	open := make(chan struct{})
+	close(open)
+	return &wire{handler: handler, thaw: open}
+}
+
+func (w *wire) freeze() { w.set(func() { w.thaw = make(chan struct{}) }) }
+func (w *wire) unfreeze() {
+	w.set(func() {
+		select {
+		case <-w.thaw:
+		default:
+			close(w.thaw)
+		}
+	})
+}
+
+func (w *wire) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *wire) awake(ctx context.Context) error {
+	w.mu.Lock()
+	thaw := w.thaw
+	w.mu.Unlock()
+	select {
+	case <-thaw:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// admit tells whether a request gets through, and whether its reply will.
+func (w *wire) admit(path string) (through, back bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	isWork := len(path) > 8 && path[:8] == "/workers"
+	if isWork && w.noWork || !isWork && w.noTable {
+		return false, false
+	}
+	if w.lose > 0 {
+		w.lose--
+		return true, false
+	}
+	return true, true
+}
+
+// lostError is what a client sees when a connection breaks in the middle.
+type lostError struct{}
+
+func (lostError) Error() string { return "connection lost" }
+
+func (w *wire) RoundTrip(request *http.Request) (*http.Response, error) {
+	if err := w.awake(request.Context()); err != nil {
+		return nil, err
+	}
+	through, back := w.admit(request.URL.Path)
+	if !through {
+		return nil, &net.OpError{Op: "dial", Err: lostError{}}
+	}
+	recorder := httptest.NewRecorder()
+	served := make(chan bool, 1)
+	inner := request.Clone(request.Context())
+	inner.Body = http.NoBody
+	if request.Body != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return nil, err
+		}
+		inner.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	go func() {
+		defer func() { served <- recover() == nil }()
+		w.handler.ServeHTTP(recorder, inner)
+	}()
+	select {
+	case whole := <-served:
+		if !whole || !back {
+			return nil, lostError{}
+		}
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+	if err := w.awake(request.Context()); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
+
+// node is one instance: everything of a server but its listeners and the mesh.
+type node struct {
+	name    string
+	world   *world
+	wire    *wire
+	control *owner.Control
+	holder  *holder.Holder
+	stop    func()
+	once    sync.Once
+}
+
+func (n *node) Gained(grant holder.Grant) {
+	n.control.Adopt(dispatcher.Grant{Partition: grant.Partition, Epoch: grant.Epoch, Version: grant.Version})
+}
+
+func (n *node) Lost(grant holder.Grant) { n.control.Drop(grant.Partition, grant.Epoch) }
+
+func (n *node) Puts() []connector.Put    { return n.holder.Puts() }
+func (n *node) Committed(sent time.Time) { n.holder.Committed(sent) }
+func (n *node) Gap() time.Duration       { return 20 * time.Millisecond }
+
+type noCounters struct{}
+
+func (noCounters) Decided(modeler.Class, string)       {}
+func (noCounters) Waited(modeler.Class, time.Duration) {}
+
+func (n *node) kill() {
+	n.once.Do(func() {
+		n.wire.set(func() { n.wire.noTable, n.wire.noWork = true, true })
+		n.wire.unfreeze()
+		n.stop()
+	})
+}
+
+// world is the platform, some instances and their callers, inside one synctest bubble.
+type world struct {
+	clock    clockwork.Clock
+	platform *imitator.Platform
+	handler  http.Handler
+	mode     fencer.Mode
+	state    *ticketer.State
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu    sync.Mutex
+	nodes map[int]*node
+	count int
+	calls []*auditor.Call
+	stops []auditor.PlannedStop
+	bad   map[string]bool
+	left  []auditor.Departure
+	open  sync.WaitGroup
+}
+
+func newWorld(mode imitator.FenceMode) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{
+		clock:  clockwork.NewRealClock(),
+		ctx:    ctx,
+		cancel: cancel,
+		nodes:  make(map[int]*node),
+		bad:    make(map[string]bool),
+		mode:   fencer.CompareEpochs{},
+	}
+	if mode == imitator.WaitOut {
+		w.mode = fencer.WaitOut{ClockBound: testClockBound}
+	}
+	w.platform = imitator.New(imitator.Settings{
+		WritesPerSecond: 400,
+		ReadsPerSecond:  2000,
+		ListLag:         modeler.Duration(500 * time.Millisecond),
+		FenceMode:       mode,
+		Workers:         testWorkers(),
+	}, w.clock)
+	w.handler = w.platform.Handler()
+	w.state = testState()
+	return w
+}
+
+func testWorkers() []modeler.Worker {
+	var workers []modeler.Worker
+	for i := range 4 {
+		workers = append(workers, modeler.Worker{
+			Name:             fmt.Sprintf("w%d", i),
+			Region:           "north",
+			AvailabilityZone: fmt.Sprintf("north-%d", i%2),
+			Rack:             fmt.Sprintf("r%d", i%2),
+			Capacity:         modeler.Resources{Processors: 4000, Memory: 8 * datasize.GB, Accelerators: 1},
+			Slots:            4,
+			Address:          netip.MustParseAddrPort("127.0.0.1:1"),
+		})
+	}
+	return workers
+}
+
+func testState() *ticketer.State {
+	state := &ticketer.State{Number: 1}
+	state.Partitions = []ticketer.Partition{{Name: "p-1", Region: "north", Racks: []string{"r0"}}, {Name: "p-2", Region: "north", Racks: []string{"r1"}}}
+	state.Pools = []ticketer.Pool{{Name: "all", Racks: []string{"r0", "r1"}}}
+	for _, class := range modeler.Classes() {
+		state.Policies = append(state.Policies, ticketer.Policy{Team: "team", Class: class, Pools: []string{"all"}, QueueLimit: 1000})
+	}
+	return state
+}
+
+// start starts the instance of a place; a replacement gets a new name.
+func (w *world) start(place int) {
+	w.mu.Lock()
+	w.count++
+	n := &node{name: fmt.Sprintf("i%d.%d", place, w.count), world: w, wire: newWire(w.handler)}
+	w.mu.Unlock()
+	platform := connector.NewWith(netip.MustParseAddrPort("127.0.0.1:1"), n.wire)
+	log := slog.New(slog.DiscardHandler)
+	journal, stopJournal := journaler.New(journaler.NewWriter(platform, n.name+"/journal", w.clock), n, n, w.clock, log)
+	control, stopControl := owner.New(dispatcher.Settings{
+		Instance: n.name, Seed: 1, TaskLease: testTaskLease, ClockBound: testClockBound,
+		KeepDurable: 24 * time.Hour, KeepQuick: 24 * time.Hour, Mode: w.mode,
+	}, owner.Dependencies{
+		Clock: w.clock, Log: log, Platform: platform, Journal: journal, Counters: noCounters{},
+		OwnedUntil: func() time.Time { return n.holder.OwnedUntil() },
+		Deposed:    func(partition string) { n.holder.Forget(partition) },
+	})
+	n.control = control
+	control.SetTickets(w.state)
+	held, stopHolder := holder.New(holder.Settings{Instance: n.name, Lease: testLease}, holder.Dependencies{
+		Reader: platform, Committer: journaler.NewWriter(platform, n.name+"/holder", w.clock),
+		Listener: n, Clock: w.clock, Log: log,
+		Peers: func() int { return len(w.alive()) },
+	})
+	n.holder = held
+	listing, stopListing := context.WithCancel(w.ctx)
+	go n.followList(listing, platform)
+	held.SetPartitions(partitions)
+	n.stop = func() {
+		stopListing()
+		stopHolder()
+		stopControl()
+		stopJournal()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[place] = n
+}
+
+func (n *node) followList(ctx context.Context, platform *connector.Platform) {
+	for ctx.Err() == nil {
+		if list, err := platform.List(ctx); err == nil {
+			n.control.SetWorkers(list.Workers)
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.world.clock.After(time.Second):
+		}
+	}
+}
+
+func (w *world) alive() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*node
+	for place := range len(w.nodes) {
+		if n := w.nodes[place]; n != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func (w *world) at(place int) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[place]
+}
+
+// handOver is a planned stop of the holder's part: each partition goes to the other place.
+func (w *world) handOver(from, to *node) {
+	stop := auditor.PlannedStop{Instance: from.name, Began: w.clock.Now()}
+	for _, grant := range from.holder.Held() {
+		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+		state, err := from.control.Yield(ctx, grant.Partition)
+		cancel()
+		if err != nil {
+			continue
+		}
+		ctx, cancel = context.WithTimeout(w.ctx, 3*time.Second)
+		next, err := from.holder.Transfer(ctx, grant.Partition, to.name)
+		cancel()
+		if err == nil && to.holder.Accept(next) {
+			to.control.Adopt(dispatcher.Grant{Partition: next.Partition, Epoch: next.Epoch, Version: next.Version, State: state, Agreed: true})
+		}
+		from.control.Drop(grant.Partition, grant.Epoch)
+	}
+	stop.Ended = w.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops = append(w.stops, stop)
+}
+
+// call is a caller that asks one instance after the other until the answer is final.
+func (w *world) call(key string, job modeler.Job, cancelAfter time.Duration) {
+	record := &auditor.Call{Key: key, Job: job, Cancelled: cancelAfter > 0}
+	w.mu.Lock()
+	w.calls = append(w.calls, record)
+	w.mu.Unlock()
+	w.open.Go(func() {
+		wait := job.Class == modeler.Quick
+		w.ask(record, wait, func(ctx context.Context, n *node, partition string) (modeler.Answer, error) {
+			return n.control.Submit(ctx, dispatcher.Submission{Partition: partition, Key: key, Job: job, Wait: wait})
+		})
+		if !record.Accepted {
+			return
+		}
+		if cancelAfter > 0 {
+			select {
+			case <-w.ctx.Done():
+			case <-w.clock.After(cancelAfter):
+			}
+			w.ask(record, true, func(ctx context.Context, n *node, partition string) (modeler.Answer, error) {
+				return n.control.Cancel(ctx, partition, key)
+			})
+		}
+		w.ask(record, true, func(ctx context.Context, n *node, partition string) (modeler.Answer, error) {
+			return n.control.Status(ctx, partition, key, true)
+		})
+	})
+}
+
+func (w *world) ask(record *auditor.Call, untilFinal bool, question func(ctx context.Context, n *node, partition string) (modeler.Answer, error)) {
+	partition := partitions[len(record.Key)%len(partitions)]
+	for turn := 0; w.ctx.Err() == nil; turn++ {
+		if list := w.alive(); len(list) > 0 {
+			ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+			answer, err := question(ctx, list[turn%len(list)], partition)
+			cancel()
+			if w.told(record, answer, err) && (!untilFinal || answer.State.Final()) {
+				return
+			}
+		}
+		select {
+		case <-w.ctx.Done():
+		case <-w.clock.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// told notes an answer, or why there is none, and tells whether it is one.
+func (w *world) told(record *auditor.Call, answer modeler.Answer, err error) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		record.Accepted = true
+		record.Told = append(record.Told, answer)
+		record.LastReason = answer.Reason
+		return true
+	}
+	record.LastReason = err.Error()
+	var refused *modeler.RefusedError
+	if errors.As(err, &refused) && refused.Kind == modeler.UnknownKey && record.Accepted {
+		record.Told = append(record.Told, modeler.Answer{Key: record.Key, State: "lost"})
+	}
+	return false
+}
+
+// violations audits what happened.
+func (w *world) violations() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	evidence := auditor.Evidence{
+		Events:      w.platform.Events(),
+		Stops:       w.stops,
+		Departures:  w.left,
+		LeavingWait: 3 * time.Second,
+		Excused:     w.bad,
+	}
+	for _, call := range w.calls {
+		evidence.Calls = append(evidence.Calls, *call)
+	}
+	var all []string
+	for _, finding := range auditor.Audit(evidence) {
+		all = append(all, finding.Violations...)
+	}
+	for _, call := range w.calls {
+		all = append(all, unsteady(call)...)
+	}
+	return all
+}
+
+// unsteady finds final answers that changed later.
+func unsteady(call *auditor.Call) []string {
+	var final modeler.State
+	for _, answer := range call.Told {
+		if final != "" && answer.State != final {
+			return []string{fmt.Sprintf("%s was told %s and later %s", call.Key, final, answer.State)}
+		}
+		if answer.State.Final() {
+			final = answer.State
+		}
+	}
+	return nil
+}
+
+// end stops everything, so that the bubble can end.
+func (w *world) end() {
+	for _, n := range w.alive() {
+		n.kill()
+	}
+	w.cancel()
+	w.open.Wait()
+}
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -107,9 +107,6 @@
 		Ticket:   s.follower.State().Number,
 		Leaving:  s.leaving.Load(),
 	}
-	if s.holder == nil {
-		return beat
-	}
 	for _, grant := range s.holder.Held() {
 		beat.Holdings = append(beat.Holdings, &messenger.Holding{Partition: grant.Partition, Epoch: int64(grant.Epoch)})
 	}
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -25,18 +25,6 @@
 	maxPeerBody = 64 << 20
 )
 
-// callHandler answers the calls that peers route here. The router comes to be after the mesh.
-type callHandler struct {
-	server *Server
-}
-
-func (h callHandler) ServeCall(ctx context.Context, call *messenger.Call) *messenger.Reply {
-	if h.server.router == nil {
-		return &messenger.Reply{Error: messenger.ErrorKind_ERROR_KIND_NOT_OWNER}
-	}
-	return h.server.router.ServeCall(ctx, call)
-}
-
 // ownership passes gains and losses on to the control goroutine.
 type ownership struct {
 	server *Server
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -131,15 +131,12 @@
 	platform, closePlatform := connector.New(s.options.Settings.Platform)
 	s.platform = platform
 	s.onClose(closePlatform)
-	if err := s.listenMesh(); err != nil {
-		return err
-	}
 	s.startOwner()
 	s.startHolder()
 	s.router = router.New(router.Dependencies{
 		Instance: s.name,
 		Owner:    s.control,
-		Mesh:     s.mesh,
+		Mesh:     meshLink{server: s},
 		Clock:    s.clock,
 		Log:      s.log,
 		Tickets:  s.follower.State,
@@ -150,6 +147,11 @@
 	s.desk = ticketer.NewDesk(s.table(), s.newWriter("tickets"), s.clock)
 	s.follower.OnChange(s.ticketChanged)
 	s.publish()
+	// Peers can call as soon as the mesh listens, so everything that serves them is there before.
+	// What uses the mesh does so only once a ticket is in force, which is later.
+	if err := s.listenMesh(); err != nil {
+		return err
+	}
 	if err := s.listenOperators(); err != nil {
 		return err
 	}
@@ -169,7 +171,7 @@
 	}, mesher.Dependencies{
 		Clock:   s.clock,
 		Log:     s.log,
-		Handler: callHandler{server: s},
+		Handler: s.router,
 		Beat:    s.heartbeat,
 		Heard:   s.heard,
 	})
--- a/internal/server/table.go
+++ b/internal/server/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/messenger"
 )
 
 // countedTable counts the calls to the table service.
@@ -24,24 +25,27 @@
 	return t.server.platform.Read(ctx, keys...)
 }
 
-// companion has renewals ride along with the journal. The holder comes to be after the journal.
+// companion has renewals ride along with the journal. The holder comes to be after the journal,
+// and before the first partition whose entries there could be.
 type companion struct {
 	server *Server
 }
 
-func (c companion) Puts() []connector.Put {
-	if c.server.holder == nil {
-		return nil
-	}
-	return c.server.holder.Puts()
+func (c companion) Puts() []connector.Put { return c.server.holder.Puts() }
+
+func (c companion) Committed(sent time.Time) { c.server.holder.Committed(sent) }
+
+// meshLink is the mesh for those that come to be before it.
+type meshLink struct {
+	server *Server
 }
 
-func (c companion) Committed(sent time.Time) {
-	if c.server.holder != nil {
-		c.server.holder.Committed(sent)
-	}
+func (m meshLink) Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error) {
+	return m.server.mesh.Call(ctx, instance, call)
 }
 
+func (m meshLink) Live() map[string]*messenger.Heartbeat { return m.server.mesh.Live() }
+
 // pace keeps to this instance's share of the write budget of the ticket in force.
 type pace struct {
 	server *Server
