--- /dev/null
+++ b/internal/auditor/auditor_test.go
@@ -0,0 +1,126 @@
+package auditor_test
+
+import (
+	"testing"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/auditor"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/imitator"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+
+func started(second int, worker, key string, number int) imitator.Event {
+	return imitator.Event{
+		At: at(second), Worker: worker, Started: true, Repeatable: true,
+		Attempt:  modeler.Attempt{Key: key, Number: number},
+		Needs:    modeler.Resources{Processors: 1000},
+		Capacity: modeler.Resources{Processors: 2000},
+	}
+}
+
+func ended(second int, worker, key string, number int, kind connector.EndKind) imitator.Event {
+	event := started(second, worker, key, number)
+	event.Started, event.Ended = false, kind
+	return event
+}
+
+func once(event imitator.Event) imitator.Event {
+	event.Repeatable = false
+	return event
+}
+
+func told(key string, answers ...modeler.Answer) auditor.Call {
+	return auditor.Call{Key: key, Accepted: true, Job: modeler.Job{Tasks: 1}, Told: answers}
+}
+
+func answer(key string, state modeler.State) modeler.Answer {
+	a := modeler.Answer{Key: key, State: state}
+	if state == modeler.Done {
+		a.Results = []modeler.Result{modeler.NewResult(key, 0, true, "body")}
+	}
+	return a
+}
+
+// TestEveryPromiseCanBeSeenBroken gives the audit one broken promise at a time, and the same with
+// the promise kept.
+func TestEveryPromiseCanBeSeenBroken(t *testing.T) {
+	cut := answer("k", modeler.Done)
+	cut.Results[0].Body = "bo"
+	foreign := answer("k", modeler.Done)
+	foreign.Results[0] = modeler.NewResult("other", 0, true, "body")
+	for _, c := range []struct {
+		name         string
+		promise      int
+		kept, broken auditor.Evidence
+	}{
+		{
+			"capacity", 0,
+			auditor.Evidence{Events: []imitator.Event{started(0, "w", "a", 1), started(1, "w", "b", 1), ended(2, "w", "a", 1, connector.EndedFinished), started(3, "w", "c", 1)}},
+			auditor.Evidence{Events: []imitator.Event{started(0, "w", "a", 1), started(1, "w", "b", 1), started(2, "w", "c", 1)}},
+		},
+		{
+			"one place", 1,
+			auditor.Evidence{Events: []imitator.Event{started(0, "w", "a", 1), ended(2, "w", "a", 1, connector.EndedLapsed), started(2, "v", "a", 2)}},
+			auditor.Evidence{Events: []imitator.Event{started(0, "w", "a", 1), ended(3, "w", "a", 1, connector.EndedLapsed), started(2, "v", "a", 2)}},
+		},
+		{
+			"whole answer", 2,
+			auditor.Evidence{Calls: []auditor.Call{told("k", answer("k", modeler.Done))}},
+			auditor.Evidence{Calls: []auditor.Call{told("k", cut)}},
+		},
+		{
+			"own answer", 2,
+			auditor.Evidence{Calls: []auditor.Call{told("k", answer("k", modeler.Done))}},
+			auditor.Evidence{Calls: []auditor.Call{told("k", foreign)}},
+		},
+		{
+			"not run", 3,
+			auditor.Evidence{Calls: []auditor.Call{told("k", answer("k", modeler.NotRun))}},
+			auditor.Evidence{Calls: []auditor.Call{told("k", answer("k", modeler.NotRun))}, Events: []imitator.Event{started(0, "w", "k", 1)}},
+		},
+		{
+			"at most once", 4,
+			auditor.Evidence{Events: []imitator.Event{once(started(0, "w", "a", 1))}},
+			auditor.Evidence{Events: []imitator.Event{once(started(0, "w", "a", 1)), once(ended(1, "w", "a", 1, connector.EndedLapsed)), once(started(2, "w", "a", 2))}},
+		},
+		{
+			"leaving", 5,
+			auditor.Evidence{LeavingWait: 3 * time.Second, Departures: []auditor.Departure{{Worker: "w", At: at(0)}}, Events: []imitator.Event{started(2, "w", "a", 1)}},
+			auditor.Evidence{LeavingWait: 3 * time.Second, Departures: []auditor.Departure{{Worker: "w", At: at(0)}}, Events: []imitator.Event{started(4, "w", "a", 1)}},
+		},
+		{
+			"planned stop", 6,
+			auditor.Evidence{Stops: []auditor.PlannedStop{{Began: at(1)}}, Events: []imitator.Event{started(0, "w", "a", 1), ended(5, "w", "a", 1, connector.EndedFinished)}},
+			auditor.Evidence{Stops: []auditor.PlannedStop{{Began: at(1)}}, Events: []imitator.Event{started(0, "w", "a", 1), ended(5, "w", "a", 1, connector.EndedLapsed)}},
+		},
+		{
+			"ticket never reverts", 7,
+			auditor.Evidence{Sightings: []auditor.TicketSighting{{Instance: "i", Number: 1}, {Instance: "i", Number: 2}}},
+			auditor.Evidence{Sightings: []auditor.TicketSighting{{Instance: "i", Number: 2}, {Instance: "i", Number: 1}}},
+		},
+		{
+			"ticket in force in time", 7,
+			auditor.Evidence{TicketWait: 13 * time.Second, Accepted: map[int64]time.Time{2: at(0)}, Sightings: []auditor.TicketSighting{{Instance: "i", Number: 1, At: at(12)}}},
+			auditor.Evidence{TicketWait: 13 * time.Second, Accepted: map[int64]time.Time{2: at(0)}, Sightings: []auditor.TicketSighting{{Instance: "i", Number: 1, At: at(14)}}},
+		},
+		{
+			"nothing lost", 8,
+			auditor.Evidence{Calls: []auditor.Call{told("k", answer("k", modeler.Waiting), answer("k", modeler.Done))}},
+			auditor.Evidence{Calls: []auditor.Call{told("k", answer("k", modeler.Waiting))}},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if finding := auditor.Audit(c.kept)[c.promise]; len(finding.Violations) > 0 {
+				t.Errorf("kept, and found broken: %q", finding.Violations)
+			}
+			if finding := auditor.Audit(c.broken)[c.promise]; len(finding.Violations) == 0 {
+				t.Errorf("broken, and found kept: %s", finding.Promise)
+			}
+		})
+	}
+}
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -91,17 +91,48 @@
 			Right: fmt.Sprintf("keep it within %d bytes", MaxBytes),
 		}
 	}
-	value := jsontext.Value(text)
 	decoder := jsontext.NewDecoder(bytes.NewReader(text))
-	if _, err := decoder.ReadValue(); err != nil {
-		return syntaxFault(text, err)
+	for {
+		token, err := decoder.ReadToken()
+		if err != nil {
+			return syntaxFault(text, err)
+		}
+		if token.Kind() == '0' && !isReasonable(token.String()) {
+			return &Fault{
+				Path:  pathOfPointer(decoder.StackPointer()),
+				Wrong: "the number has too many digits or too large an exponent",
+				Right: fmt.Sprintf("write at most %d characters and an exponent of at most %d", maxNumberBytes, maxExponent),
+			}
+		}
+		if decoder.StackDepth() == 0 {
+			break
+		}
 	}
-	if !value.IsValid() {
+	if !jsontext.Value(text).IsValid() {
 		return &Fault{Path: "$", Wrong: "there is more after the end of the JSON value", Right: "write one JSON value only"}
 	}
 	return nil
 }
 
+// Bounds of a number. The schema library computes with exact fractions: it would spend gigabytes
+// on 1e999999999 and fails on what it can't represent.
+const (
+	maxNumberBytes = 64
+	maxExponent    = 300
+)
+
+func isReasonable(number string) bool {
+	if len(number) > maxNumberBytes {
+		return false
+	}
+	at := strings.IndexAny(number, "eE")
+	if at < 0 {
+		return true
+	}
+	exponent, err := strconv.Atoi(number[at+1:])
+	return err == nil && exponent >= -maxExponent && exponent <= maxExponent
+}
+
 func syntaxFault(text []byte, err error) *Fault {
 	var syntactic *jsontext.SyntacticError
 	if !errors.As(err, &syntactic) {
@@ -109,7 +140,7 @@
 	}
 	line := 1 + bytes.Count(text[:min(int(syntactic.ByteOffset), len(text))], []byte("\n"))
 	fault := &Fault{
-		Path:  pathOf(strings.Split(strings.TrimPrefix(string(syntactic.JSONPointer), "/"), "/")),
+		Path:  pathOfPointer(syntactic.JSONPointer),
 		Wrong: fmt.Sprintf("line %d: %v", line, syntactic.Err),
 		Right: "write plain JSON as in examples/",
 	}
@@ -171,6 +202,10 @@
 	}
 }
 
+func pathOfPointer(pointer jsontext.Pointer) string {
+	return pathOf(strings.Split(strings.TrimPrefix(string(pointer), "/"), "/"))
+}
+
 func pathOf(parts []string) string {
 	var path strings.Builder
 	path.WriteString("$")
--- a/internal/owner/world_property_test.go
+++ b/internal/owner/world_property_test.go
@@ -13,7 +13,9 @@
 	"pgregory.net/rapid"
 
 	"dotterelpost.example/dotterelpost/internal/auditor"
+	"dotterelpost.example/dotterelpost/internal/fencer"
 	"dotterelpost.example/dotterelpost/internal/imitator"
+	"dotterelpost.example/dotterelpost/internal/journaler"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -151,8 +153,24 @@
 
 // play runs the steps in a world of its own, lets it heal, and returns what was violated.
 func play(t *testing.T, mode imitator.FenceMode, steps []step) (violations []string, started int) {
+	return playBroken(t, mode, breakage{}, steps)
+}
+
+// breakage is a mechanism that is switched off.
+type breakage struct {
+	// noFence has owners rely on epochs that the workers ignore.
+	noFence bool
+	// forget is a kind of journal entry that is not written.
+	forget journaler.EntryKind
+}
+
+func playBroken(t *testing.T, mode imitator.FenceMode, broken breakage, steps []step) (violations []string, started int) {
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(mode)
+		w.forget = broken.forget
+		if broken.noFence {
+			w.mode = fencer.CompareEpochs{}
+		}
 		w.start(0)
 		w.start(1)
 		<-w.clock.After(6 * time.Second)
@@ -205,6 +223,53 @@
 
 const ms = time.Millisecond
 
+// TestAuditSeesBrokenMechanisms switches one mechanism off at a time. The same steps have to pass
+// with the mechanism and be caught without it: a check that can't fail proves nothing.
+func TestAuditSeesBrokenMechanisms(t *testing.T) {
+	pausedInStart := []step{
+		{Kind: "freeze", Place: 0, For: 10000 * ms},
+		{Kind: "call", For: 20000 * ms, Job: "quick"},
+		{Kind: "call", For: 20000 * ms, Job: "quick"},
+	}
+	allLost := func(job string) []step {
+		return []step{
+			{Kind: "call", For: 20000 * ms, Job: job},
+			{Kind: "call", For: 20000 * ms, Job: job, Pause: 300 * ms},
+			{Kind: "worker-restarts", Place: 0},
+			{Kind: "worker-restarts", Place: 1},
+			{Kind: "worker-restarts", Place: 2},
+			{Kind: "worker-restarts", Place: 3},
+			{Kind: "kill", Place: 0, For: 1000 * ms},
+			{Kind: "kill", Place: 1, For: 1000 * ms},
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		mode   imitator.FenceMode
+		broken breakage
+		steps  []step
+		want   string
+	}{
+		{"fence", imitator.WaitOut, breakage{noFence: true}, pausedInStart, "while it ran on"},
+		{"permit", imitator.CompareEpochs, breakage{forget: journaler.Permitted}, allLost("order"), "started 2 times"},
+		{"acceptance", imitator.CompareEpochs, breakage{forget: journaler.Accepted}, allLost("batch"), `is "lost" at the end`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			mode := c.mode
+			if c.broken.noFence {
+				mode = imitator.CompareEpochs
+			}
+			if violations, events := play(t, mode, c.steps); len(violations) > 0 || events == 0 {
+				t.Fatalf("with the mechanism on: %d events, violations %q", events, violations)
+			}
+			violations, _ := playBroken(t, c.mode, c.broken, c.steps)
+			if !strings.Contains(strings.Join(violations, " "), c.want) {
+				t.Errorf("nobody noticed that it is off: %q", violations)
+			}
+		})
+	}
+}
+
 // TestTracesThatFailed keeps the shrunk traces of failures that the worlds above found.
 func TestTracesThatFailed(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -162,6 +162,20 @@
 func (n *node) Committed(sent time.Time) { n.holder.Committed(sent) }
 func (n *node) Gap() time.Duration       { return 20 * time.Millisecond }
 
+// forgetfulJournal breaks the promise of a journal for one kind of entry.
+type forgetfulJournal struct {
+	*journaler.Journal
+	forget journaler.EntryKind
+}
+
+func (j forgetfulJournal) Append(partition string, entry journaler.Entry, linger time.Duration, done func(error)) {
+	if entry.Kind == j.forget {
+		go done(nil)
+		return
+	}
+	j.Journal.Append(partition, entry, linger, done)
+}
+
 type noCounters struct{}
 
 func (noCounters) Decided(modeler.Class, string)       {}
@@ -181,9 +195,11 @@
 	platform *imitator.Platform
 	handler  http.Handler
 	mode     fencer.Mode
-	state    *ticketer.State
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// forget is a kind of entry that is told to be written and is not, to show that the audit sees it.
+	forget journaler.EntryKind
+	state  *ticketer.State
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu    sync.Mutex
 	nodes map[int]*node
@@ -259,7 +275,7 @@
 		Instance: n.name, Seed: 1, TaskLease: testTaskLease, ClockBound: testClockBound,
 		KeepDurable: 24 * time.Hour, KeepQuick: 24 * time.Hour, Mode: w.mode,
 	}, owner.Dependencies{
-		Clock: w.clock, Log: log, Platform: platform, Journal: journal, Counters: noCounters{},
+		Clock: w.clock, Log: log, Platform: platform, Journal: forgetfulJournal{Journal: journal, forget: w.forget}, Counters: noCounters{},
 		OwnedUntil: func() time.Time { return n.holder.OwnedUntil() },
 		Deposed:    func(partition string) { n.holder.Forget(partition) },
 	})
--- /dev/null
+++ b/internal/ticketer/ticket_test.go
@@ -0,0 +1,104 @@
+package ticketer_test
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/ticketer"
+)
+
+func exampleTickets(t testing.TB) []ticketer.Ticket {
+	t.Helper()
+	var tickets []ticketer.Ticket
+	for _, file := range []string{"cell", "association", "footlights"} {
+		text, err := os.ReadFile("../../examples/" + file + "/ticket.json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ticket, faults := ticketer.Parse(file, text)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		tickets = append(tickets, ticket)
+	}
+	return tickets
+}
+
+func TestExamplesFollowEachOther(t *testing.T) {
+	state := &ticketer.State{}
+	for _, ticket := range exampleTickets(t) {
+		if faults := ticketer.Check("example", state, ticket); len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		state = state.Apply(ticket, time.Time{})
+	}
+	if state.Number != 3 || len(state.Pools) != 6 || len(state.Contracts) != 6 {
+		t.Errorf("got %+v", state)
+	}
+}
+
+func TestTicketReplacesWholeObjectsAndNothingElse(t *testing.T) {
+	old := &ticketer.State{Number: 4}
+	old.Policies = []ticketer.Policy{
+		{Team: "a", Class: modeler.Quick, Pools: []string{"x"}, QueueLimit: 1, MaxStartAttempts: 9},
+		{Team: "a", Class: modeler.Batch, Pools: []string{"x"}, QueueLimit: 2},
+	}
+	var ticket ticketer.Ticket
+	ticket.Policies = []ticketer.Policy{{Team: "a", Class: modeler.Quick, Pools: []string{"y"}, QueueLimit: 3}}
+	next := old.Apply(ticket, time.Time{})
+	quick, _ := next.PolicyOf("a", modeler.Quick)
+	batch, _ := next.PolicyOf("a", modeler.Batch)
+	if next.Number != 5 || quick.MaxStartAttempts != 0 || quick.Pools[0] != "y" || batch.QueueLimit != 2 {
+		t.Errorf("got %+v", next)
+	}
+	if before, _ := old.PolicyOf("a", modeler.Quick); before.QueueLimit != 1 {
+		t.Error("the state before was changed")
+	}
+}
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	follower := ticketer.NewFollower()
+	var heard []int64
+	follower.OnChange(func(state *ticketer.State) { heard = append(heard, state.Number) })
+	for _, number := range []int64{2, 1, 2, 5, 4} {
+		follower.Offer(&ticketer.State{Number: number})
+	}
+	if follower.State().Number != 5 || len(heard) != 2 {
+		t.Errorf("in force %d, heard %v", follower.State().Number, heard)
+	}
+}
+
+// FuzzParse: no text makes the parser panic, and what it takes is a ticket that parses again to
+// the same.
+func FuzzParse(f *testing.F) {
+	for _, ticket := range exampleTickets(f) {
+		text, err := json.Marshal(ticket)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(string(text))
+	}
+	f.Add(`{"after": 1, "after": 2}`)
+	f.Add(`{"after": 0, "author": "a", "reason": "r", "limits": [{"team": "t", "quota": {"processors": 1e308, "memory": "999999999TB"}}]}`)
+	f.Add(`{"after": 0, "author": "a", "reason": "r", "limits": [{"team": "t", "quota": {"processors": 1e999999999, "memory": "1GB"}}]}`)
+	f.Add(`{"after": 0, "author": "a", "reason": "r", "limits": [{"team": "t", "quota": {"processors": 1e-99999999, "memory": "1GB"}}]}`)
+	f.Add(strings.Repeat("[", 20000))
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, faults := ticketer.Parse("fuzz", []byte(text))
+		if len(faults) > 0 {
+			return
+		}
+		again, err := json.Marshal(ticket)
+		if err != nil {
+			t.Fatalf("taken and not written: %v", err)
+		}
+		if _, faults := ticketer.Parse("again", again); len(faults) > 0 {
+			t.Fatalf("taken, written and refused: %v", faults)
+		}
+		ticketer.Check("fuzz", &ticketer.State{}, ticket)
+	})
+}
