Partitions are balanced in a region; a job that waits in vain says why

Cause: an instance that replaced another one got partitions only at the next kill or stop; and a job accepted before all workers were known waited without a reason if no listed worker could ever hold it.

Change: every 3 s an instance hands one partition to a live peer of its region that holds at least two fewer, by the same hand-over as a planned stop. A waiting job that fits nowhere carries that as its reason; it is not ended, as the list may be wrong.

Conclusion: membership guides balance, the table row alone decides.

--- a/cmd/dotterelpost/script_test.go
+++ b/cmd/dotterelpost/script_test.go
@@ -30,6 +30,7 @@
 //	signal NAME SIGNAL      sends a signal; expect NAME CODE waits for the exit code
 //	render FILE…          replaces variables in files
 //	eventually ARG…       repeats dotterelpost with the arguments until it exits with 0
+//	until FILE TEXT       waits until a log holds a text
 //	fault JSON            sets the stand-in's faults
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -42,6 +43,7 @@
 			"render":     render,
 			"eventually": eventually,
 			"fault":      fault,
+			"until":      until,
 		},
 	})
 }
@@ -206,6 +208,16 @@
 	}
 }
 
+// until reads the log again and again; its process writes on meanwhile.
+func until(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(patience)
+	for !strings.Contains(ts.ReadFile(args[0]), args[1]) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s does not hold %q:\n%s", args[0], args[1], ts.ReadFile(args[0]))
+		}
+	}
+}
+
 func fault(ts *testscript.TestScript, _ bool, args []string) {
 	reply, err := http.Post("http://"+ts.Getenv("platform_platform")+"/faults", "application/json", bytes.NewBufferString(args[0]))
 	ts.Check(err)
--- a/internal/dispatcher/round.go
+++ b/internal/dispatcher/round.go
@@ -113,12 +113,24 @@
 		if shortage != placer.NoShortage {
 			full[kind] = len(ask.Avoid) == 0
 			job.Tasks[task].Avoid = nil
+			p.explain(job, task)
 			return queuer.Blocked
 		}
 		p.start(job, task, placements[0], now)
 	}
 }
 
+// explain says in the answer why an accepted job waits although no worker that is listed could ever
+// hold it. It is not ended for that: it was accepted before all workers were known, or a worker
+// that could hold it left the list, which may be wrong and may change.
+func (p *Partition) explain(job *bookkeeper.Job, task int) {
+	t := &job.Tasks[task]
+	t.Reason = ""
+	if p.settled && p.neverFits(job.Spec) {
+		t.Reason = "no worker of partition " + p.name + " that is listed now could hold it"
+	}
+}
+
 // expired ends a quick request whose deadline passed in the queue.
 func (p *Partition) expired(job *bookkeeper.Job, now time.Time) bool {
 	deadline := time.Duration(job.Spec.Deadline)
@@ -157,6 +169,9 @@
 	placements, shortage := p.cell.Place(p.ask(job, count))
 	if shortage != placer.NoShortage {
 		p.considerHold(job, now)
+		if task, found := job.NextQueued(); found {
+			p.explain(job, task)
+		}
 		return queuer.Blocked
 	}
 	for _, placement := range placements {
@@ -189,6 +204,7 @@
 func (p *Partition) start(job *bookkeeper.Job, task int, placement placer.Placement, now time.Time) {
 	index := placement.Worker
 	t := &job.Tasks[task]
+	t.Reason = ""
 	attempt := modeler.Attempt{Partition: p.name, Epoch: p.epoch, Key: job.Key, Task: task, Number: t.Attempts + 1}
 	job.Place(task, index, p.roster.Worker(index).Name, p.roster.Boot(index), attempt)
 	p.occupy(index, job, task)
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -125,6 +125,34 @@
 	return best
 }
 
+// balanceInterval is the time between two looks at how the partitions of the region are shared.
+const balanceInterval = 3 * time.Second
+
+// balance gives a partition to a peer that holds at least two fewer, one at a time. An instance
+// that replaced another one would stay idle otherwise until the next stop or kill.
+func (s *Server) balance() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.clock.After(balanceInterval):
+		}
+		held := s.holder.Held()
+		successor := s.successor()
+		if s.leaving.Load() || successor == "" || len(held)-s.holdingsOf(successor) < 2 {
+			continue
+		}
+		grant := held[len(held)-1]
+		if err := s.handOver(s.ctx, grant, successor); err != nil {
+			s.log.Warn("partition not given to a peer", "partition", grant.Partition, "to", successor, "error", err)
+		}
+	}
+}
+
+func (s *Server) holdingsOf(instance string) int {
+	return len(s.mesh.Live()[instance].GetHoldings())
+}
+
 // handOver moves one partition to a successor. Without one the row is left without an owner, so
 // that the next instance of the region claims it at once.
 func (s *Server) handOver(ctx context.Context, grant holder.Grant, successor string) error {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -109,6 +109,7 @@
 	}
 	s.workers.Go(s.followList)
 	s.workers.Go(s.followTickets)
+	s.workers.Go(s.balance)
 	s.log.Info("listening", "callers", s.addresses.Callers, "operators", s.addresses.Operators, "mesh", s.addresses.Mesh,
 		"region", options.Settings.Region, "availability-zone", options.Settings.AvailabilityZone)
 	return s, nil
