Instance list is sent only when it changed, and only for the region

Each instance read the whole list every second.

Change: the list is asked for by region and with the tag of the last one, by ordinary HTTP (ETag, If-None-Match). A platform without tags works as before, at the old cost.

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -52,6 +53,9 @@
 type Platform struct {
 	base   string
 	client *http.Client
+
+	listMu sync.Mutex
+	list   knownList
 }
 
 // New returns a client; its clean-up function closes idle connections.
@@ -86,17 +90,12 @@
 	if err != nil {
 		return errors.Wrap(err, "build "+target)
 	}
-	answer, err := p.client.Do(request)
+	status, _, text, err := p.send(request)
 	if err != nil {
-		return &UnreachableError{Call: method + " " + target, NeverSent: isDialFailure(err), Err: err}
+		return err
 	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, maxReplyBytes))
-	if err != nil {
-		return &UnreachableError{Call: method + " " + target, Err: err}
-	}
-	if answer.StatusCode/100 != 2 {
-		return &RefusedError{Call: method + " " + target, Status: answer.StatusCode, Reason: string(text)}
+	if status/100 != 2 {
+		return &RefusedError{Call: method + " " + target, Status: status, Reason: string(text)}
 	}
 	if reply == nil {
 		return nil
@@ -107,6 +106,21 @@
 	return nil
 }
 
+// send sends a request once and reads its whole reply.
+func (p *Platform) send(request *http.Request) (status int, header http.Header, text []byte, err error) {
+	call := request.Method + " " + request.URL.String()
+	answer, err := p.client.Do(request)
+	if err != nil {
+		return 0, nil, nil, &UnreachableError{Call: call, NeverSent: isDialFailure(err), Err: err}
+	}
+	defer answer.Body.Close()
+	text, err = io.ReadAll(io.LimitReader(answer.Body, maxReplyBytes))
+	if err != nil {
+		return 0, nil, nil, &UnreachableError{Call: call, Err: err}
+	}
+	return answer.StatusCode, answer.Header, text, nil
+}
+
 func isDialFailure(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 
+	"github.com/go-faster/errors"
+
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -122,11 +124,46 @@
 	Workers   []modeler.Worker   `json:"workers"`
 }
 
-// List returns the instance list.
-func (p *Platform) List(ctx context.Context) (InstanceList, error) {
-	var list InstanceList
-	err := p.call(ctx, http.MethodGet, p.path("instances"), nil, &list)
-	return list, err
+// List returns the instance list, with the workers of one region. The list is sent anew only if it
+// changed since the last call: at two years' size it has hundreds of kilobytes, and every instance
+// asks for it all the time. The caller must not change what is returned.
+func (p *Platform) List(ctx context.Context, region string) (InstanceList, error) {
+	p.listMu.Lock()
+	known := p.list
+	p.listMu.Unlock()
+	target := p.path("instances") + "?" + url.Values{"region": {region}}.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return InstanceList{}, errors.Wrap(err, "build "+target)
+	}
+	if known.tag != "" && known.region == region {
+		request.Header.Set("If-None-Match", known.tag)
+	}
+	status, header, text, err := p.send(request)
+	if err != nil {
+		return InstanceList{}, err
+	}
+	if status == http.StatusNotModified {
+		return known.list, nil
+	}
+	if status != http.StatusOK {
+		return InstanceList{}, &RefusedError{Call: "GET " + target, Status: status, Reason: string(text)}
+	}
+	fresh := knownList{region: region, tag: header.Get("ETag")}
+	if err := json.Unmarshal(text, &fresh.list); err != nil {
+		return InstanceList{}, &UnreachableError{Call: "GET " + target, Err: err}
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list = fresh
+	return fresh.list, nil
+}
+
+// knownList is the list as it was sent last, with the tag that the platform gave it.
+type knownList struct {
+	region string
+	tag    string
+	list   InstanceList
 }
 
 // Register tells the platform that an entry instance runs at these addresses.
--- a/internal/imitator/handler.go
+++ b/internal/imitator/handler.go
@@ -1,7 +1,9 @@
 package imitator
 
 import (
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -19,7 +21,7 @@
 	mux.HandleFunc("PUT /objects/{name}", p.servePutObject)
 	mux.HandleFunc("GET /objects/{name}", p.serveGetObject)
 	mux.HandleFunc("DELETE /objects/{name}", p.serveDeleteObject)
-	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.list()) })
+	mux.HandleFunc("GET /instances", p.serveList)
 	mux.HandleFunc("POST /instances", p.serveRegister)
 	mux.HandleFunc("POST /workers/{worker}/{verb}", p.serveWorker)
 	mux.HandleFunc("POST /faults", p.serveFaults)
@@ -124,6 +126,32 @@
 	delete(p.objects, r.PathValue("name"))
 }
 
+// serveList sends the workers of one region and all entry instances, unless the asker has them.
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	shown := p.list()
+	region := r.URL.Query().Get("region")
+	list := connector.InstanceList{Instances: shown.Instances, Workers: []modeler.Worker{}}
+	for _, worker := range shown.Workers {
+		if region == "" || worker.Region == region {
+			list.Workers = append(list.Workers, worker)
+		}
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%x\"", sha256.Sum256(text))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The asker went away if this fails, and will ask again.
+	_, _ = w.Write(text)
+}
+
 func (p *Platform) serveRegister(w http.ResponseWriter, r *http.Request) {
 	var instance modeler.Instance
 	if readJSON(w, r, &instance) {
--- a/internal/owner/world_property_test.go
+++ b/internal/owner/world_property_test.go
@@ -166,7 +166,7 @@
 
 func playBroken(t *testing.T, mode imitator.FenceMode, broken breakage, steps []step) (violations []string, started int) {
 	synctest.Test(t, func(*testing.T) {
-		w := newWorld(mode)
+		w := newWorld(mode, smallShape)
 		w.forget = broken.forget
 		if broken.noFence {
 			w.mode = fencer.CompareEpochs{}
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/c2h5oh/datasize"
@@ -35,8 +36,6 @@
 	testClockBound = 500 * time.Millisecond
 )
 
-var partitions = []string{"p-1", "p-2"}
-
 // wire is an instance's way to the platform, without a network: it calls the stand-in's handler.
 // It can be cut, lose replies after delivery, and freeze like a paused process.
 type wire struct {
@@ -47,6 +46,8 @@
 	noTable bool
 	noWork  bool
 	lose    int
+	// bytes counts the bodies that went both ways between the instance and the platform.
+	bytes atomic.Int64
 }
 
 func newWire(handler http.Handler) *wire {
@@ -122,6 +123,7 @@
 			return nil, err
 		}
 		inner.Body = io.NopCloser(bytes.NewReader(body))
+		w.bytes.Add(int64(len(body)))
 	}
 	go func() {
 		defer func() { served <- recover() == nil }()
@@ -138,6 +140,7 @@
 	if err := w.awake(request.Context()); err != nil {
 		return nil, err
 	}
+	w.bytes.Add(int64(recorder.Body.Len()))
 	return recorder.Result(), nil
 }
 
@@ -160,7 +163,7 @@
 
 func (n *node) Puts() []connector.Put    { return n.holder.Puts() }
 func (n *node) Committed(sent time.Time) { n.holder.Committed(sent) }
-func (n *node) Gap() time.Duration       { return 20 * time.Millisecond }
+func (n *node) Gap() time.Duration       { return n.world.gap }
 
 // forgetfulJournal breaks the promise of a journal for one kind of entry.
 type forgetfulJournal struct {
@@ -198,6 +201,10 @@
 	// forget is a kind of entry that is told to be written and is not, to show that the audit sees it.
 	forget journaler.EntryKind
 	state  *ticketer.State
+	// partitions are the names of all; the length of a key decides which one it is in.
+	partitions []string
+	// gap is the pause that the write budget asks for between two transactions.
+	gap    time.Duration
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -211,7 +218,23 @@
 	open  sync.WaitGroup
 }
 
-func newWorld(mode imitator.FenceMode) *world {
+// shape is the size of a world.
+type shape struct {
+	partitions          int
+	workersPerPartition int
+	capacity            modeler.Resources
+	slots               int
+}
+
+// smallShape is that of the property tests: two partitions of two workers.
+var smallShape = shape{
+	partitions:          2,
+	workersPerPartition: 2,
+	capacity:            modeler.Resources{Processors: 4000, Memory: 8 * datasize.GB, Accelerators: 1},
+	slots:               4,
+}
+
+func newWorld(mode imitator.FenceMode, size shape) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		clock:  clockwork.NewRealClock(),
@@ -220,6 +243,7 @@
 		nodes:  make(map[int]*node),
 		bad:    make(map[string]bool),
 		mode:   fencer.CompareEpochs{},
+		gap:    20 * time.Millisecond,
 	}
 	if mode == imitator.WaitOut {
 		w.mode = fencer.WaitOut{ClockBound: testClockBound}
@@ -229,33 +253,40 @@
 		ReadsPerSecond:  2000,
 		ListLag:         modeler.Duration(500 * time.Millisecond),
 		FenceMode:       mode,
-		Workers:         testWorkers(),
+		Workers:         testWorkers(size),
 	}, w.clock)
 	w.handler = w.platform.Handler()
-	w.state = testState()
+	w.state = testState(size)
+	w.partitions = w.state.PartitionsIn("north")
 	return w
 }
 
-func testWorkers() []modeler.Worker {
+// testWorkers names worker i so that it is in partition i modulo their number.
+func testWorkers(size shape) []modeler.Worker {
 	var workers []modeler.Worker
-	for i := range 4 {
+	for i := range size.partitions * size.workersPerPartition {
 		workers = append(workers, modeler.Worker{
 			Name:             fmt.Sprintf("w%d", i),
 			Region:           "north",
 			AvailabilityZone: fmt.Sprintf("north-%d", i%2),
-			Rack:             fmt.Sprintf("r%d", i%2),
-			Capacity:         modeler.Resources{Processors: 4000, Memory: 8 * datasize.GB, Accelerators: 1},
-			Slots:            4,
+			Rack:             fmt.Sprintf("r%d", i%size.partitions),
+			Capacity:         size.capacity,
+			Slots:            size.slots,
 			Address:          netip.MustParseAddrPort("127.0.0.1:1"),
 		})
 	}
 	return workers
 }
 
-func testState() *ticketer.State {
+func testState(size shape) *ticketer.State {
 	state := &ticketer.State{Number: 1}
-	state.Partitions = []ticketer.Partition{{Name: "p-1", Region: "north", Racks: []string{"r0"}}, {Name: "p-2", Region: "north", Racks: []string{"r1"}}}
-	state.Pools = []ticketer.Pool{{Name: "all", Racks: []string{"r0", "r1"}}}
+	pool := ticketer.Pool{Name: "all"}
+	for i := range size.partitions {
+		rack := fmt.Sprintf("r%d", i)
+		pool.Racks = append(pool.Racks, rack)
+		state.Partitions = append(state.Partitions, ticketer.Partition{Name: fmt.Sprintf("p-%d", i+1), Region: "north", Racks: []string{rack}})
+	}
+	state.Pools = []ticketer.Pool{pool}
 	for _, class := range modeler.Classes() {
 		state.Policies = append(state.Policies, ticketer.Policy{Team: "team", Class: class, Pools: []string{"all"}, QueueLimit: 1000})
 	}
@@ -289,7 +320,7 @@
 	n.holder = held
 	listing, stopListing := context.WithCancel(w.ctx)
 	go n.followList(listing, platform)
-	held.SetPartitions(partitions)
+	held.SetPartitions(w.partitions)
 	n.stop = func() {
 		stopListing()
 		stopHolder()
@@ -303,7 +334,7 @@
 
 func (n *node) followList(ctx context.Context, platform *connector.Platform) {
 	for ctx.Err() == nil {
-		if list, err := platform.List(ctx); err == nil {
+		if list, err := platform.List(ctx, "north"); err == nil {
 			n.control.SetWorkers(list.Workers)
 		}
 		select {
@@ -385,7 +416,7 @@
 }
 
 func (w *world) ask(record *auditor.Call, untilFinal bool, question func(ctx context.Context, n *node, partition string) (modeler.Answer, error)) {
-	partition := partitions[len(record.Key)%len(partitions)]
+	partition := w.partitions[len(record.Key)%len(w.partitions)]
 	for turn := 0; w.ctx.Err() == nil; turn++ {
 		if list := w.alive(); len(list) > 0 {
 			ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -10,7 +10,6 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
-	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/ticketer"
@@ -69,26 +68,16 @@
 	if err := s.platform.Register(ctx, s.Describe()); err != nil {
 		return err
 	}
-	list, err := s.platform.List(ctx)
+	list, err := s.platform.List(ctx, s.options.Settings.Region)
 	if err != nil {
 		return err
 	}
 	s.peers.set(list.Instances)
 	s.mesh.SetPeers(list.Instances)
-	s.control.SetWorkers(s.workersOfRegion(list))
+	s.control.SetWorkers(list.Workers)
 	return nil
 }
 
-func (s *Server) workersOfRegion(list connector.InstanceList) []modeler.Worker {
-	workers := []modeler.Worker{}
-	for _, worker := range list.Workers {
-		if worker.Region == s.options.Settings.Region {
-			workers = append(workers, worker)
-		}
-	}
-	return workers
-}
-
 // peersInRegion counts the live instances of the region that may hold partitions.
 func (s *Server) peersInRegion() int {
 	count := 1
