Placer: buckets by the scarcer resource, accelerators in pools of their own

Cause: benchmarks of one decision in a full cell (26 tasks on each worker) grew with the cell: buckets by processors alone were full of workers without memory, workers with accelerators were walked through for plain work, and a quick request that its random choices missed looked at every slot.

Change: a worker's bucket is the smaller of its free processors and its free memory in units of the users' ratio; workers with and without accelerators are indexed apart; quick requests walk from the emptiest bucket down and meet full workers last; of one bucket at most 16 workers that fit are compared.

--- a/internal/placer/cell.go
+++ b/internal/placer/cell.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/c2h5oh/datasize"
+
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -19,12 +21,14 @@
 	slotAt    int
 }
 
-// pool is an index over the usable workers of one pool. slotted lists those with a free slot.
+// pool is an index over the usable workers of one pool, either those with accelerators or those
+// without. slotted lists the ones with a free slot.
 type pool struct {
-	name    string
-	members []int
-	buckets [][]int
-	slotted []int
+	name        string
+	accelerated bool
+	members     []int
+	buckets     [][]int
+	slotted     []int
 }
 
 // Cell is the model of the workers of one partition.
@@ -42,7 +46,7 @@
 // Add puts a worker into a pool and returns its index. It is not usable before SetUsable.
 func (c *Cell) Add(info modeler.Worker, poolName string) int {
 	index := len(c.sites)
-	number := c.poolNumber(poolName)
+	number := c.poolNumber(poolName, info)
 	c.sites = append(c.sites, site{
 		info:      info,
 		pool:      number,
@@ -53,13 +57,14 @@
 	return index
 }
 
-func (c *Cell) poolNumber(name string) int {
+func (c *Cell) poolNumber(name string, info modeler.Worker) int {
+	accelerated := info.Capacity.Accelerators > 0
 	for number := range c.pools {
-		if c.pools[number].name == name {
+		if c.pools[number].name == name && c.pools[number].accelerated == accelerated {
 			return number
 		}
 	}
-	c.pools = append(c.pools, pool{name: name})
+	c.pools = append(c.pools, pool{name: name, accelerated: accelerated})
 	return len(c.pools) - 1
 }
 
@@ -100,8 +105,8 @@
 
 // SetPool moves a worker to another pool.
 func (c *Cell) SetPool(index int, poolName string) {
-	number := c.poolNumber(poolName)
 	s := &c.sites[index]
+	number := c.poolNumber(poolName, s.info)
 	if s.pool == number {
 		return
 	}
@@ -149,10 +154,19 @@
 	}
 }
 
-// bucketOf numbers the bucket by whole free processors. Slots of quick requests need few
-// processors, so a worker's bucket changes rarely in a storm.
+// memoryPerProcessor is the ratio of both users' workers. It only makes the buckets even; any other
+// ratio is as correct.
+const memoryPerProcessor = 2 * datasize.GB
+
+// bucketOf numbers the bucket by the scarcer of free processors and free memory. A worker that is
+// full in one dimension stands in bucket 0, whatever is left of the other: buckets by processors
+// alone were full of workers without memory, and were walked through at every decision.
+//
+// What fits on a worker is never in a higher bucket than the worker, since it is at most as large
+// in both dimensions.
 func bucketOf(free modeler.Resources) int {
-	return int(max(free.Processors, 0) / 1000)
+	byProcessors := int(max(free.Processors, 0) / 1000)
+	return min(byProcessors, int(free.Memory/memoryPerProcessor))
 }
 
 func (c *Cell) list(index int) {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"slices"
+
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -77,40 +79,64 @@
 }
 
 // chooseSlot compares a few random workers with a free slot. If none of the few can take the
-// request it looks at all of them, so that a free slot is never overlooked.
+// request it walks from the emptiest bucket down, so that a free slot is never overlooked and full
+// workers are met last.
 func (c *Cell) chooseSlot(ask Ask) (Placement, bool) {
 	best := Placement{Worker: -1, Reason: "most free slots of a few"}
-	for _, name := range ask.Pools {
-		slotted := c.slottedOf(name)
-		for range min(slotChoices, len(slotted)) {
-			c.considerSlot(ask, slotted[c.random.IntN(len(slotted))], &best)
+	pools := c.poolsOf(ask)
+	for _, p := range pools {
+		for range min(slotChoices, len(p.slotted)) {
+			c.considerSlot(ask, p.slotted[c.random.IntN(len(p.slotted))], &best)
 		}
 	}
 	if best.Worker >= 0 {
 		return best, true
 	}
-	best.Reason = "most free slots of all"
-	for _, name := range ask.Pools {
-		for _, index := range c.slottedOf(name) {
-			c.considerSlot(ask, index, &best)
+	best.Reason = "first slot from the emptiest worker down"
+	// Bucket 0 holds the full workers. It is walked through only if no pool has anything better.
+	for _, lowest := range []int{1, 0} {
+		for _, p := range pools {
+			c.searchSlots(ask, p, lowest, &best)
 		}
 	}
 	return best, best.Worker >= 0
 }
 
-func (c *Cell) slottedOf(name string) []int {
-	for number := range c.pools {
-		if c.pools[number].name == name {
-			return c.pools[number].slotted
+// poolsOf returns the pools that a question allows. Those without accelerators come first, and are
+// left out if it asks for any.
+func (c *Cell) poolsOf(ask Ask) []*pool {
+	pools := make([]*pool, 0, len(c.pools))
+	for _, accelerated := range []bool{false, true} {
+		if !accelerated && ask.Needs.Accelerators > 0 {
+			continue
+		}
+		for number := range c.pools {
+			p := &c.pools[number]
+			if p.accelerated == accelerated && slices.Contains(ask.Pools, p.name) {
+				pools = append(pools, p)
+			}
+		}
+	}
+	return pools
+}
+
+func (c *Cell) searchSlots(ask Ask, p *pool, lowest int, best *Placement) {
+	for number := len(p.buckets) - 1; number >= lowest && best.Worker < 0; number-- {
+		for _, index := range p.buckets[number] {
+			if c.sites[index].freeSlots > 0 {
+				c.considerSlot(ask, index, best)
+			}
+			if best.Worker >= 0 {
+				return
+			}
 		}
 	}
-	return nil
 }
 
 func (c *Cell) considerSlot(ask Ask, index int, best *Placement) {
 	best.Candidates++
 	s := &c.sites[index]
-	if !ask.Needs.Fits(s.free()) || contains(ask.Avoid, index) {
+	if !ask.Needs.Fits(s.free()) || slices.Contains(ask.Avoid, index) {
 		return
 	}
 	if best.Worker < 0 || s.freeSlots > c.sites[best.Worker].freeSlots {
@@ -123,45 +149,37 @@
 // otherwise leave accelerators idle on workers whose processors are all taken.
 func (c *Cell) chooseBestFit(ask Ask) (Placement, bool) {
 	best := Placement{Worker: -1, Reason: "best fit"}
-	spare := Placement{Worker: -1}
-	for _, name := range ask.Pools {
-		p := c.poolNamed(name)
-		if p == nil {
-			continue
+	for _, p := range c.poolsOf(ask) {
+		if p.accelerated && ask.Needs.Accelerators == 0 {
+			if best.Worker >= 0 {
+				break
+			}
+			best.Reason = "best fit beside accelerators"
 		}
-		c.searchBuckets(ask, p, &best, &spare)
-	}
-	if best.Worker < 0 && spare.Worker >= 0 {
-		best.Worker = spare.Worker
-		best.Reason = "best fit beside accelerators"
+		c.searchBuckets(ask, p, &best)
 	}
 	return best, best.Worker >= 0
 }
 
-func (c *Cell) poolNamed(name string) *pool {
-	for number := range c.pools {
-		if c.pools[number].name == name {
-			return &c.pools[number]
-		}
-	}
-	return nil
-}
+// enoughFits is how many workers of one bucket that fit are compared. They differ by less than a
+// processor and its memory, so that looking at more of them gains little.
+const enoughFits = 16
 
-func (c *Cell) searchBuckets(ask Ask, p *pool, best, spare *Placement) {
+func (c *Cell) searchBuckets(ask Ask, p *pool, best *Placement) {
 	for number := bucketOf(ask.Needs); number < len(p.buckets); number++ {
+		fits := 0
 		for _, index := range p.buckets[number] {
-			best.Candidates++
-			s := &c.sites[index]
-			if !ask.Needs.Fits(s.free()) || contains(ask.Avoid, index) {
-				continue
+			if fits == enoughFits {
+				break
 			}
-			if ask.Needs.Accelerators == 0 && s.info.Capacity.Accelerators > 0 {
-				spare.Worker = c.tighter(spare.Worker, index)
+			best.Candidates++
+			if !ask.Needs.Fits(c.sites[index].free()) || slices.Contains(ask.Avoid, index) {
 				continue
 			}
+			fits++
 			best.Worker = c.tighter(best.Worker, index)
 		}
-		if best.Worker >= 0 && c.sites[best.Worker].bucket <= number {
+		if fits > 0 {
 			return
 		}
 	}
@@ -187,18 +205,14 @@
 func (c *Cell) chooseSpread(ask Ask, beside []int) (Placement, bool) {
 	best := Placement{Worker: -1, Reason: "fewest tasks of the job around"}
 	bestCrowd := crowd{}
-	for _, name := range ask.Pools {
-		p := c.poolNamed(name)
-		if p == nil {
-			continue
-		}
+	for _, p := range c.poolsOf(ask) {
 		for _, index := range p.members {
 			s := &c.sites[index]
 			if !s.usable {
 				continue
 			}
 			best.Candidates++
-			if !ask.Needs.Fits(s.free()) || contains(ask.Avoid, index) {
+			if !ask.Needs.Fits(s.free()) || slices.Contains(ask.Avoid, index) {
 				continue
 			}
 			here := c.crowdAt(index, beside)
@@ -251,11 +265,7 @@
 // CanEverHold tells whether the tasks would fit if nothing else ran, on the workers that are there.
 func (c *Cell) CanEverHold(ask Ask) Shortage {
 	room := 0
-	for _, name := range ask.Pools {
-		p := c.poolNamed(name)
-		if p == nil {
-			continue
-		}
+	for _, p := range c.poolsOf(ask) {
 		for _, index := range p.members {
 			room += c.roomIn(ask, &c.sites[index])
 			if room >= c.tasksAtOnce(ask) {
@@ -286,12 +296,3 @@
 	}
 	return count
 }
-
-func contains(list []int, index int) bool {
-	for _, other := range list {
-		if other == index {
-			return true
-		}
-	}
-	return false
-}
