--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test check format lint generate bench
+.PHONY: demo test check format lint generate bench soak end-to-end
 
 demo: ## run the whole system in one process
 	go run ./cmd/dotterelpost demo
@@ -24,3 +24,10 @@
 
 bench: ## run the benchmarks
 	go test -run '^$$' -bench . ./...
+
+soak: ## the property test on a new seed, bounded; the seed is printed
+	@seed=$$(date +%s); echo "seed $$seed"; \
+	go test ./internal/owner -run InAnyWorld -timeout 15m -rapid.seed=$$seed -rapid.checks=1000
+
+end-to-end: ## three instances and the stand-in as processes, under load
+	scripts/end-to-end
