A later epoch on a worker deposes an owner; worlds with dead and hidden workers

An owner that was cut off went on reading its workers' records, met those of its successor's batch job, took the unknown key for a quick request and told its end.

Change: an attempt of a higher epoch in a record or list shows that there is a later owner, and deposes. Being deposed happens once and names its epoch, so that it can't drop a grant that was gained meanwhile. New steps in the worlds: a worker dies and comes back empty, a running worker is hidden from the list by mistake, the object store is down.

Records carry what fencing by lease can't.

--- a/internal/bookkeeper/book.go
+++ b/internal/bookkeeper/book.go
@@ -131,6 +131,10 @@
 // that this run of it has to be ended.
 func (b *Book) AdoptRunning(site int, worker, boot string, running connector.RunningTask) bool {
 	job := b.jobs[running.Attempt.Key]
+	if job == nil && running.Class != modeler.Quick {
+		// No journal shows that it was accepted.
+		return false
+	}
 	if job == nil {
 		job = b.adoptQuick(running.Attempt, running.Needs, running.StartedAt)
 	}
@@ -151,9 +155,13 @@
 }
 
 // AdoptEnded makes sure that the job of a worker's record is in the book. It returns nil if the
-// record is of no use, because the task is final or another attempt of it is under way.
+// record is of no use: the task is final, another attempt of it is under way, or it is a durable
+// job's that the book does not hold.
 func (b *Book) AdoptEnded(record connector.TaskEnded) *Job {
 	job := b.jobs[record.Attempt.Key]
+	if job == nil && record.Class != modeler.Quick {
+		return nil
+	}
 	if job == nil {
 		job = b.adoptQuick(record.Attempt, record.Needs, record.At)
 	}
--- a/internal/dispatcher/endings.go
+++ b/internal/dispatcher/endings.go
@@ -137,6 +137,9 @@
 
 // Ended deals with a worker's record of a task that ended.
 func (p *Partition) Ended(index int, record connector.TaskEnded) {
+	if p.isOutdated(record.Attempt) {
+		return
+	}
 	if p.yielded() {
 		// The successor will be shown the record; it is not confirmed.
 		return
--- a/internal/dispatcher/partition.go
+++ b/internal/dispatcher/partition.go
@@ -164,7 +164,7 @@
 		OwnedUntil: dependencies.OwnedUntil,
 		Post:       func(message func()) { p.post(func() { p.whenLoaded(message) }) },
 		Write:      p.writeWorker,
-		Deposed:    func() { p.Dependencies.Deposed(p) },
+		Deposed:    p.deposed,
 	})
 	return p
 }
@@ -202,7 +202,7 @@
 			written()
 			return
 		}
-		p.Dependencies.Deposed(p)
+		p.deposed()
 	})
 }
 
@@ -224,8 +224,18 @@
 	})
 }
 
+// deposed gives the partition up, once.
+func (p *Partition) deposed() {
+	if p.ctx.Err() == nil {
+		p.Dependencies.Deposed(p)
+	}
+}
+
 // Close ends the partition here. Calls that wait are told that it is not owned any more.
 func (p *Partition) Close() {
+	if p.ctx.Err() != nil && p.Context.Err() == nil {
+		return
+	}
 	p.cancel()
 	p.Journal.Close(p.name)
 	p.roster.Close()
--- a/internal/dispatcher/round.go
+++ b/internal/dispatcher/round.go
@@ -258,7 +258,7 @@
 		case *journaler.PermitTakenError:
 			p.end(job, task, ending{state: modeler.Unknown, reason: err.Error()})
 		default:
-			p.Dependencies.Deposed(p)
+			p.deposed()
 		}
 	})
 }
--- a/internal/dispatcher/sites.go
+++ b/internal/dispatcher/sites.go
@@ -54,6 +54,9 @@
 
 // Running adopts a task that a worker showed when it was fenced.
 func (p *Partition) Running(site int, running connector.RunningTask) {
+	if p.isOutdated(running.Attempt) {
+		return
+	}
 	worker := p.roster.Worker(site).Name
 	boot := p.roster.Boot(site)
 	if !p.book.AdoptRunning(site, worker, boot, running) {
@@ -70,6 +73,17 @@
 	}
 }
 
+// isOutdated tells whether an attempt shows that the partition has a later owner, and gives it up
+// then. Workers that know only leases serve both owners, so that this may be the first that an
+// owner which was cut off hears of its successor.
+func (p *Partition) isOutdated(attempt modeler.Attempt) bool {
+	if attempt.Partition != p.name || attempt.Epoch <= p.epoch {
+		return false
+	}
+	p.deposed()
+	return true
+}
+
 // occupy notes that a task holds a place that is reserved already.
 func (p *Partition) occupy(site int, job *bookkeeper.Job, task int) {
 	p.tasks[site][place{job: job, task: task}] = struct{}{}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -168,11 +168,13 @@
 	return h.seen[partition].row.Owner
 }
 
-// Forget drops a grant that turned out to be lost.
-func (h *Holder) Forget(partition string) {
+// Forget drops a grant that turned out to be lost, unless a later one was gained meanwhile.
+func (h *Holder) Forget(partition string, epoch modeler.Epoch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.held, partition)
+	if h.held[partition].Epoch <= epoch {
+		delete(h.held, partition)
+	}
 	h.hurry()
 }
 
--- a/internal/imitator/handler.go
+++ b/internal/imitator/handler.go
@@ -172,6 +172,9 @@
 		http.Error(w, "no such worker", http.StatusNotFound)
 		return
 	}
+	if target.isDead() {
+		panic(http.ErrAbortHandler)
+	}
 	switch r.PathValue("verb") {
 	case "start":
 		p.serveStart(w, r, target)
--- a/internal/imitator/platform.go
+++ b/internal/imitator/platform.go
@@ -25,13 +25,19 @@
 
 // Faults are the failures of the table and the object store that are switched on.
 type Faults struct {
-	TableDown       bool             `json:"table-down,omitempty"`
-	ObjectsDown     bool             `json:"objects-down,omitempty"`
-	TableDelay      modeler.Duration `json:"table-delay,omitempty"`
-	LostReplies     int              `json:"lost-replies,omitempty"`
-	LeavingWorkers  []string         `json:"leaving-workers,omitempty"`
-	RestartWorkers  []string         `json:"restart-workers,omitempty"`
-	UnlistInstances []string         `json:"unlist-instances,omitempty"`
+	TableDown      bool             `json:"table-down,omitempty"`
+	ObjectsDown    bool             `json:"objects-down,omitempty"`
+	TableDelay     modeler.Duration `json:"table-delay,omitempty"`
+	LostReplies    int              `json:"lost-replies,omitempty"`
+	LeavingWorkers []string         `json:"leaving-workers,omitempty"`
+	RestartWorkers []string         `json:"restart-workers,omitempty"`
+	// KillWorkers ends workers and takes them off the list; ReviveWorkers brings them back empty.
+	KillWorkers   []string `json:"kill-workers,omitempty"`
+	ReviveWorkers []string `json:"revive-workers,omitempty"`
+	// HideWorkers takes running workers off the list by mistake, ShowWorkers undoes that.
+	HideWorkers     []string `json:"hide-workers,omitempty"`
+	ShowWorkers     []string `json:"show-workers,omitempty"`
+	UnlistInstances []string `json:"unlist-instances,omitempty"`
 }
 
 // Platform is the stand-in's whole state.
@@ -91,16 +97,12 @@
 
 // SetFaults switches faults on and off, and has the named workers leave or restart.
 func (p *Platform) SetFaults(faults Faults) {
-	for _, name := range faults.LeavingWorkers {
-		if w := p.workers[name]; w != nil {
-			w.leave()
-		}
-	}
-	for _, name := range faults.RestartWorkers {
-		if w := p.workers[name]; w != nil {
-			w.restart()
-		}
-	}
+	p.each(faults.LeavingWorkers, (*worker).leave)
+	p.each(faults.RestartWorkers, (*worker).restart)
+	p.each(faults.KillWorkers, (*worker).die)
+	p.each(faults.ReviveWorkers, (*worker).revive)
+	p.each(faults.HideWorkers, func(w *worker) { w.hide(true) })
+	p.each(faults.ShowWorkers, func(w *worker) { w.hide(false) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, name := range faults.UnlistInstances {
@@ -109,6 +111,14 @@
 	p.faults = faults
 }
 
+func (p *Platform) each(names []string, act func(*worker)) {
+	for _, name := range names {
+		if w := p.workers[name]; w != nil {
+			act(w)
+		}
+	}
+}
+
 // takeLostReply tells whether the reply to this call shall be lost.
 func (p *Platform) takeLostReply() bool {
 	p.mu.Lock()
@@ -136,7 +146,9 @@
 func (p *Platform) list() connector.InstanceList {
 	workers := make([]modeler.Worker, 0, len(p.workers))
 	for _, w := range p.workers {
-		workers = append(workers, w.describe())
+		if info, listed := w.describe(); listed {
+			workers = append(workers, info)
+		}
 	}
 	sort.Slice(workers, func(i, j int) bool { return workers[i].Name < workers[j].Name })
 	p.mu.Lock()
--- a/internal/imitator/worker.go
+++ b/internal/imitator/worker.go
@@ -65,6 +65,8 @@
 	boot      string
 	boots     int
 	broken    bool
+	dead      bool
+	hidden    bool
 	epochs    map[string]modeler.Epoch
 	running   map[string]*runningTask
 	refused   map[string]bool
@@ -344,8 +346,35 @@
 	w.info.Leaving = true
 }
 
-func (w *worker) describe() modeler.Worker {
+// die ends the machine: what it runs ends, and it answers nobody.
+func (w *worker) die() {
+	w.restart()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.info
+	w.dead = true
+}
+
+func (w *worker) revive() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = false
+}
+
+func (w *worker) hide(hidden bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hidden = hidden
+}
+
+func (w *worker) isDead() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead
+}
+
+// describe returns the worker as the platform's list shows it, if it does.
+func (w *worker) describe() (info modeler.Worker, listed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.info, !w.dead && !w.hidden
 }
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -34,7 +34,7 @@
 	// OwnedUntil tells until when this instance's ownership is known to hold.
 	OwnedUntil func() time.Time
 	// Deposed is called when a worker or the table shows that another instance owns a partition.
-	Deposed func(partition string)
+	Deposed func(partition string, epoch modeler.Epoch)
 }
 
 // Control is the control state of an instance.
@@ -164,7 +164,7 @@
 func (c *Control) deposed(p *dispatcher.Partition) {
 	c.Log.Warn("deposed", "partition", p.Name(), "epoch", p.Epoch())
 	c.remove(p)
-	go c.Deposed(p.Name())
+	go c.Deposed(p.Name(), p.Epoch())
 }
 
 func (c *Control) remove(p *dispatcher.Partition) {
--- a/internal/owner/cost_bench_test.go
+++ b/internal/owner/cost_bench_test.go
@@ -77,6 +77,7 @@
 		slots:               8,
 	}
 	w := newWorld(imitator.CompareEpochs, size)
+	w.expected = instances
 	w.gap = time.Duration(instances) * time.Second / 240
 	for place := range instances {
 		w.start(place)
--- a/internal/owner/world_property_test.go
+++ b/internal/owner/world_property_test.go
@@ -35,7 +35,7 @@
 // failures are the kinds of step that bring something about; the rest are calls.
 var failures = []string{
 	"kill", "freeze", "cut-table", "cut-workers", "table-down", "lost-replies", "lost-worker-replies",
-	"worker-restarts", "worker-leaves", "hand-over",
+	"worker-restarts", "worker-leaves", "hand-over", "worker-dies", "worker-hidden", "objects-down",
 }
 
 var jobs = []string{"quick", "order", "batch", "charge-run", "gang", "cancelled-batch", "cancelled-gang", "cancelled-order"}
@@ -96,6 +96,21 @@
 		w.bad[worker] = true
 		w.mu.Unlock()
 		w.platform.SetFaults(imitator.Faults{RestartWorkers: []string{worker}})
+	case "worker-dies":
+		// At most one at a time of each partition, and it comes back: work has to be able to end.
+		worker := fmt.Sprintf("w%d", place)
+		w.mu.Lock()
+		w.bad[worker] = true
+		w.mu.Unlock()
+		w.platform.SetFaults(imitator.Faults{KillWorkers: []string{worker}})
+		after(func() { w.platform.SetFaults(imitator.Faults{ReviveWorkers: []string{worker}}) })
+	case "worker-hidden":
+		worker := fmt.Sprintf("w%d", s.Place)
+		w.platform.SetFaults(imitator.Faults{HideWorkers: []string{worker}})
+		after(func() { w.platform.SetFaults(imitator.Faults{ShowWorkers: []string{worker}}) })
+	case "objects-down":
+		w.platform.SetFaults(imitator.Faults{ObjectsDown: true})
+		after(func() { w.platform.SetFaults(imitator.Faults{}) })
 	case "worker-leaves":
 		// Only one of each partition's two, so that work can go on.
 		worker := fmt.Sprintf("w%d", place)
@@ -298,6 +313,14 @@
 			{Kind: "call", For: 44 * ms, Pause: 2500 * ms, Job: "batch"},
 			{Kind: "call", Place: 1, For: 1816 * ms, Pause: 9000 * ms, Job: "quick"},
 		}},
+		{"an owner cut off took its successor's task for a quick request, and told its end", imitator.WaitOut, []step{
+			{Kind: "cut-table", Place: 1, For: 9473 * ms, Pause: 9000 * ms},
+			{Kind: "call", Place: 1, For: 7 * ms, Pause: 300 * ms, Job: "batch"},
+			{Kind: "table-down", Place: 2, For: 4741 * ms, Pause: ms},
+			{Kind: "cut-workers", Place: 3, For: 917 * ms, Pause: ms},
+			{Kind: "cut-table", Place: 2, For: 7293 * ms, Pause: 20 * ms},
+			{Kind: "freeze", Place: 3, For: 6172 * ms, Pause: 300 * ms},
+		}},
 		{"the same, by a hand-over and a cut", imitator.WaitOut, []step{
 			{Kind: "call", For: 20000 * ms, Job: "quick"},
 			{Kind: "hand-over", Place: 0, Pause: ms},
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -203,6 +203,8 @@
 	state  *ticketer.State
 	// partitions are the names of all; the length of a key decides which one it is in.
 	partitions []string
+	// expected is how many instances there will be; the first one would claim everything otherwise.
+	expected int
 	// gap is the pause that the write budget asks for between two transactions.
 	gap    time.Duration
 	ctx    context.Context
@@ -308,14 +310,14 @@
 	}, owner.Dependencies{
 		Clock: w.clock, Log: log, Platform: platform, Journal: forgetfulJournal{Journal: journal, forget: w.forget}, Counters: noCounters{},
 		OwnedUntil: func() time.Time { return n.holder.OwnedUntil() },
-		Deposed:    func(partition string) { n.holder.Forget(partition) },
+		Deposed:    func(partition string, epoch modeler.Epoch) { n.holder.Forget(partition, epoch) },
 	})
 	n.control = control
 	control.SetTickets(w.state)
 	held, stopHolder := holder.New(holder.Settings{Instance: n.name, Lease: testLease}, holder.Dependencies{
 		Reader: platform, Committer: journaler.NewWriter(platform, n.name+"/holder", w.clock),
 		Listener: n, Clock: w.clock, Log: log,
-		Peers: func() int { return len(w.alive()) },
+		Peers: func() int { return max(len(w.alive()), w.expected) },
 	})
 	n.holder = held
 	listing, stopListing := context.WithCancel(w.ctx)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -205,7 +205,7 @@
 		Journal:    journal,
 		Counters:   s.counts,
 		OwnedUntil: func() time.Time { return s.holder.OwnedUntil() },
-		Deposed:    func(partition string) { s.holder.Forget(partition) },
+		Deposed:    func(partition string, epoch modeler.Epoch) { s.holder.Forget(partition, epoch) },
 	})
 	s.control = control
 	s.onClose(stopControl)
