Hopeless quick requests are told so when they arrive

Cause: in a storm at three times capacity every request waited out its deadline of 2 s, served or not.

Ruled out: refusing with 503, which callers repeat.

--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -190,13 +190,12 @@
 		return nil, &modeler.RefusedError{Kind: modeler.TableDown, Reason: "the table service does not answer, so nothing durable is accepted; nothing was done", RetryAfter: retryAfter}
 	}
 	if p.settled && p.neverFits(spec) {
-		job := p.book.Add(submission.Key, digest, spec, now, bookkeeper.Queued)
-		job.Accept()
-		for i := range job.Tasks {
-			job.End(i, modeler.NotRun, "no worker of partition "+p.name+" that the policy allows could ever hold it", nil, now)
-		}
 		p.Counters.Decided(spec.Class, "never-fits")
-		return job, nil
+		return p.turnAway(submission, digest, now, "no worker of partition "+p.name+" that the policy allows could ever hold it"), nil
+	}
+	if spec.Class == modeler.Quick && p.settled && p.forecast.isHopeless(p.queue.Quick(), time.Duration(spec.Deadline)) {
+		p.Counters.Decided(spec.Class, "hopeless")
+		return p.turnAway(submission, digest, now, fmt.Sprintf("%d requests wait already, and its deadline would pass before a slot is free", p.queue.Quick())), nil
 	}
 	if durable {
 		return p.enterDurable(submission, digest, now), nil
@@ -204,6 +203,19 @@
 	return p.enterQuick(submission, digest, now), nil
 }
 
+// turnAway answers a job that is not begun at all. The answer is kept, so that the same key gets the
+// same answer for as long as this owner remembers it.
+func (p *Partition) turnAway(submission Submission, digest string, now time.Time, reason string) *bookkeeper.Job {
+	job := p.book.Add(submission.Key, digest, submission.Job, now, bookkeeper.Queued)
+	job.Ticket = p.Tickets().Number
+	job.Accept()
+	for i := range job.Tasks {
+		job.End(i, modeler.NotRun, reason, nil, now)
+	}
+	p.Log.Info("turned away", "key", job.Key, "class", job.Spec.Class, "reason", reason, "partition", p.name, "epoch", p.epoch)
+	return job
+}
+
 func (p *Partition) neverFits(spec modeler.Job) bool {
 	probe := &bookkeeper.Job{Spec: spec}
 	return p.cell.CanEverHold(p.ask(probe, spec.Tasks)) == placer.NeverFits
--- a/internal/dispatcher/endings.go
+++ b/internal/dispatcher/endings.go
@@ -23,6 +23,9 @@
 func (p *Partition) end(job *bookkeeper.Job, task int, e ending) {
 	p.vacate(job, task)
 	now := p.Clock.Now()
+	if job.Spec.Class == modeler.Quick && e.state == modeler.Done {
+		p.forecast.ended++
+	}
 	finish := func() {
 		job.End(task, e.state, e.reason, e.result, now)
 		if e.settled != nil {
--- a/internal/dispatcher/partition.go
+++ b/internal/dispatcher/partition.go
@@ -119,6 +119,7 @@
 	atSettle []func()
 	dirty    bool
 	hold     hold
+	forecast forecast
 }
 
 // How long an entry may linger, so that others share its transaction. Nobody waits for the end of
@@ -325,6 +326,7 @@
 	if !p.loaded || p.yielded() {
 		return
 	}
+	p.forecast.tick(p.queue.Quick())
 	p.roster.CheckGone(now)
 	p.settle()
 	p.dirty = true
--- a/internal/queuer/queue.go
+++ b/internal/queuer/queue.go
@@ -69,6 +69,9 @@
 	return q.length[laneName{team: team, class: class}]
 }
 
+// Quick returns how many quick requests wait, of all teams.
+func (q *Queue) Quick() int { return len(q.quick.jobs) }
+
 // Total returns how many jobs wait.
 func (q *Queue) Total() int {
 	total := 0
