--- /dev/null
+++ b/internal/mesher/mesh_test.go
@@ -0,0 +1,165 @@
+package mesher_test
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"dotterelpost.example/dotterelpost/internal/mesher"
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// echo answers a call with its key; the key "hang" is never answered.
+type echo struct{}
+
+func (echo) ServeCall(ctx context.Context, call *messenger.Call) *messenger.Reply {
+	if call.GetKey() == "hang" {
+		<-ctx.Done()
+	}
+	return &messenger.Reply{Answer: []byte(call.GetKey())}
+}
+
+type instance struct {
+	mesh  *mesher.Mesh
+	heard chan string
+	stop  func()
+}
+
+func start(t *testing.T, name, token string) *instance {
+	t.Helper()
+	i := &instance{heard: make(chan string, 1000)}
+	mesh, stop, err := mesher.New(mesher.Settings{
+		Instance: name,
+		Region:   "north",
+		Listen:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Token:    token,
+	}, mesher.Dependencies{
+		Clock:   clockwork.NewRealClock(),
+		Log:     slog.New(slog.DiscardHandler),
+		Handler: echo{},
+		Beat:    func() *messenger.Heartbeat { return &messenger.Heartbeat{Instance: name, Region: "north", Ticket: 7} },
+		Heard: func(beat *messenger.Heartbeat) {
+			select {
+			case i.heard <- beat.GetInstance():
+			default:
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	i.mesh, i.stop = mesh, stop
+	t.Cleanup(stop)
+	return i
+}
+
+func (i *instance) describe(name string) modeler.Instance {
+	return modeler.Instance{Name: name, Region: "north", Mesh: i.mesh.Address()}
+}
+
+func TestCallsFindTheirReplies(t *testing.T) {
+	a, b := start(t, "a", "secret"), start(t, "b", "secret")
+	peers := []modeler.Instance{a.describe("a"), b.describe("b")}
+	a.mesh.SetPeers(peers)
+	b.mesh.SetPeers(peers)
+	<-b.heard
+	<-a.heard
+	if beat := b.mesh.Live()["a"]; beat.GetTicket() != 7 {
+		t.Errorf("heard %v of a", beat)
+	}
+	ended := make(chan string, 100)
+	for i := range 100 {
+		go func() {
+			key := strings.Repeat("k", i+1)
+			reply, err := a.mesh.Call(context.Background(), "b", &messenger.Call{Key: key, PatienceNanos: 1e10})
+			if err != nil || string(reply.GetAnswer()) != key {
+				ended <- "wrong reply for " + key
+				return
+			}
+			ended <- ""
+		}()
+	}
+	for range 100 {
+		if wrong := <-ended; wrong != "" {
+			t.Error(wrong)
+		}
+	}
+}
+
+func TestCallOnABrokenLinkEndsInDoubt(t *testing.T) {
+	a, b := start(t, "a", "secret"), start(t, "b", "secret")
+	a.mesh.SetPeers([]modeler.Instance{b.describe("b")})
+	<-b.heard
+	ended := make(chan error, 1)
+	go func() {
+		_, err := a.mesh.Call(context.Background(), "b", &messenger.Call{Key: "hang", PatienceNanos: 1e11})
+		ended <- err
+	}()
+	// The answer to a later call shows that the hanging one arrived before it.
+	if _, err := a.mesh.Call(context.Background(), "b", &messenger.Call{Key: "after", PatienceNanos: 1e10}); err != nil {
+		t.Fatal(err)
+	}
+	b.stop()
+	var broken *mesher.LinkError
+	if err := <-ended; !errors.As(err, &broken) {
+		t.Errorf("got %v, want a LinkError", err)
+	}
+	if _, err := a.mesh.Call(context.Background(), "nobody", &messenger.Call{}); !errors.As(err, &broken) {
+		t.Errorf("a call to nobody ended with %v", err)
+	}
+}
+
+// TestBadPeersAreCutOff: whoever sends no frame, a frame over the limit, a wrong token, or a call
+// before its hello finds the connection closed, and it is counted.
+func TestBadPeersAreCutOff(t *testing.T) {
+	frame := func(f *messenger.Frame) []byte {
+		body, err := proto.Marshal(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+	}
+	call := frame(&messenger.Frame{Kind: &messenger.Frame_Call{Call: &messenger.Call{Key: "k", PatienceNanos: 1e9}}})
+	beat := frame(&messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: &messenger.Heartbeat{Instance: "x"}}})
+	hello := frame(&messenger.Frame{Kind: &messenger.Frame_Hello{Hello: &messenger.Hello{Instance: "x", Token: "wrong"}}})
+	reply := frame(&messenger.Frame{Kind: &messenger.Frame_Reply{Reply: &messenger.Reply{Id: 1}}})
+	for name, data := range map[string][]byte{
+		"no frame":              []byte("GET / HTTP/1.1\r\n\r\n"),
+		"over the limit":        {0xff, 0xff, 0xff, 0xff},
+		"no protobuf":           {0, 0, 0, 2, 0xff, 0xff},
+		"wrong token":           hello,
+		"call before hello":     call,
+		"heartbeat, no hello":   beat,
+		"reply nobody asked":    reply,
+		"bytes after a bad one": append(append([]byte{}, hello...), call...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := start(t, "a", "secret")
+			conn, err := net.Dial("tcp", a.mesh.Address().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := conn.Write(data); err != nil {
+				t.Fatal(err)
+			}
+			// The end of the stream is the event to wait for.
+			if left, _ := io.ReadAll(conn); len(left) > 0 {
+				t.Errorf("was answered %q", left)
+			}
+			if count := a.mesh.Counts().BadFrames; count != 1 {
+				t.Errorf("counted %d bad frames, want 1", count)
+			}
+		})
+	}
+}
--- a/internal/ticketer/ticket.go
+++ b/internal/ticketer/ticket.go
@@ -1,7 +1,9 @@
 package ticketer
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/modeler"
@@ -110,81 +112,54 @@
 	return next
 }
 
+// Each merge keeps the old objects that are not set, adds those that are, and sorts by name, so that
+// equal states are equal texts.
+
 func mergePartitions(old, set []Partition) []Partition {
-	byName := make(map[string]Partition)
-	for _, object := range append(append([]Partition(nil), old...), set...) {
-		byName[object.Name] = object
-	}
-	merged := make([]Partition, 0, len(byName))
-	for _, object := range byName {
-		merged = append(merged, object)
+	isSet := func(o Partition) bool {
+		return slices.ContainsFunc(set, func(n Partition) bool { return n.Name == o.Name })
 	}
-	sort.Slice(merged, func(i, j int) bool { return merged[i].Name < merged[j].Name })
+	merged := append(slices.DeleteFunc(slices.Clone(old), isSet), set...)
+	slices.SortFunc(merged, func(a, b Partition) int { return strings.Compare(a.Name, b.Name) })
 	return merged
 }
 
 func mergePools(old, set []Pool) []Pool {
-	byName := make(map[string]Pool)
-	for _, object := range append(append([]Pool(nil), old...), set...) {
-		byName[object.Name] = object
-	}
-	merged := make([]Pool, 0, len(byName))
-	for _, object := range byName {
-		merged = append(merged, object)
+	isSet := func(o Pool) bool {
+		return slices.ContainsFunc(set, func(n Pool) bool { return n.Name == o.Name })
 	}
-	sort.Slice(merged, func(i, j int) bool { return merged[i].Name < merged[j].Name })
+	merged := append(slices.DeleteFunc(slices.Clone(old), isSet), set...)
+	slices.SortFunc(merged, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
 	return merged
 }
 
-// policyName is what identifies a policy: a team has one for each class.
-type policyName struct {
-	team  string
-	class modeler.Class
-}
-
-func (p Policy) name() policyName { return policyName{team: p.Team, class: p.Class} }
-
+// A team has one policy for each class.
 func mergePolicies(old, set []Policy) []Policy {
-	byName := make(map[policyName]Policy)
-	for _, object := range append(append([]Policy(nil), old...), set...) {
-		byName[object.name()] = object
-	}
-	merged := make([]Policy, 0, len(byName))
-	for _, object := range byName {
-		merged = append(merged, object)
+	isSet := func(o Policy) bool {
+		return slices.ContainsFunc(set, func(n Policy) bool { return n.Team == o.Team && n.Class == o.Class })
 	}
-	sort.Slice(merged, func(i, j int) bool {
-		if merged[i].Team != merged[j].Team {
-			return merged[i].Team < merged[j].Team
-		}
-		return merged[i].Class < merged[j].Class
+	merged := append(slices.DeleteFunc(slices.Clone(old), isSet), set...)
+	slices.SortFunc(merged, func(a, b Policy) int {
+		return cmp.Or(strings.Compare(a.Team, b.Team), strings.Compare(string(a.Class), string(b.Class)))
 	})
 	return merged
 }
 
 func mergeLimits(old, set []Limit) []Limit {
-	byTeam := make(map[string]Limit)
-	for _, object := range append(append([]Limit(nil), old...), set...) {
-		byTeam[object.Team] = object
+	isSet := func(o Limit) bool {
+		return slices.ContainsFunc(set, func(n Limit) bool { return n.Team == o.Team })
 	}
-	merged := make([]Limit, 0, len(byTeam))
-	for _, object := range byTeam {
-		merged = append(merged, object)
-	}
-	sort.Slice(merged, func(i, j int) bool { return merged[i].Team < merged[j].Team })
+	merged := append(slices.DeleteFunc(slices.Clone(old), isSet), set...)
+	slices.SortFunc(merged, func(a, b Limit) int { return strings.Compare(a.Team, b.Team) })
 	return merged
 }
 
 func mergeContracts(old, set []Contract) []Contract {
-	byCaller := make(map[string]Contract)
-	for _, object := range append(append([]Contract(nil), old...), set...) {
-		byCaller[object.Caller] = object
-	}
-	merged := make([]Contract, 0, len(byCaller))
-	for _, object := range byCaller {
-		merged = append(merged, object)
+	isSet := func(o Contract) bool {
+		return slices.ContainsFunc(set, func(n Contract) bool { return n.Caller == o.Caller })
 	}
-	sort.Slice(merged, func(i, j int) bool { return merged[i].Caller < merged[j].Caller })
+	merged := append(slices.DeleteFunc(slices.Clone(old), isSet), set...)
+	slices.SortFunc(merged, func(a, b Contract) int { return strings.Compare(a.Caller, b.Caller) })
 	return merged
 }
 
