--- a/internal/journaler/doc.go
+++ b/internal/journaler/doc.go
@@ -6,9 +6,9 @@
 //	writer := journaler.NewWriter(table, "north-1.journal", clock)
 //	outcome, err := writer.Commit(ctx, transaction)
 //
-//	journal, stop := journaler.New(writer, clock, logger)
-//	journal.Open("north-1", epochRow)
-//	journal.Append("north-1", entries, func(err error) { … })
+//	journal, stop := journaler.New(settings, writer, companion, pace, clock, log)
+//	journal.Open("north-1", epoch, versionOfOwnerRow)
+//	journal.Append("north-1", entry, linger, func(err error) { … })
 //
 // A Writer sends one transaction at a time. Each also puts a row of the writer's own that names
 // the transaction's id, with the precondition that this row stands as the last transaction left
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -73,11 +73,18 @@
 	last     string
 }
 
+// Settings of a journal.
+type Settings struct {
+	// RowsPerSnapshot is after how many rows of a partition a snapshot is due.
+	RowsPerSnapshot int
+}
+
 // Journal writes the entries of all partitions that an instance owns.
 type Journal struct {
-	writer *Writer
-	clock  clockwork.Clock
-	log    *slog.Logger
+	settings Settings
+	writer   *Writer
+	clock    clockwork.Clock
+	log      *slog.Logger
 
 	mu    sync.Mutex
 	books map[string]*book
@@ -95,9 +102,10 @@
 
 // New returns a journal and the function that stops it. Entries whose commit is in flight then
 // may or may not have been written; those still queued were not.
-func New(writer *Writer, companion Companion, pace Pace, clock clockwork.Clock, log *slog.Logger) (*Journal, func()) {
+func New(settings Settings, writer *Writer, companion Companion, pace Pace, clock clockwork.Clock, log *slog.Logger) (*Journal, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	j := &Journal{
+		settings:  settings,
 		writer:    writer,
 		companion: companion,
 		pace:      pace,
--- a/internal/journaler/snapshot.go
+++ b/internal/journaler/snapshot.go
@@ -12,8 +12,8 @@
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
-// rowsPerSnapshot is how many journal rows of a partition make a snapshot worth its writes.
-const rowsPerSnapshot = 256
+// DefaultRowsPerSnapshot is how many journal rows of a partition make a snapshot worth its writes.
+const DefaultRowsPerSnapshot = 256
 
 // snapshotPatience bounds the writing of one snapshot; the next one is tried with more rows.
 const snapshotPatience = 30 * time.Second
@@ -76,7 +76,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	b := j.books[partition]
-	if b == nil || b.rows < rowsPerSnapshot {
+	if b == nil || b.rows < j.settings.RowsPerSnapshot {
 		return "", false
 	}
 	b.rows = 0
@@ -101,13 +101,31 @@
 	if err != nil {
 		return errors.Wrap(err, "scan journal")
 	}
-	if err := j.point(ctx, partition, snapshotRow{Object: name, UpTo: upTo}, covered); err != nil {
+	before := old[snapshotKey(partition)].Version
+	if err := j.point(ctx, partition, before, snapshotRow{Object: name, UpTo: upTo}, covered); err != nil {
+		var stale *StaleSnapshotError
+		if errors.As(err, &stale) {
+			// Nothing points to the object. Should it stay after all, it costs only its room.
+			_ = store.DeleteObject(ctx, name)
+		}
 		return err
 	}
 	return removeOld(ctx, store, old[snapshotKey(partition)], name)
 }
 
-func (j *Journal) point(ctx context.Context, partition string, pointer snapshotRow, covered []connector.Row) error {
+// StaleSnapshotError tells that the partition has another snapshot or another owner meanwhile, so
+// that this one changed nothing.
+type StaleSnapshotError struct {
+	Partition string
+}
+
+func (e *StaleSnapshotError) Error() string {
+	return fmt.Sprintf("partition %s has a later snapshot or another owner", e.Partition)
+}
+
+// point moves the pointer, if it still is where it was before the object was stored. A snapshot that
+// took long would otherwise point back behind rows that a later one removed.
+func (j *Journal) point(ctx context.Context, partition string, before int64, pointer snapshotRow, covered []connector.Row) error {
 	epoch, version, found := j.ownership(partition)
 	if !found {
 		return &DeposedError{Partition: partition}
@@ -117,8 +135,11 @@
 		return err
 	}
 	transaction := connector.Transaction{
-		Preconditions: []connector.Precondition{{Key: OwnerKey(partition), Version: version}},
-		Puts:          []connector.Put{{Key: snapshotKey(partition), Value: value}},
+		Preconditions: []connector.Precondition{
+			{Key: OwnerKey(partition), Version: version},
+			{Key: snapshotKey(partition), Version: before},
+		},
+		Puts: []connector.Put{{Key: snapshotKey(partition), Value: value}},
 	}
 	for _, row := range covered {
 		if row.Key <= pointer.UpTo {
@@ -130,7 +151,7 @@
 		return errors.Wrapf(err, "point to snapshot of epoch %d", epoch)
 	}
 	if !outcome.Committed {
-		return &DeposedError{Partition: partition}
+		return &StaleSnapshotError{Partition: partition}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/journaler/snapshot_test.go
@@ -0,0 +1,153 @@
+package journaler_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// store adds scans and objects to the rough table. Before is called ahead of each object that is
+// stored, once.
+type store struct {
+	roughTable
+	objects map[string]json.RawMessage
+	before  func()
+}
+
+func (s *store) Scan(_ context.Context, prefix string) ([]connector.Row, error) {
+	var rows []connector.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
+
+func (s *store) PutObject(_ context.Context, name string, content json.RawMessage) error {
+	if before := s.before; before != nil {
+		s.before = nil
+		before()
+	}
+	s.objects[name] = content
+	return nil
+}
+
+func (s *store) GetObject(_ context.Context, name string) (json.RawMessage, error) {
+	content, found := s.objects[name]
+	if !found {
+		return nil, &connector.RefusedError{Call: name, Status: 404}
+	}
+	return content, nil
+}
+
+func (s *store) DeleteObject(_ context.Context, name string) error {
+	delete(s.objects, name)
+	return nil
+}
+
+func (s *store) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	outcome, err := s.roughTable.Transact(ctx, transaction)
+	if err == nil && outcome.Committed {
+		for _, key := range transaction.Deletes {
+			delete(s.rows, key)
+		}
+	}
+	return outcome, err
+}
+
+type alone struct{}
+
+func (alone) Puts() []connector.Put { return nil }
+func (alone) Committed(time.Time)   {}
+func (alone) Gap() time.Duration    { return 0 }
+
+func newStore(t *testing.T) (*store, *journaler.Journal) {
+	t.Helper()
+	s := &store{objects: make(map[string]json.RawMessage)}
+	s.rows = map[string]connector.Row{journaler.OwnerKey("p"): {Key: journaler.OwnerKey("p"), Version: 1}}
+	s.version = 1
+	s.applied = make(map[string]int)
+	clock := hastyClock{clockwork.NewFakeClock()}
+	journal, stop := journaler.New(journaler.Settings{RowsPerSnapshot: 1}, journaler.NewWriter(s, "w", clock), alone{}, alone{}, clock, slog.New(slog.DiscardHandler))
+	t.Cleanup(stop)
+	journal.Open("p", 1, 1)
+	return s, journal
+}
+
+// write writes one entry and returns the row that it is in.
+func write(t *testing.T, journal *journaler.Journal, key string) string {
+	t.Helper()
+	written := make(chan error, 1)
+	journal.Append("p", journaler.Entry{Kind: journaler.Accepted, Key: key, Job: &modeler.Job{Tasks: 1}}, 0, func(err error) { written <- err })
+	if err := <-written; err != nil {
+		t.Fatal(err)
+	}
+	for {
+		if row, due := journal.SnapshotDue("p"); due {
+			return row
+		}
+	}
+}
+
+func expectEntries(t *testing.T, s *store, want ...string) {
+	t.Helper()
+	recovered, err := journaler.Load(context.Background(), s, "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := append(strings.Fields(strings.Trim(string(recovered.Snapshot), `"`)), keysOf(recovered.Entries)...)
+	if strings.Join(got, " ") != strings.Join(want, " ") {
+		t.Errorf("recovered %q, want %q", got, want)
+	}
+}
+
+func keysOf(entries []journaler.Entry) []string {
+	var keys []string
+	for _, entry := range entries {
+		keys = append(keys, entry.Key)
+	}
+	return keys
+}
+
+func TestSnapshotReplacesTheRowsThatItCovers(t *testing.T) {
+	s, journal := newStore(t)
+	write(t, journal, "a")
+	second := write(t, journal, "b")
+	if err := journal.SaveSnapshot(context.Background(), s, "p", second, []byte(`"a b"`)); err != nil {
+		t.Fatal(err)
+	}
+	write(t, journal, "c")
+	expectEntries(t, s, "a", "b", "c")
+	if rows, _ := s.Scan(context.Background(), "journal/"); len(rows) != 1 {
+		t.Errorf("%d journal rows are left, want 1", len(rows))
+	}
+}
+
+// TestLateSnapshotDoesNotUndoALaterOne: the object of an early snapshot takes long, a later one gets
+// in between, and the rows that only the later one covers are gone by then.
+func TestLateSnapshotDoesNotUndoALaterOne(t *testing.T) {
+	s, journal := newStore(t)
+	first := write(t, journal, "a")
+	second := write(t, journal, "b")
+	s.before = func() {
+		if err := journal.SaveSnapshot(context.Background(), s, "p", second, []byte(`"a b"`)); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := journal.SaveSnapshot(context.Background(), s, "p", first, []byte(`"a"`)); err == nil {
+		t.Error("the late snapshot was taken")
+	}
+	expectEntries(t, s, "a", "b")
+}
--- a/internal/owner/cost_bench_test.go
+++ b/internal/owner/cost_bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/c2h5oh/datasize"
 
 	"dotterelpost.example/dotterelpost/internal/imitator"
+	"dotterelpost.example/dotterelpost/internal/journaler"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -78,6 +79,7 @@
 	}
 	w := newWorld(imitator.CompareEpochs, size)
 	w.expected = instances
+	w.rowsPerSnapshot = journaler.DefaultRowsPerSnapshot
 	w.gap = time.Duration(instances) * time.Second / 240
 	for place := range instances {
 		w.start(place)
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -90,6 +90,8 @@
 	state  *ticketer.State
 	// partitions are the names of all; the length of a key decides which one it is in.
 	partitions []string
+	// rowsPerSnapshot is low, so that snapshots are taken and read in most worlds.
+	rowsPerSnapshot int
 	// expected is how many instances there will be; the first one would claim everything otherwise.
 	expected int
 	// gap is the pause that the write budget asks for between two transactions.
@@ -133,6 +135,8 @@
 		bad:    make(map[string]bool),
 		mode:   fencer.CompareEpochs{},
 		gap:    20 * time.Millisecond,
+
+		rowsPerSnapshot: 3,
 	}
 	if mode == imitator.WaitOut {
 		w.mode = fencer.WaitOut{ClockBound: testClockBound}
@@ -190,7 +194,7 @@
 	w.mu.Unlock()
 	platform := connector.NewWith(netip.MustParseAddrPort("127.0.0.1:1"), n.wire)
 	log := slog.New(slog.DiscardHandler)
-	journal, stopJournal := journaler.New(journaler.NewWriter(platform, n.name+"/journal", w.clock), n, n, w.clock, log)
+	journal, stopJournal := journaler.New(journaler.Settings{RowsPerSnapshot: w.rowsPerSnapshot}, journaler.NewWriter(platform, n.name+"/journal", w.clock), n, n, w.clock, log)
 	control, stopControl := owner.New(dispatcher.Settings{
 		Instance: n.name, Seed: 1, TaskLease: testTaskLease, ClockBound: testClockBound,
 		KeepDurable: 24 * time.Hour, KeepQuick: 24 * time.Hour, Mode: w.mode,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -186,7 +186,7 @@
 }
 
 func (s *Server) startOwner() {
-	journal, stopJournal := journaler.New(s.newWriter("journal"), companion{server: s}, pace{server: s}, s.clock, s.log)
+	journal, stopJournal := journaler.New(journaler.Settings{RowsPerSnapshot: journaler.DefaultRowsPerSnapshot}, s.newWriter("journal"), companion{server: s}, pace{server: s}, s.clock, s.log)
 	s.journal = journal
 	s.onClose(stopJournal)
 	settings := s.options.Settings
