Planned stops end long waits and reach successors that are not listed yet

Change: once the partitions are handed over, waits end with "ask again"; quick requests are still finished. A hello carries where its sender serves the Peer service, and the list is only the second source. The first heartbeat of a peer is logged.

Ruled out: waiting for the list before the stop, which lags by design.

Conclusion: the planned stop does not depend on the list any more.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -54,6 +54,8 @@
 	Admission Admission
 	Tickets   func() *ticketer.State
 	Log       *slog.Logger
+	// Leaving is closed when the instance shuts down.
+	Leaving <-chan struct{}
 }
 
 // Gatekeeper serves callers.
@@ -173,10 +175,24 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), patience)
 	defer cancel()
+	if wait {
+		// A wait may be much longer than a planned stop should take. Its caller asks again, and
+		// the balancer sends it elsewhere.
+		go g.endWithInstance(ctx, cancel)
+	}
 	answer, err := g.Router.Status(ctx, contract.Caller, r.PathValue("key"), wait)
 	writeAnswer(w, answer, err)
 }
 
+// endWithInstance cancels a wait when the instance shuts down.
+func (g *Gatekeeper) endWithInstance(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-g.Leaving:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 func (g *Gatekeeper) deleteJob(w http.ResponseWriter, r *http.Request, contract ticketer.Contract) {
 	ctx, cancel := context.WithTimeout(r.Context(), defaultPatience)
 	defer cancel()
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -71,7 +71,8 @@
 	l.conn = conn
 	l.closed = closed
 	l.mu.Unlock()
-	hello := &messenger.Hello{Instance: l.mesh.settings.Instance, Region: l.mesh.settings.Region, Token: l.mesh.settings.Token}
+	settings := l.mesh.settings
+	hello := &messenger.Hello{Instance: settings.Instance, Region: settings.Region, Token: settings.Token, Peer: settings.Peer.String()}
 	return closed, l.send(&messenger.Frame{Kind: &messenger.Frame_Hello{Hello: hello}})
 }
 
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -61,6 +61,8 @@
 	Region   string
 	Listen   netip.AddrPort
 	Token    string
+	// Peer is where this instance serves the Peer service.
+	Peer netip.AddrPort
 }
 
 // Dependencies of a mesh.
@@ -86,6 +88,8 @@
 type Peer struct {
 	Beat  *messenger.Heartbeat
 	Heard time.Time
+	// Address is where it serves the Peer service.
+	Address netip.AddrPort
 }
 
 // Mesh is this instance's end of all connections.
@@ -226,10 +230,25 @@
 	return farBeat
 }
 
-func (m *Mesh) heard(beat *messenger.Heartbeat) {
+// AddressOf returns where a peer serves the Peer service, as it said itself. The platform's list lags:
+// a peer may be heard long before it is listed.
+func (m *Mesh) AddressOf(instance string) (address netip.AddrPort, known bool) {
 	m.mu.Lock()
-	m.peers[beat.GetInstance()] = Peer{Beat: beat, Heard: m.Clock.Now()}
+	defer m.mu.Unlock()
+	peer, known := m.peers[instance]
+	return peer.Address, known && peer.Address.IsValid()
+}
+
+func (m *Mesh) heard(hello *messenger.Hello, beat *messenger.Heartbeat) {
+	// A peer that says nothing useful is found by the platform's list.
+	address, _ := netip.ParseAddrPort(hello.GetPeer())
+	m.mu.Lock()
+	_, known := m.peers[beat.GetInstance()]
+	m.peers[beat.GetInstance()] = Peer{Beat: beat, Heard: m.Clock.Now(), Address: address}
 	m.mu.Unlock()
+	if !known {
+		m.Log.Info("peer heard", "peer", beat.GetInstance(), "region", beat.GetRegion())
+	}
 	m.Heard(beat)
 }
 
--- a/internal/mesher/side.go
+++ b/internal/mesher/side.go
@@ -117,7 +117,7 @@
 		if state.hello == nil {
 			return &FrameError{Reason: "heartbeat before hello"}
 		}
-		go s.mesh.heard(kind.Heartbeat)
+		go s.mesh.heard(state.hello, kind.Heartbeat)
 		return nil
 	case *messenger.Frame_Call:
 		if state.hello == nil {
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -187,20 +187,24 @@
 	s.holder.SetPartitions(state.PartitionsIn(s.options.Settings.Region))
 }
 
-// UnknownPeerError tells that the platform's list does not show an instance.
+// UnknownPeerError tells that an instance was not heard and is not in the platform's list.
 type UnknownPeerError struct {
 	Instance string
 }
 
 func (e *UnknownPeerError) Error() string {
-	return "instance " + e.Instance + " is not in the platform's list"
+	return "instance " + e.Instance + " was not heard and is not in the platform's list"
 }
 
 // peerClient returns a connect client for a peer.
 func (s *Server) peerClient(name string) (messenger.PeerClient, error) {
-	peer, found := s.peers.find(name)
-	if !found {
-		return nil, &UnknownPeerError{Instance: name}
+	address, known := s.mesh.AddressOf(name)
+	if !known {
+		listed, found := s.peers.find(name)
+		if !found {
+			return nil, &UnknownPeerError{Instance: name}
+		}
+		address = listed.Peer
 	}
 	token := connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
@@ -208,5 +212,5 @@
 			return next(ctx, request)
 		}
 	}))
-	return messenger.NewPeerClient(http.DefaultClient, "http://"+peer.Peer.String(), token), nil
+	return messenger.NewPeerClient(http.DefaultClient, "http://"+address.String(), token), nil
 }
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -88,7 +88,8 @@
 	})
 }
 
-// Shutdown hands all partitions over, finishes the open answers and ends the instance.
+// Shutdown hands all partitions over, finishes the open answers and ends the instance. It may be
+// called once.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.log.Info("graceful shutdown begins")
 	s.leaving.Store(true)
@@ -101,6 +102,7 @@
 			s.log.Error("hand-over failed; a peer will take over after the lease", "partition", grant.Partition, "error", err)
 		}
 	}
+	close(s.handedOver)
 	err := s.callers.Shutdown(ctx)
 	s.Kill()
 	s.log.Info("graceful shutdown ended", "error", err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -71,6 +71,7 @@
 	peers     peerBook
 
 	leaving     atomic.Bool
+	handedOver  chan struct{}
 	inForceAt   atomic.Int64
 	workers     sync.WaitGroup
 	closers     []func()
@@ -102,6 +103,8 @@
 		cancel:   cancel,
 		follower: ticketer.NewFollower(),
 		counts:   counter.New(),
+
+		handedOver: make(chan struct{}),
 	}
 	if err := s.assemble(); err != nil {
 		s.Kill()
@@ -150,12 +153,16 @@
 	s.publish()
 	// Peers can call as soon as the mesh listens, so everything that serves them is there before.
 	// What uses the mesh does so only once a ticket is in force, which is later.
-	if err := s.listenMesh(); err != nil {
+	operators, bound, err := s.listen(s.options.Settings.Listen.Operators)
+	if err != nil {
 		return err
 	}
-	if err := s.listenOperators(); err != nil {
+	s.onClose(func() { _ = operators.Close() })
+	s.addresses.Operators = bound
+	if err := s.listenMesh(); err != nil {
 		return err
 	}
+	s.serveOperators(operators)
 	return s.listenCallers()
 }
 
@@ -169,6 +176,7 @@
 		Region:   s.options.Settings.Region,
 		Listen:   s.options.Settings.Listen.Mesh,
 		Token:    s.options.Secrets.Mesh,
+		Peer:     s.addresses.Operators,
 	}, mesher.Dependencies{
 		Clock:   s.clock,
 		Log:     s.log,
@@ -283,16 +291,12 @@
 		Admission: admitter.New(s.options.Secrets.Callers),
 		Tickets:   s.follower.State,
 		Log:       s.log,
+		Leaving:   s.handedOver,
 	}))
 	return nil
 }
 
-func (s *Server) listenOperators() error {
-	listener, bound, err := s.listen(s.options.Settings.Listen.Operators)
-	if err != nil {
-		return err
-	}
-	s.addresses.Operators = bound
+func (s *Server) serveOperators(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.Handle("/", administrator.New(administrator.Dependencies{
 		Instance:     s.name,
@@ -310,7 +314,6 @@
 	}))
 	s.handlePeers(mux)
 	s.operators = s.serve(listener, mux)
-	return nil
 }
 
 // Name returns the name of this run of the instance.
