Metrics of retries and of each link; ticket status says since when, everywhere

Change: heartbeats carry the time, /debug/vars has repeated transactions, repeated routings and the bytes sent to each peer.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -119,8 +119,7 @@
 	InForce    bool             `json:"in-force-everywhere"`
 }
 
-// InstanceTicket is the number that an instance has in force. Since is known only of the instance
-// that answers, for its present number.
+// InstanceTicket is the number that an instance has in force, and since when by its own clock.
 type InstanceTicket struct {
 	Instance string    `json:"instance"`
 	Region   string    `json:"region"`
@@ -248,7 +247,7 @@
 func (a *Administrator) instances() []InstanceTicket {
 	list := []InstanceTicket{{Instance: a.Instance, Region: a.Region, Number: a.Tickets().Number, Since: a.InForceSince()}}
 	for name, beat := range a.Live() {
-		list = append(list, InstanceTicket{Instance: name, Region: beat.GetRegion(), Number: beat.GetTicket()})
+		list = append(list, InstanceTicket{Instance: name, Region: beat.GetRegion(), Number: beat.GetTicket(), Since: time.UnixMilli(beat.GetInForceSinceMillis())})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
 	return list
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -177,6 +177,9 @@
 
 // run commits whenever something is due and the budget allows a transaction. What is queued until
 // then goes along, whether it is due or not.
+// Repeated returns how often a transaction was tried again.
+func (j *Journal) Repeated() int64 { return j.writer.repeated.Load() }
+
 func (j *Journal) run(ctx context.Context) {
 	var next time.Time
 	for {
--- a/internal/journaler/writer.go
+++ b/internal/journaler/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -47,9 +48,11 @@
 
 	// turn holds one token, for the one transaction at a time. It is no mutex: a transaction may
 	// take long, and whoever waits for its turn gives up when its context ends.
-	turn    chan struct{}
-	count   int64
-	version int64
+	turn chan struct{}
+	// repeated counts tries after the first one of a transaction.
+	repeated atomic.Int64
+	count    int64
+	version  int64
 	// inDoubt is set from a send whose reply was lost until it is known what became of it.
 	inDoubt string
 }
@@ -91,6 +94,7 @@
 			return connector.Outcome{}, w.failure(transaction.ID, err)
 		case <-w.clock.After(delays.NextBackOff()):
 		}
+		w.repeated.Add(1)
 	}
 }
 
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -23,6 +23,7 @@
 	conn    gnet.Conn
 	closed  chan struct{}
 	nextID  uint64
+	sent    int64
 	pending map[uint64]chan *messenger.Reply
 }
 
@@ -113,6 +114,7 @@
 	}
 	l.mu.Lock()
 	conn := l.conn
+	l.sent += int64(len(data))
 	l.mu.Unlock()
 	if conn == nil {
 		return &LinkError{Instance: l.peer.Name, Err: &NoLinkError{}}
@@ -164,3 +166,9 @@
 		waiting <- reply
 	}
 }
+
+func (l *link) count() LinkCount {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LinkCount{Instance: l.peer.Name, Region: l.peer.Region, Bytes: l.sent}
+}
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,15 @@
 	BytesFar  int64 `json:"bytes-far"`
 	Frames    int64 `json:"frames"`
 	BadFrames int64 `json:"bad-frames"`
+	// Links are the bytes sent to each peer that was dialled, by its name.
+	Links []LinkCount `json:"links"`
+}
+
+// LinkCount is what was sent over one link.
+type LinkCount struct {
+	Instance string `json:"instance"`
+	Region   string `json:"region"`
+	Bytes    int64  `json:"bytes"`
 }
 
 // Peer is what is known of another instance by its heartbeats.
@@ -178,12 +188,19 @@
 
 // Counts returns the counts so far.
 func (m *Mesh) Counts() Counts {
-	return Counts{
+	counts := Counts{
 		BytesNear: m.bytesNear.Load(),
 		BytesFar:  m.bytesFar.Load(),
 		Frames:    m.frames.Load(),
 		BadFrames: m.badFrames.Load(),
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		counts.Links = append(counts.Links, l.count())
+	}
+	sort.Slice(counts.Links, func(i, j int) bool { return counts.Links[i].Instance < counts.Links[j].Instance })
+	return counts
 }
 
 // SetPeers dials new peers and drops the links to those that are gone.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -147,6 +147,9 @@
 	delays.InitialInterval = 10 * time.Millisecond
 	delays.MaxInterval = 250 * time.Millisecond
 	for tries := 1; ; tries++ {
+		if tries > 1 {
+			r.Routed("repeated")
+		}
 		answer, err := r.try(ctx, call, tries)
 		if !mayRepeat(err) {
 			return answer, err
--- a/internal/server/follow.go
+++ b/internal/server/follow.go
@@ -95,6 +95,8 @@
 		Region:   s.options.Settings.Region,
 		Ticket:   s.follower.State().Number,
 		Leaving:  s.leaving.Load(),
+
+		InForceSinceMillis: s.inForceSince().UnixMilli(),
 	}
 	for _, grant := range s.holder.Held() {
 		beat.Holdings = append(beat.Holdings, &messenger.Holding{Partition: grant.Partition, Epoch: int64(grant.Epoch)})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -307,7 +307,7 @@
 		Counts:       s.counts,
 		Tickets:      s.follower.State,
 		Offer:        s.follower.Offer,
-		InForceSince: func() time.Time { return time.Unix(0, s.inForceAt.Load()) },
+		InForceSince: s.inForceSince,
 		Live:         s.mesh.Live,
 		Ready:        s.ready,
 		Cost:         s.cost,
@@ -368,11 +368,13 @@
 	s.counts.Publish("mesh", func() any { return s.mesh.Counts() })
 	s.counts.Publish("journal", func() any {
 		commits, entries := s.journal.Counts()
-		return JournalCounts{Commits: commits, Entries: entries}
+		return JournalCounts{Commits: commits, Entries: entries, Repeated: s.journal.Repeated()}
 	})
 	s.counts.Publish("table", func() any { return s.TableCounts() })
 }
 
+func (s *Server) inForceSince() time.Time { return time.Unix(0, s.inForceAt.Load()) }
+
 func (s *Server) cost() administrator.Cost {
 	return administrator.Cost{
 		TableWrites:      s.tableWrites.Load(),
@@ -385,6 +387,8 @@
 type JournalCounts struct {
 	Commits int64 `json:"commits"`
 	Entries int64 `json:"entries"`
+	// Repeated counts tries of a transaction after its first one.
+	Repeated int64 `json:"repeated"`
 }
 
 // TableCounts are the calls to the table service, failed ones included.
