--- /dev/null
+++ b/internal/bookkeeper/book_test.go
@@ -0,0 +1,147 @@
+package bookkeeper_test
+
+import (
+	"testing"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/bookkeeper"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/journaler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+var now = time.Unix(100, 0)
+
+func accepted(key string, tasks int, repeatable bool) journaler.Entry {
+	return journaler.Entry{Kind: journaler.Accepted, Key: key, At: now, Job: &modeler.Job{Class: modeler.Batch, Tasks: tasks, Repeatable: repeatable}}
+}
+
+func permitted(key, worker, boot string) journaler.Entry {
+	return journaler.Entry{Kind: journaler.Permitted, Key: key, Worker: worker, Boot: boot, Attempt: &modeler.Attempt{Key: key, Epoch: 1, Number: 1}}
+}
+
+func interrupted(key string) journaler.Entry {
+	return journaler.Entry{Kind: journaler.Interrupted, Key: key, Evidence: journaler.HasRun}
+}
+
+func cancelled(key string) journaler.Entry {
+	return journaler.Entry{Kind: journaler.Cancelled, Key: key}
+}
+
+// TestSettle: what a take-over may conclude from the journal once every worker has shown its list
+// and none shows the task.
+func TestSettle(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		entries  []journaler.Entry
+		evidence journaler.Evidence
+		want     modeler.State
+	}{
+		{"never sent: queued", []journaler.Entry{accepted("k", 1, true)}, journaler.ProvedNew, modeler.Waiting},
+		{"cancelled, never sent", []journaler.Entry{accepted("k", 1, true), cancelled("k")}, journaler.ProvedNew, modeler.NotRun},
+		{"cancelled after it ran in part", []journaler.Entry{accepted("k", 1, true), interrupted("k"), cancelled("k")}, journaler.ProvedNew, modeler.Stopped},
+		{"cancelled, and a worker forgot", []journaler.Entry{accepted("k", 1, true), cancelled("k")}, journaler.MayHaveRun, modeler.Unknown},
+		{"a worker forgot: queued", []journaler.Entry{accepted("k", 1, true)}, journaler.MayHaveRun, modeler.Waiting},
+		{"permitted, worker in the same boot", []journaler.Entry{accepted("k", 1, false), permitted("k", "w", "boot-1")}, journaler.ProvedNew, modeler.NotRun},
+		{"permitted, worker restarted", []journaler.Entry{accepted("k", 1, false), permitted("k", "w", "boot-0")}, journaler.ProvedNew, modeler.Unknown},
+		{"permitted, worker gone", []journaler.Entry{accepted("k", 1, false), permitted("k", "v", "boot-1")}, journaler.ProvedNew, modeler.Unknown},
+		{"not permitted yet: queued", []journaler.Entry{accepted("k", 1, false)}, journaler.MayHaveRun, modeler.Waiting},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			book := bookkeeper.New()
+			// Replaying twice has to change nothing.
+			if err := book.Restore(nil, append(c.entries, c.entries...)); err != nil {
+				t.Fatal(err)
+			}
+			queue, final := book.Settle(c.evidence, func(worker string) string {
+				if worker == "w" {
+					return "boot-1"
+				}
+				return ""
+			})
+			got := modeler.Waiting
+			if len(final) == 1 {
+				got = final[0].State
+			}
+			if got != c.want || len(queue)+len(final) != 1 {
+				t.Errorf("got %s (%d queued, %d final), want %s", got, len(queue), len(final), c.want)
+			}
+		})
+	}
+}
+
+func TestSnapshotCarriesWhatTheJournalHeld(t *testing.T) {
+	book := bookkeeper.New()
+	result := modeler.NewResult("done", 0, true, "body")
+	entries := []journaler.Entry{
+		accepted("done", 1, true),
+		{Kind: journaler.Ended, Key: "done", At: now, State: modeler.Done, Result: &result},
+		accepted("open", 2, true), interrupted("open"), cancelled("open"),
+		accepted("once", 1, false), permitted("once", "w", "boot-1"),
+		{Kind: journaler.WorkerAdded, Worker: "w", Boot: "boot-1"},
+	}
+	if err := book.Restore(nil, entries); err != nil {
+		t.Fatal(err)
+	}
+	text, err := book.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := bookkeeper.New()
+	if err := again.Restore(text, nil); err != nil {
+		t.Fatal(err)
+	}
+	if a := again.Find("done").Answer(); a.State != modeler.Done || len(a.Results) != 1 || !a.Results[0].Whole("done") {
+		t.Errorf("done came back as %+v", a)
+	}
+	open := again.Find("open")
+	if !open.Cancelled || open.Tasks[0].Evidence != journaler.HasRun || open.Tasks[1].Evidence != journaler.ProvedNew {
+		t.Errorf("open came back as %+v", open)
+	}
+	if once := again.Find("once").Tasks[0]; !once.Permitted || once.Boot != "boot-1" {
+		t.Errorf("once came back as %+v", once)
+	}
+	if again.Workers["w"] != "boot-1" {
+		t.Errorf("workers came back as %v", again.Workers)
+	}
+}
+
+func TestAnswerOfSeveralTasks(t *testing.T) {
+	for _, c := range []struct {
+		ends []modeler.State
+		want modeler.State
+	}{
+		{[]modeler.State{modeler.Done, modeler.Done}, modeler.Done},
+		{[]modeler.State{modeler.NotRun, modeler.NotRun}, modeler.NotRun},
+		{[]modeler.State{modeler.Done, modeler.NotRun}, modeler.Stopped},
+		{[]modeler.State{modeler.Stopped, modeler.NotRun}, modeler.Stopped},
+		{[]modeler.State{modeler.Done, modeler.Unknown}, modeler.Unknown},
+		{[]modeler.State{modeler.NotRun, modeler.Unknown}, modeler.Unknown},
+		{[]modeler.State{modeler.NotRun, ""}, modeler.Waiting},
+	} {
+		book := bookkeeper.New()
+		job := book.Add("k", "", modeler.Job{Tasks: len(c.ends)}, now, bookkeeper.Queued)
+		for task, state := range c.ends {
+			if state != "" {
+				job.End(task, state, "", nil, now)
+			}
+		}
+		if got := job.Answer().State; got != c.want {
+			t.Errorf("%v: got %s, want %s", c.ends, got, c.want)
+		}
+	}
+}
+
+func TestOnlyQuickRequestsAreAdoptedWithoutAnEntry(t *testing.T) {
+	attempt := modeler.Attempt{Partition: "p", Epoch: 1, Key: "k", Number: 1}
+	book := bookkeeper.New()
+	if book.AdoptRunning(0, "w", "b", connector.RunningTask{Attempt: attempt, Class: modeler.Batch}) {
+		t.Error("a batch task that no journal knows was adopted")
+	}
+	if !book.AdoptRunning(0, "w", "b", connector.RunningTask{Attempt: attempt, Class: modeler.Quick}) {
+		t.Error("a quick request was not adopted")
+	}
+	if book.AdoptRunning(1, "v", "b", connector.RunningTask{Attempt: modeler.Attempt{Partition: "p", Epoch: 2, Key: "k", Number: 1}, Class: modeler.Quick}) {
+		t.Error("the same request was adopted in two places")
+	}
+}
--- /dev/null
+++ b/internal/queuer/queue_test.go
@@ -0,0 +1,103 @@
+package queuer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"dotterelpost.example/dotterelpost/internal/bookkeeper"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/queuer"
+)
+
+func job(name, team string, class modeler.Class, urgent bool) *bookkeeper.Job {
+	return &bookkeeper.Job{Key: name, Spec: modeler.Job{Team: team, Class: class, Urgent: urgent}}
+}
+
+// expectOrder serves everything that is not in blocked and expects the jobs to be offered in order.
+func expectOrder(t *testing.T, queue *queuer.Queue, share func(team string) float64, blocked string, want string) {
+	t.Helper()
+	var offered []string
+	queue.Visit(share, func(job *bookkeeper.Job) queuer.Verdict {
+		offered = append(offered, job.Key)
+		if strings.Contains(blocked, job.Key) {
+			return queuer.Blocked
+		}
+		return queuer.Served
+	})
+	if got := strings.Join(offered, " "); got != want {
+		t.Errorf("offered %q, want %q", got, want)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	queue := queuer.New()
+	for _, j := range []*bookkeeper.Job{
+		job("a1", "a", modeler.Batch, false),
+		job("a2", "a", modeler.Gang, false),
+		job("b1", "b", modeler.Batch, false),
+		job("b2", "b", modeler.Batch, false),
+		job("u1", "a", modeler.Batch, true),
+		job("q1", "b", modeler.Quick, false),
+	} {
+		queue.Push(j)
+	}
+	share := func(team string) float64 {
+		if team == "b" {
+			return 0.5
+		}
+		return 0.1
+	}
+	expectOrder(t, queue, share, "", "q1 u1 a1 a2 b1 b2")
+	if queue.Total() != 0 {
+		t.Errorf("%d jobs are left", queue.Total())
+	}
+}
+
+func TestTeamBehindItsQuotaOvertakes(t *testing.T) {
+	queue := queuer.New()
+	served := make(map[string]float64)
+	for i := range 4 {
+		queue.Push(job(fmt.Sprintf("a%d", i), "a", modeler.Batch, false))
+	}
+	queue.Push(job("b0", "b", modeler.Batch, false))
+	queue.Push(job("b1", "b", modeler.Batch, false))
+	served["a"] = 2
+	var offered []string
+	queue.Visit(func(team string) float64 { return served[team] }, func(j *bookkeeper.Job) queuer.Verdict {
+		served[j.Spec.Team]++
+		offered = append(offered, j.Key)
+		return queuer.Served
+	})
+	if got := strings.Join(offered[:2], " "); got != "b0 b1" {
+		t.Errorf("first offered %q, want the team that is behind", got)
+	}
+}
+
+func TestBlockedJobsKeepTheirPlaceAndSmallOnesPass(t *testing.T) {
+	queue := queuer.New()
+	for _, name := range []string{"big", "small", "huge", "tiny"} {
+		queue.Push(job(name, "a", modeler.Batch, false))
+	}
+	even := func(string) float64 { return 0 }
+	expectOrder(t, queue, even, "big huge", "big small huge tiny")
+	expectOrder(t, queue, even, "", "big huge")
+	if queue.Len("a", modeler.Batch) != 0 {
+		t.Errorf("%d jobs are left", queue.Len("a", modeler.Batch))
+	}
+}
+
+func TestVisitOfAFullCellIsBounded(t *testing.T) {
+	queue := queuer.New()
+	for i := range 1000 {
+		queue.Push(job(fmt.Sprintf("j%d", i), "a", modeler.Batch, false))
+	}
+	offered := 0
+	queue.Visit(func(string) float64 { return 0 }, func(*bookkeeper.Job) queuer.Verdict {
+		offered++
+		return queuer.Blocked
+	})
+	if offered > 16 || queue.Total() != 1000 {
+		t.Errorf("%d of 1000 blocked jobs were offered, %d are left", offered, queue.Total())
+	}
+}
