--- a/internal/imitator/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,4 +1,13 @@
-package imitator
+// Package balancer is a stand-in for the platform's balancer, for the demo and for tests.
+//
+// # Usage
+//
+//	front, closeFront, err := balancer.New(listen, targets)
+//	address, err := front.Address()
+//
+// It hands each TCP connection to the next target and copies bytes both ways. It looks into nothing
+// and knows of no health; targets returns those that are ready.
+package balancer
 
 import (
 	"io"
@@ -24,9 +33,9 @@
 	conns map[net.Conn]struct{}
 }
 
-// NewBalancer listens and returns the bound balancer with the function that closes it. Targets is
+// New listens and returns the bound balancer with the function that closes it. Targets is
 // asked at each connection.
-func NewBalancer(listen netip.AddrPort, targets func() []netip.AddrPort) (*Balancer, func(), error) {
+func New(listen netip.AddrPort, targets func() []netip.AddrPort) (*Balancer, func(), error) {
 	listener, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for the balancer")
--- a/internal/journaler/writer_test.go
+++ b/internal/committer/writer_test.go
@@ -1,4 +1,4 @@
-package journaler_test
+package committer_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
+	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/connector"
-	"dotterelpost.example/dotterelpost/internal/journaler"
 )
 
 // fate is what happens to one transaction on its way.
@@ -121,7 +121,7 @@
 func TestCommitTellsTheTruthOnARoughRoad(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		table := &roughTable{rows: make(map[string]connector.Row), applied: make(map[string]int)}
-		writer := journaler.NewWriter(table, "test", hastyClock{clockwork.NewFakeClock()})
+		writer := committer.NewWriter(table, "test", hastyClock{clockwork.NewFakeClock()})
 		committed := make(map[string]bool)
 		count := rapid.IntRange(1, 8).Draw(rt, "transactions")
 		for i := 1; i <= count; i++ {
@@ -171,7 +171,7 @@
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			clock := clockwork.NewFakeClock()
-			writer := journaler.NewWriter(table, "test", clock)
+			writer := committer.NewWriter(table, "test", clock)
 			ended := make(chan error, 1)
 			go func() {
 				_, err := writer.Commit(ctx, connector.Transaction{Puts: []connector.Put{{Key: "row", Value: json.RawMessage(`1`)}}})
@@ -182,7 +182,7 @@
 			}
 			cancel()
 			err := <-ended
-			_, inDoubt := err.(*journaler.InDoubtError)
+			_, inDoubt := err.(*committer.InDoubtError)
 			if err == nil || inDoubt != c.inDoubt {
 				t.Errorf("got %v, want in doubt %t", err, c.inDoubt)
 			}
--- a/internal/demonstrator/cell.go
+++ b/internal/demonstrator/cell.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/examples"
+	"dotterelpost.example/dotterelpost/internal/balancer"
 	"dotterelpost.example/dotterelpost/internal/configurer"
 	"dotterelpost.example/dotterelpost/internal/counter"
 	"dotterelpost.example/dotterelpost/internal/imitator"
@@ -194,12 +195,12 @@
 func (c *cell) startBalancers() error {
 	for _, region := range regions {
 		targets := func() []netip.AddrPort { return c.targets(region) }
-		balancer, closeBalancer, err := imitator.NewBalancer(loopback, targets)
+		front, closeBalancer, err := balancer.New(loopback, targets)
 		if err != nil {
 			return err
 		}
 		c.closers = append(c.closers, closeBalancer)
-		if c.balancers[region], err = balancer.Address(); err != nil {
+		if c.balancers[region], err = front.Address(); err != nil {
 			return err
 		}
 	}
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
@@ -82,7 +83,7 @@
 // Journal writes the entries of all partitions that an instance owns.
 type Journal struct {
 	settings Settings
-	writer   *Writer
+	writer   *committer.Writer
 	clock    clockwork.Clock
 	log      *slog.Logger
 
@@ -102,7 +103,7 @@
 
 // New returns a journal and the function that stops it. Entries whose commit is in flight then
 // may or may not have been written; those still queued were not.
-func New(settings Settings, writer *Writer, companion Companion, pace Pace, clock clockwork.Clock, log *slog.Logger) (*Journal, func()) {
+func New(settings Settings, writer *committer.Writer, companion Companion, pace Pace, clock clockwork.Clock, log *slog.Logger) (*Journal, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	j := &Journal{
 		settings:  settings,
@@ -178,7 +179,7 @@
 // run commits whenever something is due and the budget allows a transaction. What is queued until
 // then goes along, whether it is due or not.
 // Repeated returns how often a transaction was tried again.
-func (j *Journal) Repeated() int64 { return j.writer.repeated.Load() }
+func (j *Journal) Repeated() int64 { return j.writer.Repeated() }
 
 func (j *Journal) run(ctx context.Context) {
 	var next time.Time
--- a/internal/journaler/snapshot_test.go
+++ b/internal/journaler/snapshot_test.go
@@ -11,19 +11,40 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/journaler"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
-// store adds scans and objects to the rough table. Before is called ahead of each object that is
-// stored, once.
+// store is table and object store in memory. Before is called once, ahead of the next object that is
+// stored.
 type store struct {
-	roughTable
+	rows    map[string]connector.Row
+	version int64
 	objects map[string]json.RawMessage
 	before  func()
 }
 
+// hastyClock lets no time pass while something waits.
+type hastyClock struct{ clockwork.Clock }
+
+func (c hastyClock) After(time.Duration) <-chan time.Time {
+	fired := make(chan time.Time, 1)
+	fired <- c.Now()
+	return fired
+}
+
+func (s *store) Read(_ context.Context, keys ...string) (map[string]connector.Row, error) {
+	rows := make(map[string]connector.Row)
+	for _, key := range keys {
+		if row, found := s.rows[key]; found {
+			rows[key] = row
+		}
+	}
+	return rows, nil
+}
+
 func (s *store) Scan(_ context.Context, prefix string) ([]connector.Row, error) {
 	var rows []connector.Row
 	for key, row := range s.rows {
@@ -57,14 +78,24 @@
 	return nil
 }
 
-func (s *store) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
-	outcome, err := s.roughTable.Transact(ctx, transaction)
-	if err == nil && outcome.Committed {
-		for _, key := range transaction.Deletes {
-			delete(s.rows, key)
+func (s *store) Transact(_ context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	var outcome connector.Outcome
+	for _, precondition := range transaction.Preconditions {
+		if row := s.rows[precondition.Key]; row.Version != precondition.Version {
+			outcome.Conflicts = append(outcome.Conflicts, connector.Row{Key: precondition.Key, Version: row.Version})
 		}
 	}
-	return outcome, err
+	if len(outcome.Conflicts) > 0 {
+		return outcome, nil
+	}
+	s.version++
+	for _, put := range transaction.Puts {
+		s.rows[put.Key] = connector.Row{Key: put.Key, Value: put.Value, Version: s.version}
+	}
+	for _, key := range transaction.Deletes {
+		delete(s.rows, key)
+	}
+	return connector.Outcome{Committed: true, Version: s.version}, nil
 }
 
 type alone struct{}
@@ -78,9 +109,8 @@
 	s := &store{objects: make(map[string]json.RawMessage)}
 	s.rows = map[string]connector.Row{journaler.OwnerKey("p"): {Key: journaler.OwnerKey("p"), Version: 1}}
 	s.version = 1
-	s.applied = make(map[string]int)
 	clock := hastyClock{clockwork.NewFakeClock()}
-	journal, stop := journaler.New(journaler.Settings{RowsPerSnapshot: 1}, journaler.NewWriter(s, "w", clock), alone{}, alone{}, clock, slog.New(slog.DiscardHandler))
+	journal, stop := journaler.New(journaler.Settings{RowsPerSnapshot: 1}, committer.NewWriter(s, "w", clock), alone{}, alone{}, clock, slog.New(slog.DiscardHandler))
 	t.Cleanup(stop)
 	journal.Open("p", 1, 1)
 	return s, journal
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/auditor"
+	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/dispatcher"
 	"dotterelpost.example/dotterelpost/internal/fencer"
@@ -194,7 +195,7 @@
 	w.mu.Unlock()
 	platform := connector.NewWith(netip.MustParseAddrPort("127.0.0.1:1"), n.wire)
 	log := slog.New(slog.DiscardHandler)
-	journal, stopJournal := journaler.New(journaler.Settings{RowsPerSnapshot: w.rowsPerSnapshot}, journaler.NewWriter(platform, n.name+"/journal", w.clock), n, n, w.clock, log)
+	journal, stopJournal := journaler.New(journaler.Settings{RowsPerSnapshot: w.rowsPerSnapshot}, committer.NewWriter(platform, n.name+"/journal", w.clock), n, n, w.clock, log)
 	control, stopControl := owner.New(dispatcher.Settings{
 		Instance: n.name, Seed: 1, TaskLease: testTaskLease, ClockBound: testClockBound,
 		KeepDurable: 24 * time.Hour, KeepQuick: 24 * time.Hour, Mode: w.mode,
@@ -206,7 +207,7 @@
 	n.control = control
 	control.SetTickets(w.state)
 	held, stopHolder := holder.New(holder.Settings{Instance: n.name, Lease: testLease}, holder.Dependencies{
-		Reader: platform, Committer: journaler.NewWriter(platform, n.name+"/holder", w.clock),
+		Reader: platform, Committer: committer.NewWriter(platform, n.name+"/holder", w.clock),
 		Listener: n, Clock: w.clock, Log: log,
 		Peers: func() int { return max(len(w.alive()), w.expected) },
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/administrator"
 	"dotterelpost.example/dotterelpost/internal/admitter"
+	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/configurer"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/counter"
@@ -166,8 +167,8 @@
 	return s.listenCallers()
 }
 
-func (s *Server) newWriter(use string) *journaler.Writer {
-	return journaler.NewWriter(s.table(), s.name+"/"+use, s.clock)
+func (s *Server) newWriter(use string) *committer.Writer {
+	return committer.NewWriter(s.table(), s.name+"/"+use, s.clock)
 }
 
 func (s *Server) listenMesh() error {
