--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -33,9 +33,9 @@
 
 // Grant is an ownership that was just gained.
 type Grant struct {
-	Partition string
-	Epoch     modeler.Epoch
-	Version   int64
+	Partition string        `json:"partition"`
+	Epoch     modeler.Epoch `json:"epoch"`
+	Version   int64         `json:"version"`
 }
 
 // Listener hears of gains and losses, on the holder's goroutine.
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -175,6 +175,7 @@
 	}
 	defer s.control.Drop(partition, grant.Epoch)
 	if successor == "" {
+		s.log.Info("partition released without a successor", "partition", partition, "epoch", next.Epoch)
 		return nil
 	}
 	client, err := s.peerClient(successor)
