Calls to a paused owner move on to its successor

Cause: a new script (SIGSTOP past the lease, SIGCONT) passed, but took 22 s: the wait that had been handed to the paused owner hung on its open connection until the caller's 20 s were over, although a successor had finished the work long before.

Ruled out: a shorter patience for peers, which would cut long waits at healthy ones.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -185,6 +185,9 @@
 	if deadline, found := ctx.Deadline(); found {
 		call.PatienceNanos = int64(r.Clock.Until(deadline))
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.watchOwner(ctx, cancel, call.GetPartition(), where)
 	reply, err := r.Mesh.Call(ctx, where, call)
 	if err != nil {
 		return modeler.Answer{}, &NoRouteError{Partition: call.GetPartition(), Err: err}
@@ -192,6 +195,26 @@
 	return decodeReply(call.GetPartition(), reply)
 }
 
+// recheckInterval is the time between two looks at whether a call still waits at the owner.
+const recheckInterval = 250 * time.Millisecond
+
+// watchOwner ends a call when its partition has another owner. A paused owner never answers and its
+// connection stays open: the call would wait out its patience although a successor could serve it.
+func (r *Router) watchOwner(ctx context.Context, cancel context.CancelFunc, partition, where string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Clock.After(recheckInterval):
+		}
+		if owner, _ := r.find(partition); owner != "" && owner != where {
+			r.Log.Info("owner changed during a call", "partition", partition, "from", where, "to", owner)
+			cancel()
+			return
+		}
+	}
+}
+
 // find returns the instance that should own the partition, and how that is known.
 func (r *Router) find(partition string) (instance, reason string) {
 	if r.IsHeld(partition) {
