Remove a worker fault that nothing could switch on

Cause: the stand-in's workers had a "broken" state without a way to set it, and the protocol a refusal for it; reading as a newcomer, both look like a feature.

Change: both are gone.

--- a/internal/connector/worker.go
+++ b/internal/connector/worker.go
@@ -19,7 +19,6 @@
 	RefusedCapacity Refusal = "capacity"
 	RefusedLeaving  Refusal = "leaving"
 	RefusedStopped  Refusal = "stopped"
-	RefusedBroken   Refusal = "broken"
 	RefusedBoot     Refusal = "boot"
 )
 
--- a/internal/imitator/worker.go
+++ b/internal/imitator/worker.go
@@ -64,7 +64,6 @@
 	record    func(Event)
 	boot      string
 	boots     int
-	broken    bool
 	dead      bool
 	hidden    bool
 	epochs    map[string]modeler.Epoch
@@ -153,8 +152,6 @@
 		return connector.RefusedLease
 	case w.info.Leaving:
 		return connector.RefusedLeaving
-	case w.broken:
-		return connector.RefusedBroken
 	case !ask.Needs.Fits(w.free), ask.Class == modeler.Quick && w.freeSlots == 0:
 		return connector.RefusedCapacity
 	}
