A renewal proves that each partition is still owned; cuts do not use up attempts

An owner that was cut off from the table for 9.5 s had lost a partition. When the cut healed its renewal succeeded, as it named no condition, and for an instant it took itself for the owner and granted a lease. With epochs the workers would have refused; its answers could have been stale in both modes.

Found beside it: a cut of 3 s between owner and workers used up a task's 20 starts and ended its job as not-run; starts that never left, departures and leases over on arrival no longer count.

Ruled out: extending ownership only while the last one has not lapsed; a renewal that was sent in time may take effect late.

--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -45,6 +45,8 @@
 	StartedAt time.Time
 	// Evidence is what is known of attempts before the present one.
 	Evidence journaler.Evidence
+	// Refusals counts the starts that workers refused because of the task.
+	Refusals int
 	// Avoid lists the sites that refused this task lately.
 	Avoid []int
 }
--- a/internal/dispatcher/round.go
+++ b/internal/dispatcher/round.go
@@ -343,7 +343,10 @@
 		limit = defaultStartAttempts
 	}
 	reason := "worker " + worker + " refused it: " + string(refusal)
-	if t.Attempts >= limit {
+	if saysSomethingOfTask(refusal) {
+		t.Refusals++
+	}
+	if t.Refusals >= limit {
 		p.end(job, task, ending{state: t.Unfinished(), reason: reason})
 		return
 	}
@@ -353,6 +356,18 @@
 	p.interrupt(job, task, journaler.ProvedNew, reason, nil)
 }
 
+// saysSomethingOfTask tells whether a refusal counts against a task. A cut, a departure or a lease that
+// was over on arrival says nothing of it: a cut of three seconds ended jobs that way.
+func saysSomethingOfTask(refusal connector.Refusal) bool {
+	switch refusal {
+	case fencer.RefusedUnsent, connector.RefusedLeaving, connector.RefusedLease, connector.RefusedBoot, connector.RefusedEpoch:
+		return false
+	case connector.RefusedCapacity, connector.RefusedStopped:
+		return true
+	}
+	return true
+}
+
 // regroup stops the other tasks of a gang of which one found no place after all.
 func (p *Partition) regroup(job *bookkeeper.Job, refused int) {
 	for task := range job.Tasks {
--- a/internal/fencer/link.go
+++ b/internal/fencer/link.go
@@ -218,8 +218,8 @@
 	Lost bool
 }
 
-// refusedUnsent is the reason when no connection to the worker came about.
-const refusedUnsent connector.Refusal = "unreachable"
+// RefusedUnsent is the reason when no connection to the worker came about.
+const RefusedUnsent connector.Refusal = "unreachable"
 
 // Start sends an attempt until its outcome is certain. Sending it again is harmless, because a
 // worker starts an attempt once.
@@ -242,7 +242,7 @@
 			uncertain = true
 		}
 		if !uncertain && tries >= unsentTries {
-			return Outcome{NeverRan: refusedUnsent}
+			return Outcome{NeverRan: RefusedUnsent}
 		}
 		if !l.sleep(delays.NextBackOff()) {
 			return Outcome{Lost: true}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -219,18 +219,30 @@
 	h.act(ctx, rows)
 }
 
-// Puts returns the renewal row, for a transaction that is sent anyway. It makes Holder the
-// journal's companion.
-func (h *Holder) Puts() []connector.Put {
-	if len(h.Held()) == 0 {
-		return nil
+// Ride returns the renewal row, for a transaction that is sent anyway. It makes Holder the journal's
+// companion.
+func (h *Holder) Ride() ([]connector.Put, []connector.Precondition) {
+	preconditions := h.ownership()
+	if len(preconditions) == 0 {
+		return nil, nil
 	}
 	put, err := h.renewalPut()
 	if err != nil {
 		h.Log.Error("renewal not encoded", "error", err)
-		return nil
+		return nil, nil
 	}
-	return []connector.Put{put}
+	return []connector.Put{put}, preconditions
+}
+
+// ownership returns the preconditions of a renewal: every held partition still has this owner. A
+// renewal without them succeeds after a take-over too, as when a cut heals, and would let this
+// instance grant leases and speak for a partition that it lost.
+func (h *Holder) ownership() []connector.Precondition {
+	var preconditions []connector.Precondition
+	for _, grant := range h.Held() {
+		preconditions = append(preconditions, connector.Precondition{Key: journaler.OwnerKey(grant.Partition), Version: grant.Version})
+	}
+	return preconditions
 }
 
 // Committed notes a renewal that was sent at a time and took effect.
@@ -253,7 +265,8 @@
 
 // renew writes the renewal row if anything is held and no journal transaction carried it.
 func (h *Holder) renew(ctx context.Context, patience time.Duration) {
-	if len(h.Held()) == 0 || h.isRenewed(patience) {
+	preconditions := h.ownership()
+	if len(preconditions) == 0 || h.isRenewed(patience) {
 		return
 	}
 	put, err := h.renewalPut()
@@ -264,14 +277,32 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	sent := h.Clock.Now()
-	_, err = h.Committer.Commit(ctx, connector.Transaction{Puts: []connector.Put{put}})
+	outcome, err := h.Committer.Commit(ctx, connector.Transaction{Preconditions: preconditions, Puts: []connector.Put{put}})
 	if err != nil {
 		h.Log.Warn("renewal not written", "error", err)
 		return
 	}
+	if !outcome.Committed {
+		h.drop(outcome.Conflicts)
+		return
+	}
 	h.Committed(sent)
 }
 
+// drop gives up the partitions whose rows have another owner. The rest is renewed at the next look.
+func (h *Holder) drop(conflicts []connector.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, row := range conflicts {
+		for name, grant := range h.held {
+			if journaler.OwnerKey(name) == row.Key && grant.Version < row.Version {
+				delete(h.held, name)
+				go h.Listener.Lost(grant)
+			}
+		}
+	}
+}
+
 func (h *Holder) renewalPut() (connector.Put, error) {
 	h.mu.Lock()
 	h.renewals++
@@ -392,7 +423,7 @@
 		h.Log.Error("claim not encoded", "error", err)
 		return
 	}
-	transaction.Preconditions = preconditions
+	transaction.Preconditions = append(preconditions, h.ownership()...)
 	transaction.Puts = append(transaction.Puts, renewal)
 	sent := h.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Lease)
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -46,8 +46,9 @@
 // Companion rides along with the journal: its rows go into every transaction for nothing, which
 // saves writes of their own.
 type Companion interface {
-	// Puts returns rows to add to the next transaction.
-	Puts() []connector.Put
+	// Ride returns rows to add to the next transaction and what has to hold for them. If it does
+	// not hold, the journal goes on without them.
+	Ride() ([]connector.Put, []connector.Precondition)
 	// Committed tells when the transaction that carried them was sent first.
 	Committed(sent time.Time)
 }
@@ -254,13 +255,17 @@
 // commitOnce writes what is queued as one transaction.
 func (j *Journal) commitOnce(ctx context.Context) {
 	batches := j.take()
-	for len(batches) > 0 {
+	for alone := false; len(batches) > 0; alone = true {
 		transaction, err := assemble(batches)
 		if err != nil {
 			finish(batches, err)
 			return
 		}
-		transaction.Puts = append(transaction.Puts, j.companion.Puts()...)
+		if !alone {
+			puts, preconditions := j.companion.Ride()
+			transaction.Puts = append(transaction.Puts, puts...)
+			transaction.Preconditions = append(transaction.Preconditions, preconditions...)
+		}
 		sent := j.clock.Now()
 		outcome, err := j.commit(ctx, transaction)
 		if err != nil {
@@ -269,7 +274,9 @@
 			return
 		}
 		if outcome.Committed {
-			j.companion.Committed(sent)
+			if !alone {
+				j.companion.Committed(sent)
+			}
 			j.settle(batches)
 			return
 		}
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -49,9 +49,9 @@
 
 func (n *node) Lost(grant holder.Grant) { n.control.Drop(grant.Partition, grant.Epoch) }
 
-func (n *node) Puts() []connector.Put    { return n.holder.Puts() }
-func (n *node) Committed(sent time.Time) { n.holder.Committed(sent) }
-func (n *node) Gap() time.Duration       { return n.world.gap }
+func (n *node) Ride() ([]connector.Put, []connector.Precondition) { return n.holder.Ride() }
+func (n *node) Committed(sent time.Time)                          { n.holder.Committed(sent) }
+func (n *node) Gap() time.Duration                                { return n.world.gap }
 
 // forgetfulJournal breaks the promise of a journal for one kind of entry.
 type forgetfulJournal struct {
--- a/internal/server/table.go
+++ b/internal/server/table.go
@@ -31,7 +31,7 @@
 	server *Server
 }
 
-func (c companion) Puts() []connector.Put { return c.server.holder.Puts() }
+func (c companion) Ride() ([]connector.Put, []connector.Precondition) { return c.server.holder.Ride() }
 
 func (c companion) Committed(sent time.Time) { c.server.holder.Committed(sent) }
 
