Certainty of ownership is asked for each partition, and a hand-over always ends it

Cause: reading the change as the person on call. "Owned until" was one time for the whole instance. A partition that the holder had just lost or was transferring still counted as certain while renewals for the others went on, until a message had removed it. And a transfer whose outcome was in doubt left the partition here, its state given away, with links that went on.

Change: the holder answers for a partition under an epoch, and with no time for one that it does not hold so; a hand-over drops the partition whatever becomes of the transfer, and the holder claims anew if the row still names it.

Ruled out: waiting for the message before the next renewal, which would have the holder wait for the control goroutine.

--- a/internal/holder/doc.go
+++ b/internal/holder/doc.go
@@ -5,7 +5,7 @@
 //
 //	holder, stop := holder.New(settings, dependencies)
 //	holder.SetPartitions(names)              // those of this region, from the tickets
-//	until := holder.OwnedUntil()
+//	until := holder.OwnedUntil("north-1", 7)
 //	err := holder.Transfer(ctx, "north-1", successor)
 //
 // # Rows
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -146,8 +146,16 @@
 	}
 }
 
-// OwnedUntil returns until when nobody else can have taken a partition over, by this clock.
-func (h *Holder) OwnedUntil() time.Time { return time.Unix(0, h.ownedUntil.Load()) }
+// OwnedUntil returns until when nobody else can have taken a partition over that is held under an
+// epoch, by this clock. The time is zero for one that is not held so: renewals go on for the others.
+func (h *Holder) OwnedUntil(partition string, epoch modeler.Epoch) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if grant, held := h.held[partition]; !held || grant.Epoch != epoch {
+		return time.Time{}
+	}
+	return time.Unix(0, h.ownedUntil.Load())
+}
 
 // Held returns the grants that this instance holds, by name.
 func (h *Holder) Held() []Grant {
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -31,8 +31,8 @@
 	Platform dispatcher.Platform
 	Journal  dispatcher.Journal
 	Counters dispatcher.Counters
-	// OwnedUntil tells until when this instance's ownership is known to hold.
-	OwnedUntil func() time.Time
+	// OwnedUntil tells until when an ownership is known to hold.
+	OwnedUntil func(partition string, epoch modeler.Epoch) time.Time
 	// Deposed is called when a worker or the table shows that another instance owns a partition.
 	Deposed func(partition string, epoch modeler.Epoch)
 }
@@ -135,7 +135,7 @@
 			Platform:   c.Platform,
 			Journal:    c.Journal,
 			Counters:   c.Counters,
-			OwnedUntil: c.OwnedUntil,
+			OwnedUntil: func() time.Time { return c.OwnedUntil(grant.Partition, grant.Epoch) },
 			Post:       c.post,
 			Deposed:    c.deposed,
 			Tickets:    func() *ticketer.State { return c.tickets },
--- a/internal/owner/world_test.go
+++ b/internal/owner/world_test.go
@@ -201,7 +201,7 @@
 		KeepDurable: 24 * time.Hour, KeepQuick: 24 * time.Hour, Mode: w.mode,
 	}, owner.Dependencies{
 		Clock: w.clock, Log: log, Platform: platform, Journal: forgetfulJournal{Journal: journal, forget: w.forget}, Counters: noCounters{},
-		OwnedUntil: func() time.Time { return n.holder.OwnedUntil() },
+		OwnedUntil: func(partition string, epoch modeler.Epoch) time.Time { return n.holder.OwnedUntil(partition, epoch) },
 		Deposed:    func(partition string, epoch modeler.Epoch) { n.holder.Forget(partition, epoch) },
 	})
 	n.control = control
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -167,13 +167,15 @@
 		s.control.Drop(partition, grant.Epoch)
 		successor = ""
 	}
+	// Whatever becomes of the transfer, this ownership is over: the state was given away. If the row
+	// still names this instance, the holder claims it anew under the next epoch.
+	defer s.control.Drop(partition, grant.Epoch)
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	next, err := s.holder.Transfer(ctx, partition, successor)
 	if err != nil {
 		return err
 	}
-	defer s.control.Drop(partition, grant.Epoch)
 	if successor == "" {
 		s.log.Info("partition released without a successor", "partition", partition, "epoch", next.Epoch)
 		return nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -213,7 +213,7 @@
 		Platform:   s.platform,
 		Journal:    journal,
 		Counters:   s.counts,
-		OwnedUntil: func() time.Time { return s.holder.OwnedUntil() },
+		OwnedUntil: func(partition string, epoch modeler.Epoch) time.Time { return s.holder.OwnedUntil(partition, epoch) },
 		Deposed:    func(partition string, epoch modeler.Epoch) { s.holder.Forget(partition, epoch) },
 	})
 	s.control = control
