Commands about a key share their options

Cause: five commands repeated the same three fields.

Change: two embedded structs, one for commands with a file and a key, one for commands with a key.

Conclusion: a new option for callers' commands has one place.

--- a/internal/commander/jobs.go
+++ b/internal/commander/jobs.go
@@ -115,12 +115,22 @@
 	}
 }
 
-type jobSubmitCommand struct {
+// fileCommand is a command that sends the job of a file under a key.
+type fileCommand struct {
 	unused
 	callerOptions
 	Args keyedFile `positional-args:"yes"`
 }
 
+// keyCommand is a command about a key.
+type keyCommand struct {
+	unused
+	callerOptions
+	Args keyArgument `positional-args:"yes"`
+}
+
+type jobSubmitCommand struct{ fileCommand }
+
 func (c *jobSubmitCommand) run(s *session) error {
 	job, err := readJob(c.Args.File)
 	if err != nil {
@@ -131,11 +141,7 @@
 	})
 }
 
-type requestSendCommand struct {
-	unused
-	callerOptions
-	Args keyedFile `positional-args:"yes"`
-}
+type requestSendCommand struct{ fileCommand }
 
 func (c *requestSendCommand) run(s *session) error {
 	job, err := readJob(c.Args.File)
@@ -147,11 +153,7 @@
 	})
 }
 
-type jobStatusCommand struct {
-	unused
-	callerOptions
-	Args keyArgument `positional-args:"yes"`
-}
+type jobStatusCommand struct{ keyCommand }
 
 func (c *jobStatusCommand) run(s *session) error {
 	return c.ask(s, func(ctx context.Context, client *caller.Client) (caller.Answer, error) {
@@ -159,11 +161,7 @@
 	})
 }
 
-type jobWaitCommand struct {
-	unused
-	callerOptions
-	Args keyArgument `positional-args:"yes"`
-}
+type jobWaitCommand struct{ keyCommand }
 
 func (c *jobWaitCommand) run(s *session) error {
 	return c.ask(s, func(ctx context.Context, client *caller.Client) (caller.Answer, error) {
@@ -171,11 +169,7 @@
 	})
 }
 
-type jobCancelCommand struct {
-	unused
-	callerOptions
-	Args keyArgument `positional-args:"yes"`
-}
+type jobCancelCommand struct{ keyCommand }
 
 func (c *jobCancelCommand) run(s *session) error {
 	return c.ask(s, func(ctx context.Context, client *caller.Client) (caller.Answer, error) {
