--- /dev/null
+++ b/internal/attendant/attendant.go
@@ -0,0 +1,202 @@
+// Package attendant puts an instance together that serves on the users' platform, and takes it apart
+// when the platform asks the process to end.
+//
+// # Usage
+//
+//	instance, err := attendant.Start(settings, clock, log)
+//	…
+//	instance.Leave()
+package attendant
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/conductor"
+	"dotterelpost.example/dotterelpost/internal/director"
+	"dotterelpost.example/dotterelpost/internal/mesher"
+	"dotterelpost.example/dotterelpost/platform"
+)
+
+const (
+	// beatEvery is the time between heartbeats to every peer.
+	beatEvery = 250 * time.Millisecond
+	// lease is how long a worker goes on without hearing of its owner. It outlasts the usual cut of
+	// a worker; work on a worker that died is begun again after it.
+	lease = 6 * time.Second
+	// collectAt is the growth of the heap, in per cent, at which garbage is collected. Memory costs
+	// more here than the processor time of collecting.
+	collectAt = 50
+	// heapShare is the share of the memory limit that the runtime keeps to.
+	heapShare = 0.7
+	// outOfRotation is how long after the first refused readiness the platform may still send new
+	// connections: two misses, a second apart.
+	outOfRotation = 2500 * time.Millisecond
+	// leaveMargin is left of the grace at the end.
+	leaveMargin = 700 * time.Millisecond
+	// headerTimeout bounds how long a caller may take for the header of a request.
+	headerTimeout = 3 * time.Second
+	// idleTimeout closes connections of callers that are silent.
+	idleTimeout = 30 * time.Second
+	// headerBytes bounds the header of a request.
+	headerBytes = 16 << 10
+)
+
+// Instance is an entry instance on the users' platform.
+type Instance struct {
+	settings platform.Settings
+	clock    clockwork.Clock
+	log      *slog.Logger
+	director *director.Director
+	front    *platform.Front
+	callers  *http.Server
+	cleanUps []func()
+}
+
+// ListenError tells that an address can't be listened on.
+type ListenError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen on %s: %v; another process may still use it", e.Address, e.Err)
+}
+
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Start starts an instance.
+func Start(settings platform.Settings, clock clockwork.Clock, log *slog.Logger) (*Instance, error) {
+	limitMemory(settings.MemoryLimit)
+	i := &Instance{settings: settings, clock: clock, log: log}
+	store, closeStore := platform.NewStore(settings.Store)
+	workers, closeWorkers := platform.NewWorkers()
+	advisor, closeAdvisor := platform.NewAdvisor(settings.Advisor)
+	counts := conductor.NewCounts()
+	var stop func()
+	i.director, stop = director.New(director.Settings{
+		Name:             settings.Name,
+		Region:           settings.Region,
+		AvailabilityZone: settings.AvailabilityZone,
+		Mesh:             settings.Mesh,
+		Conductor: conductor.Settings{
+			Lease:        min(lease, settings.LongestLease*9/10),
+			LongestLease: settings.LongestLease,
+			KeepStates:   settings.KeepStates,
+		},
+	}, director.Dependencies{
+		Clock: clock, Log: log, Store: store, Workers: workers, Advisor: advisor, Counts: counts,
+		Decoders: director.Decoders{
+			ConfigurationTable: platform.ConfigurationTable,
+			ConfigurationKey:   platform.ConfigurationKey,
+			Configuration:      platform.DecodeConfiguration,
+			WorkersTable:       platform.WorkersTable,
+			Worker:             platform.DecodeWorker,
+		},
+	})
+	i.cleanUps = []func(){closeStore, closeWorkers, closeAdvisor, stop}
+	mesh, closeMesh, err := mesher.New(mesher.Settings{
+		Instance: i.director.Run(), Region: settings.Region, Listen: settings.Mesh, NearBeat: beatEvery, FarBeat: beatEvery,
+	}, mesher.Dependencies{Clock: clock, Log: log, Handler: i.director, Beat: i.director.Beat, Heard: i.director.Heard})
+	if err != nil {
+		i.cleanUp()
+		return nil, err
+	}
+	i.cleanUps = append(i.cleanUps, closeMesh)
+	i.director.SetMesh(mesh)
+	i.front = platform.NewFront(i.director, log)
+	if err := i.listen(counts); err != nil {
+		i.cleanUp()
+		return nil, err
+	}
+	i.director.Follow()
+	log.Info("started", "instance", settings.Name, "run", i.director.Run(), "zone", settings.AvailabilityZone, "memory-limit", settings.MemoryLimit)
+	return i, nil
+}
+
+func limitMemory(limit int64) {
+	debug.SetGCPercent(collectAt)
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(float64(limit) * heapShare))
+	}
+}
+
+func (i *Instance) cleanUp() {
+	for n := len(i.cleanUps) - 1; n >= 0; n-- {
+		i.cleanUps[n]()
+	}
+}
+
+func (i *Instance) listen(counts *conductor.Counts) error {
+	vars := new(expvar.Map).Init()
+	vars.Set("conductor", counts.Map())
+	vars.Set("open-requests", expvar.Func(func() any { return i.front.Open() }))
+	vars.Set("memory", expvar.Func(func() any {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.Sys
+	}))
+	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		// The reader has gone if this fails.
+		_, _ = fmt.Fprintln(w, vars.String())
+	})
+	var err error
+	if i.callers, err = i.serve(i.settings.Callers, i.front); err != nil {
+		return err
+	}
+	if _, err = i.serve(i.settings.Readiness, i.front.Readiness()); err != nil {
+		return err
+	}
+	_, err = i.serve(i.settings.Metrics, metrics)
+	return err
+}
+
+func (i *Instance) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &ListenError{Address: address, Err: err}
+	}
+	web := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug),
+	}
+	i.cleanUps = append(i.cleanUps, func() { _ = web.Close() })
+	go func() {
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			i.log.Error("server ended", "address", address, "error", err)
+		}
+	}()
+	return web, nil
+}
+
+// Leave hands over what the instance owns, goes on answering until the platform sends nothing new
+// and all open requests are answered, and ends within the platform's grace.
+func (i *Instance) Leave() {
+	began := i.clock.Now()
+	grace := max(i.settings.Grace-leaveMargin, time.Second)
+	ctx, cancel := clockwork.WithTimeout(context.Background(), i.clock, grace)
+	defer cancel()
+	i.front.Close()
+	i.director.Leave(ctx)
+	select {
+	case <-i.clock.After(min(outOfRotation, grace)):
+	case <-ctx.Done():
+	}
+	if err := i.callers.Shutdown(ctx); err != nil {
+		i.log.Warn("requests cut off", "open", i.front.Open(), "error", err)
+	}
+	i.cleanUp()
+	i.log.Info("stopped", "run", i.director.Run(), "took-ms", i.clock.Since(began).Milliseconds())
+}
--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,147 @@
+// Package claimer decides who owns a cell, by a compare-and-set on one row of the store.
+//
+// # Usage
+//
+//	ownership, err := claimer.Read(row)
+//	if claimer.Due(view) { ownership, err = claimer.Claim(ctx, table, cell, me, ownership) }
+//
+// There is no lease on ownership. Whoever has not heard of an owner for a while may replace it at
+// once: the store refuses the writes of the old one, and workers refuse its orders as soon as they
+// have seen the new fence. A wrong suspicion therefore costs a change of owner and nothing else.
+package claimer
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/connector"
+)
+
+// Table is what the package needs of the store.
+type Table interface {
+	Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error)
+	Read(ctx context.Context, keys ...string) (map[string]connector.Row, error)
+}
+
+// Ownership is what the row of a cell says.
+type Ownership struct {
+	Cell string
+	// Holder is the run of an instance that owns the cell, empty if nobody does.
+	Holder string
+	// Fence grows with every owner; 0 means that the cell never had one.
+	Fence int64
+	// Version is that of the row.
+	Version int64
+}
+
+// row is the value of the owner's row.
+type row struct {
+	Holder string `json:"holder"`
+	Fence  int64  `json:"fence"`
+}
+
+// OwnersTable is the table of the owners' rows. Each stands in the part of its cell, with all that
+// the owner writes.
+const OwnersTable = "owners"
+
+// Key is the owner's row of a cell.
+func Key(cell string) string { return OwnersTable + "/" + cell + "/owner" }
+
+// Parse reads the row of a cell.
+func Parse(cell string, stored connector.Row) (Ownership, error) {
+	ownership := Ownership{Cell: cell, Version: stored.Version}
+	if stored.Version == 0 {
+		return ownership, nil
+	}
+	var value row
+	if err := json.Unmarshal(stored.Value, &value); err != nil {
+		return ownership, errors.Wrap(err, "decode "+stored.Key)
+	}
+	ownership.Holder, ownership.Fence = value.Holder, value.Fence
+	return ownership, nil
+}
+
+// LostError tells that another instance was faster. Now says who owns the cell.
+type LostError struct {
+	Now Ownership
+}
+
+func (e *LostError) Error() string { return "cell " + e.Now.Cell + " is owned by " + e.Now.Holder }
+
+// Claim makes an instance the owner in place of the known one. The error is a *LostError if the row
+// has changed, and anything else if it is not known what became of the claim; the row tells later.
+func Claim(ctx context.Context, table Table, me string, known Ownership) (Ownership, error) {
+	return put(ctx, table, known, row{Holder: me, Fence: known.Fence + 1})
+}
+
+// Release leaves a cell without owner. Its fence stays, so that the next one is higher.
+func Release(ctx context.Context, table Table, known Ownership) (Ownership, error) {
+	return put(ctx, table, known, row{Fence: known.Fence})
+}
+
+func put(ctx context.Context, table Table, known Ownership, value row) (Ownership, error) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return known, errors.Wrap(err, "encode owner's row")
+	}
+	key := Key(known.Cell)
+	outcome, err := table.Transact(ctx, connector.Transaction{
+		Preconditions: []connector.Precondition{{Key: key, Version: known.Version}},
+		Puts:          []connector.Put{{Key: key, Value: text}},
+	})
+	if err != nil {
+		return known, err
+	}
+	if outcome.Committed {
+		return Ownership{Cell: known.Cell, Holder: value.Holder, Fence: value.Fence, Version: outcome.Version}, nil
+	}
+	for _, conflict := range outcome.Conflicts {
+		if now, err := Parse(known.Cell, conflict); err == nil {
+			return now, &LostError{Now: now}
+		}
+	}
+	return known, &LostError{Now: known}
+}
+
+// Candidate is an instance that could own a cell.
+type Candidate struct {
+	Name string
+	// Started is when its process started.
+	Started time.Time
+	Leaving bool
+	// Cut tells that the store does not answer it.
+	Cut bool
+}
+
+// Order sorts candidates, the one that should claim first at the front. Whoever started last goes
+// first: in a rolling restart it is the one that will not be stopped soon.
+func Order(candidates []Candidate) []Candidate {
+	ordered := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Leaving || c.Cut })
+	slices.SortFunc(ordered, func(a, b Candidate) int {
+		return cmp.Or(b.Started.Compare(a.Started), cmp.Compare(a.Name, b.Name))
+	})
+	return ordered
+}
+
+const (
+	// SuspectAfter is how long an owner may be silent before it is replaced: five heartbeats.
+	SuspectAfter = 1250 * time.Millisecond
+	// TurnDelay is how long each candidate waits for the one before it.
+	TurnDelay = 250 * time.Millisecond
+)
+
+// Delay is how long after the loss of an owner a candidate claims. It reports false for an instance
+// that is no candidate.
+func Delay(candidates []Candidate, me string) (time.Duration, bool) {
+	for i, candidate := range Order(candidates) {
+		if candidate.Name == me {
+			return time.Duration(i) * TurnDelay, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/commander/attend.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"dotterelpost.example/dotterelpost/internal/attendant"
+	"dotterelpost.example/dotterelpost/internal/scribe"
+	"dotterelpost.example/dotterelpost/platform"
+)
+
+type attendCommand struct {
+	unused
+	Settings string `long:"settings" description:"settings file that the platform wrote; by default the one that DOTTERELPOST_NODE_FILE names"`
+	LogLevel string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"lowest level that is logged"`
+}
+
+// run serves on the users' platform until SIGTERM or SIGINT. SIGHUP has the settings read again, to
+// tell whether they are sound; what they set holds from the next start.
+func (c *attendCommand) run(s *session) error {
+	file := c.Settings
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	if file == "" {
+		return &InputError{Reason: "no settings file", Right: "give --settings or set " + platform.SettingsVariable}
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return &InputError{Reason: err.Error(), Right: "see --help"}
+	}
+	settings, err := platform.ReadSettings(file)
+	if err != nil {
+		return &InputError{Reason: err.Error(), Right: "see docs/OPERATIONS.md"}
+	}
+	out, stopLog := scribe.New(s.out, clock)
+	defer stopLog()
+	log := newLogger(out, level)
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	instance, err := attendant.Start(settings, clock, log)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-hangUps:
+			_, err := platform.ReadSettings(file)
+			log.Info("settings read again", "file", file, "error", err)
+		case <-s.ctx.Done():
+			instance.Leave()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,260 @@
+package conductor
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/ruler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// Workers gives orders to workers. Errors are *orderer.RefusedError or *orderer.InDoubtError.
+type Workers interface {
+	Start(ctx context.Context, to *orderer.Worker, order *orderer.Start) (orderer.Self, error)
+	Stop(ctx context.Context, to *orderer.Worker, order orderer.Stop) (orderer.Self, error)
+	Hold(ctx context.Context, to *orderer.Worker, order orderer.Hold) (orderer.Listing, error)
+}
+
+// Advisors ask the placement advisor. It serves one call of each instance at a time, so calls are
+// spread over instances.
+type Advisors interface {
+	// Instances returns the names of the instances that can ask.
+	Instances() []string
+	Advise(ctx context.Context, instance string, step stepper.StepKey, workers []string) (orderer.Advice, error)
+}
+
+// Journal commits transactions one after the other. See package committer.
+type Journal interface {
+	Commit(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error)
+}
+
+// Rows reads all rows of a part of a table.
+type Rows interface {
+	Snapshot(ctx context.Context, table, part string) (connector.Changes, error)
+}
+
+// Claim is the ownership of a cell.
+type Claim struct {
+	Cell string
+	// Fence grows with each owner.
+	Fence int64
+	// Row and Version name the owner's row; every transaction has it as a precondition.
+	Row     string
+	Version int64
+	// First is set if the cell had no owner before, so that no worker can be running anything.
+	First bool
+}
+
+// Settings of a conductor.
+type Settings struct {
+	// Lease is how long a worker goes on without hearing of its owner.
+	Lease time.Duration
+	// LongestLease is the most that any owner can have given.
+	LongestLease time.Duration
+	// KeepStates is how long final states are kept.
+	KeepStates time.Duration
+}
+
+// Dependencies of a conductor.
+type Dependencies struct {
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	Workers  Workers
+	Advisors Advisors
+	Journal  Journal
+	Rows     Rows
+	Book     *ruler.Book
+	// Confirmed tells whether this instance may still take itself for the owner: it heard of the
+	// store lately, or nobody does.
+	Confirmed func() bool
+	// Deposed is called once when somebody else owns the cell.
+	Deposed func()
+	// Changed is called with the number of open jobs and other counts, for metrics.
+	Counts *Counts
+}
+
+// NotOwnerError tells that the cell has another owner now. Nothing is known of the call.
+type NotOwnerError struct{ Cell string }
+
+func (e *NotOwnerError) Error() string { return "cell " + e.Cell + " has another owner" }
+
+// UnknownJobError tells that there is no such job.
+type UnknownJobError struct{ ID string }
+
+func (e *UnknownJobError) Error() string { return "job " + e.ID + " is not known" }
+
+// RefusedError tells that a job was not accepted and never runs.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %s; come back after %s", e.Reason, e.RetryAfter)
+}
+
+// tick is how often timers are looked at.
+const tick = 40 * time.Millisecond
+
+// mailboxSize is how many messages may wait for the control goroutine.
+const mailboxSize = 4096
+
+// Conductor is the owner of a cell.
+type Conductor struct {
+	Dependencies
+	claim    Claim
+	settings Settings
+	ctx      context.Context
+	cancel   context.CancelFunc
+	mailbox  chan func()
+	// ended is closed when the control goroutine has returned.
+	ended chan struct{}
+
+	// All below belongs to the control goroutine.
+	now       time.Time
+	claimedAt time.Time
+	recovered bool
+	deposed   bool
+	leaving   bool
+	// waiting are the calls that came before the rows were read.
+	waiting []func()
+	jobs    map[string]*job
+	// hungry are the steps with tasks to place.
+	hungry  map[stepper.StepKey]*step
+	workers map[string]*worker
+	journal journal
+	advice  advice
+	learned map[string]*learned
+	dirty   bool
+	idle    []func()
+}
+
+// Start returns the conductor of a claimed cell, which at first reads the cell's rows, and the
+// function that ends it at once. Leave ends it gracefully.
+func Start(claim Claim, settings Settings, dependencies Dependencies) (*Conductor, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Conductor{
+		Dependencies: dependencies,
+		claim:        claim,
+		settings:     settings,
+		ctx:          ctx,
+		cancel:       cancel,
+		mailbox:      make(chan func(), mailboxSize),
+		ended:        make(chan struct{}),
+		claimedAt:    dependencies.Clock.Now(),
+		jobs:         make(map[string]*job),
+		hungry:       make(map[stepper.StepKey]*step),
+		workers:      make(map[string]*worker),
+		learned:      make(map[string]*learned),
+	}
+	c.now = c.claimedAt
+	c.advice.init()
+	go c.recover()
+	go c.run()
+	return c, c.stop
+}
+
+func (c *Conductor) stop() {
+	c.cancel()
+	<-c.ended
+}
+
+// Claim returns the claim under which the conductor works.
+func (c *Conductor) Claim() Claim { return c.claim }
+
+// post hands a message to the control goroutine. It reports false when that has ended.
+func (c *Conductor) post(message func()) bool {
+	select {
+	case c.mailbox <- message:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+func (c *Conductor) run() {
+	defer close(c.ended)
+	ticker := c.Clock.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case message := <-c.mailbox:
+			c.now = c.Clock.Now()
+			message()
+			c.drain()
+		case <-ticker.Chan():
+			c.now = c.Clock.Now()
+			c.passTime()
+		}
+		if c.recovered && !c.deposed {
+			c.round()
+			c.commit()
+		}
+	}
+}
+
+// drainAtOnce is how many messages are taken before a round.
+const drainAtOnce = 128
+
+func (c *Conductor) drain() {
+	for range drainAtOnce {
+		select {
+		case message := <-c.mailbox:
+			message()
+		default:
+			return
+		}
+	}
+}
+
+// passTime does what is due.
+func (c *Conductor) passTime() {
+	if !c.recovered || c.deposed {
+		return
+	}
+	for _, w := range c.workers {
+		c.watch(w)
+	}
+	c.openDue()
+	c.expireTickets()
+	c.prune()
+}
+
+// depose ends the conductor's work: another instance owns the cell.
+func (c *Conductor) depose(why string) {
+	if c.deposed {
+		return
+	}
+	c.deposed = true
+	c.Log.Warn("cell lost", "cell", c.claim.Cell, "fence", c.claim.Fence, "reason", why)
+	c.cancel()
+	go c.Deposed()
+}
+
+// Leave finishes what is being written and ends the conductor. It starts nothing new.
+func (c *Conductor) Leave(ctx context.Context) error {
+	done := make(chan struct{})
+	c.post(func() {
+		c.leaving = true
+		if !c.recovered {
+			close(done)
+			return
+		}
+		c.whenWritten(func() { close(done) })
+	})
+	select {
+	case <-done:
+	case <-c.ended:
+	case <-ctx.Done():
+	}
+	c.stop()
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/conductor/counts.go
@@ -0,0 +1,118 @@
+package conductor
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// Counts are the metrics of a conductor. Its names are bounded: queues and endings.
+type Counts struct {
+	root *expvar.Map
+
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram
+}
+
+// Histograms hold microseconds up to ten minutes with two significant digits.
+const (
+	longestMicros = int64(10 * time.Minute / time.Microsecond)
+	digits        = 2
+)
+
+// NewCounts returns counts at zero.
+func NewCounts() *Counts {
+	c := &Counts{root: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
+	c.root.Set("latencies", expvar.Func(func() any { return c.Latencies() }))
+	return c
+}
+
+// Map returns the counters for publication.
+func (c *Counts) Map() *expvar.Map { return c.root }
+
+func (c *Counts) record(name string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	histogram := c.histograms[name]
+	if histogram == nil {
+		histogram = hdrhistogram.New(1, longestMicros, digits)
+		c.histograms[name] = histogram
+	}
+	// Only what is over the longest fails, and it counts as the longest.
+	_ = histogram.RecordValue(min(max(1, took.Microseconds()), longestMicros))
+}
+
+// Latency sums up a histogram, in microseconds.
+type Latency struct {
+	Count  int64 `json:"count"`
+	Median int64 `json:"p50-us"`
+	High   int64 `json:"p99-us"`
+	Max    int64 `json:"max-us"`
+}
+
+// Latencies returns all histograms by name.
+func (c *Counts) Latencies() map[string]Latency {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	latencies := make(map[string]Latency, len(c.histograms))
+	for name, histogram := range c.histograms {
+		latencies[name] = Latency{
+			Count: histogram.TotalCount(), Median: histogram.ValueAtQuantile(50),
+			High: histogram.ValueAtQuantile(99), Max: histogram.Max(),
+		}
+	}
+	return latencies
+}
+
+// Accepted counts an accepted job and the time until it was written.
+func (c *Counts) Accepted(_ string, took time.Duration) {
+	c.root.Add("accepted", 1)
+	c.record("acceptance", took)
+}
+
+// Refused counts a refused job.
+func (c *Counts) Refused(string) { c.root.Add("refused", 1) }
+
+// Finished counts a job with a final state.
+func (c *Counts) Finished(_ string, state stepper.State, took time.Duration) {
+	c.root.Add("final-"+string(state), 1)
+	c.record("job-"+string(state), took)
+}
+
+// Ended counts the end of a run.
+func (c *Counts) Ended(how stepper.Ending) { c.root.Add("ended-"+string(how), 1) }
+
+// Committed counts a transaction.
+func (c *Counts) Committed(took time.Duration, rows int) {
+	c.root.Add("transactions", 1)
+	c.root.Add("rows", int64(rows))
+	c.record("transaction", took)
+}
+
+// Ordered counts a start.
+func (c *Counts) Ordered(took time.Duration, err error) {
+	var refused *orderer.RefusedError
+	switch {
+	case err == nil:
+		c.root.Add("starts", 1)
+	case errors.As(err, &refused):
+		c.root.Add("starts-refused-"+string(refused.Reason), 1)
+	default:
+		c.root.Add("starts-in-doubt", 1)
+	}
+	c.record("start", took)
+}
+
+// Advised counts a call of the advisor.
+func (c *Counts) Advised(took time.Duration, err error) {
+	if err != nil {
+		c.root.Add("advice-failed", 1)
+	}
+	c.record("advice", took)
+}
--- /dev/null
+++ b/internal/conductor/jobs.go
@@ -0,0 +1,285 @@
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/ruler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// job is a job of the cell. The definition is nil once the job is final and forgotten.
+type job struct {
+	id         string
+	definition *stepper.Job
+	progress   *stepper.Progress
+	// shown is what callers may be told: the state that has been written.
+	shown stepper.State
+	// stored tells that the job's acceptance has been written.
+	stored bool
+	// fresh tells that the definition has yet to be written, forgotten that it was removed.
+	fresh, forgotten bool
+	dirty            bool
+	after            []func()
+	// places are the runs that hold room on workers.
+	places map[stepper.TaskKey]*place
+	// steps are those whose turn has come.
+	steps map[stepper.StepKey]*step
+	// settling tells that the final state's write is on its way.
+	settling bool
+}
+
+func (j *job) placed() int { return len(j.places) }
+
+func encodeDefinition(definition *stepper.Job) ([]byte, error) {
+	text, err := json.Marshal(definition)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode job")
+	}
+	return text, nil
+}
+
+func decodeDefinition(text []byte) (*stepper.Job, error) {
+	definition := &stepper.Job{}
+	if err := json.Unmarshal(text, definition); err != nil {
+		return nil, errors.Wrap(err, "decode job")
+	}
+	if err := definition.Check(); err != nil {
+		return nil, err
+	}
+	return definition, nil
+}
+
+func shownState(p *stepper.Progress) stepper.State {
+	switch {
+	case p.State != "":
+		return p.State
+	case p.Begun:
+		return stepper.Running
+	default:
+		return stepper.Queued
+	}
+}
+
+// Outcome is what a submission came to.
+type Outcome struct {
+	// Known tells that the job had been handed in before.
+	Known bool
+}
+
+// ask runs a function on the control goroutine, once the rows have been read, and waits until it
+// has called reply.
+func (c *Conductor) ask(ctx context.Context, function func(reply func(error))) error {
+	answers := make(chan error, 1)
+	reply := func(err error) {
+		select {
+		case answers <- err:
+		default:
+		}
+	}
+	posted := c.post(func() {
+		if c.recovered {
+			function(reply)
+			return
+		}
+		c.waiting = append(c.waiting, func() { function(reply) })
+	})
+	if !posted {
+		return &NotOwnerError{Cell: c.claim.Cell}
+	}
+	select {
+	case err := <-answers:
+		return err
+	case <-c.ended:
+		return &NotOwnerError{Cell: c.claim.Cell}
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for cell "+c.claim.Cell)
+	}
+}
+
+// Submit hands a job in and returns once it is written. A *RefusedError means that it never runs by
+// this call; after any other error it may have been accepted.
+func (c *Conductor) Submit(ctx context.Context, definition *stepper.Job) (Outcome, error) {
+	var outcome Outcome
+	err := c.ask(ctx, func(reply func(error)) {
+		if j, known := c.jobs[definition.ID]; known {
+			c.repeat(j, &outcome, reply)
+			return
+		}
+		if c.leaving {
+			reply(&NotOwnerError{Cell: c.claim.Cell})
+			return
+		}
+		if refusal := c.admit(definition); refusal != nil {
+			c.Log.Info("refused", "job", definition.ID, "queue", definition.Queue, "reason", refusal.Reason, "retry-after-ms", refusal.RetryAfter.Milliseconds())
+			c.Counts.Refused(definition.Queue)
+			reply(refusal)
+			return
+		}
+		c.accept(definition, reply)
+	})
+	return outcome, err
+}
+
+// repeat answers a submission of a job that is known: it remains one job.
+func (c *Conductor) repeat(j *job, outcome *Outcome, reply func(error)) {
+	outcome.Known = true
+	if j.stored {
+		reply(nil)
+		return
+	}
+	j.after = append(j.after, func() { reply(nil) })
+}
+
+func (c *Conductor) accept(definition *stepper.Job, reply func(error)) {
+	j := &job{
+		id:         definition.ID,
+		definition: definition,
+		progress:   stepper.NewProgress(definition, c.Clock.Now()),
+		shown:      stepper.Queued,
+		fresh:      true,
+	}
+	c.jobs[j.id] = j
+	arrived := c.now
+	c.touch(j, func() {
+		j.stored = true
+		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "steps", len(definition.Steps), "tasks", tasks(definition),
+			"took-ms", c.now.Sub(arrived).Milliseconds())
+		c.Counts.Accepted(definition.Queue, c.now.Sub(arrived))
+		reply(nil)
+	})
+	c.refresh(j)
+}
+
+func tasks(definition *stepper.Job) int {
+	count := 0
+	for i := range definition.Steps {
+		count += definition.Steps[i].Tasks
+	}
+	return count
+}
+
+// State tells what callers may know of a job.
+func (c *Conductor) State(ctx context.Context, id string) (stepper.State, error) {
+	var state stepper.State
+	err := c.ask(ctx, func(reply func(error)) {
+		j, known := c.jobs[id]
+		if !known || !j.stored {
+			reply(&UnknownJobError{ID: id})
+			return
+		}
+		state = j.shown
+		reply(nil)
+	})
+	return state, err
+}
+
+// Cancel cancels a job and returns once that is written.
+func (c *Conductor) Cancel(ctx context.Context, id string) error {
+	return c.ask(ctx, func(reply func(error)) {
+		j, known := c.jobs[id]
+		if !known {
+			reply(&UnknownJobError{ID: id})
+			return
+		}
+		if j.shown.Final() {
+			reply(nil)
+			return
+		}
+		j.progress.Cancel(c.now)
+		c.Log.Info("cancelled", "job", id, "state", j.progress.State, "places", j.placed())
+		c.touch(j, func() { reply(nil) })
+		c.settle(j)
+	})
+}
+
+// Pending returns how many accepted jobs of a queue have started no task.
+func (c *Conductor) Pending(ctx context.Context, queue string) (int, error) {
+	count := 0
+	err := c.ask(ctx, func(reply func(error)) {
+		for _, j := range c.jobs {
+			if j.stored && j.progress.Queue == queue && j.shown == stepper.Queued {
+				count++
+			}
+		}
+		reply(nil)
+	})
+	return count, err
+}
+
+// queueOf returns the rules of a job's queue. A queue that was dropped keeps working for the jobs
+// that it took: then the rules are nil and defaults apply.
+func (c *Conductor) queueOf(j *job) *ruler.Queue {
+	if rules := c.Book.Rules(); rules != nil {
+		return rules.Queue(j.progress.Queue)
+	}
+	return nil
+}
+
+// droppedQueueFailures is the limit of failures for jobs whose queue was dropped.
+const droppedQueueFailures = 3
+
+func (c *Conductor) maxFailures(j *job) int {
+	if queue := c.queueOf(j); queue != nil {
+		return queue.MaxFailures
+	}
+	return droppedQueueFailures
+}
+
+// settle looks whether a job has come to its end, shows that once it is written, and stops what
+// still runs of a job that is over.
+func (c *Conductor) settle(j *job) {
+	if j.definition == nil {
+		return
+	}
+	j.progress.Settle(j.definition, c.maxFailures(j), c.now)
+	if j.progress.State.Final() {
+		if !j.settling {
+			j.settling = true
+			c.touch(j, func() { c.show(j) })
+		}
+		for _, p := range j.places {
+			c.stopPlace(p, "job is "+string(j.progress.State))
+		}
+	}
+	c.refresh(j)
+}
+
+func (c *Conductor) show(j *job) {
+	j.shown = j.progress.State
+	c.Log.Info("final", "job", j.id, "queue", j.progress.Queue, "state", j.shown, "reason", j.progress.Reason,
+		"age-ms", c.now.Sub(j.progress.AcceptedAt).Milliseconds())
+	c.Counts.Finished(j.progress.Queue, j.shown, c.now.Sub(j.progress.AcceptedAt))
+	j.progress.Open = nil
+	if j.placed() == 0 {
+		j.definition = nil
+	}
+}
+
+// openDue opens the occurrences of scheduled jobs whose time has come.
+func (c *Conductor) openDue() {
+	for _, j := range c.jobs {
+		if j.definition != nil && j.definition.Scheduled() && j.progress.State == "" && j.progress.Next < j.definition.Occurrences() {
+			if !j.definition.Due(j.progress.Next).After(c.Clock.Now()) {
+				c.refresh(j)
+			}
+		}
+	}
+}
+
+// prune forgets jobs whose final state need not be kept any longer.
+func (c *Conductor) prune() {
+	for id, j := range c.jobs {
+		if j.shown.Final() && j.placed() == 0 && c.now.Sub(j.progress.EndedAt) > c.settings.KeepStates+keepLonger {
+			delete(c.jobs, id)
+			c.journal.drops = append(c.journal.drops, id)
+		}
+	}
+}
+
+// keepLonger is added to the time for which final states are kept, because clocks of instances
+// differ.
+const keepLonger = 10 * time.Second
--- /dev/null
+++ b/internal/conductor/learn.go
@@ -0,0 +1,109 @@
+package conductor
+
+import (
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// learned is what is known of a queue's work.
+type learned struct {
+	// ratio is how long tasks take against their callers' estimates.
+	ratio float64
+	count int
+}
+
+const (
+	// learnWeight is the weight of the latest run in what is learned.
+	learnWeight = 0.1
+	// paceWeight is the weight of the latest run in a worker's pace.
+	paceWeight = 0.3
+	// grey is the share of failed runs from which a worker is set aside.
+	grey = 0.6
+	// quarantine is how long a worker is set aside before it is tried again.
+	quarantine = 3 * time.Second
+)
+
+// pace is how a worker does against the others.
+type pace struct {
+	// ratio is how long runs take there against what they take elsewhere.
+	ratio float64
+	// failing is a running share of runs that failed by themselves.
+	failing    float64
+	setAside   time.Time
+	refusals   int
+	lastRefuse time.Time
+}
+
+func (p *pace) slowness() float64 {
+	slowness := 1.0
+	if p.ratio > 0 {
+		slowness = p.ratio
+	}
+	return slowness + p.failing
+}
+
+func (p *pace) quarantined(now time.Time) bool { return now.Before(p.setAside) }
+
+func (p *pace) refused(now time.Time) {
+	if now.Sub(p.lastRefuse) > quarantine {
+		p.refusals = 0
+	}
+	p.refusals++
+	p.lastRefuse = now
+}
+
+// learn takes in how a run went.
+func (c *Conductor) learn(p *place, how stepper.Ending) {
+	w := p.worker
+	switch how {
+	case stepper.Done:
+		w.pace.failing *= 1 - paceWeight
+		c.learnDuration(p)
+	case stepper.FailedItself:
+		w.pace.failing += paceWeight * (1 - w.pace.failing)
+		if s := p.job.steps[p.key.StepKey]; s != nil {
+			if s.failedOn == nil {
+				s.failedOn = make(map[string]bool)
+			}
+			s.failedOn[w.info.Worker] = true
+		}
+		if w.pace.failing > grey {
+			w.pace.setAside = c.now.Add(quarantine)
+			w.pace.failing = grey
+			c.Log.Warn("worker set aside", "worker", w.info.Worker, "until", w.pace.setAside)
+		}
+	case stepper.Stopped, stepper.Lapsed, stepper.Broken, stepper.Alone, stepper.NeverRan, stepper.Lost:
+	}
+}
+
+func (c *Conductor) learnDuration(p *place) {
+	if p.step.Estimate <= 0 || p.startedAt.IsZero() || p.step.Lasting {
+		return
+	}
+	ratio := float64(c.now.Sub(p.startedAt)) / float64(p.step.Estimate)
+	l := c.learned[p.job.progress.Queue]
+	if l == nil {
+		l = &learned{ratio: ratio}
+		c.learned[p.job.progress.Queue] = l
+	}
+	l.count++
+	usual := l.ratio
+	l.ratio += learnWeight * (ratio - l.ratio)
+	pace := &p.worker.pace
+	if pace.ratio == 0 {
+		pace.ratio = 1
+	}
+	if usual > 0 {
+		pace.ratio += paceWeight / 2 * (ratio/usual - pace.ratio)
+	}
+}
+
+// duration is how long a task of a step is expected to take.
+func (c *Conductor) duration(j *job, step int) time.Duration {
+	estimate := j.definition.Steps[step].Estimate
+	if l := c.learned[j.progress.Queue]; l != nil && l.ratio > 0 {
+		return time.Duration(float64(estimate) * l.ratio)
+	}
+	return estimate
+}
--- /dev/null
+++ b/internal/conductor/places.go
@@ -0,0 +1,360 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// placeState is how far a run has come.
+type placeState int
+
+const (
+	// unsent: the record that names the worker is being written.
+	unsent placeState = iota
+	// sending: the start is on its way.
+	sending
+	// started: the worker has confirmed it.
+	started
+	// doubted: the start had no answer. It may have been carried out, or may be later.
+	doubted
+	// inQuestion: an earlier owner's record names the worker, or the worker has begun a new life.
+	inQuestion
+)
+
+// place is a run that holds room on a worker until it is proved to be over.
+type place struct {
+	job    *job
+	key    stepper.TaskKey
+	run    int
+	step   *stepper.Step
+	worker *worker
+	state  placeState
+	// startedAt is when the worker confirmed the run, sentAt when the last order was sent.
+	startedAt, sentAt time.Time
+	// refusedAt is when the worker obeyed a stop: the run can't begin any more.
+	refusedAt time.Time
+	// stopping tells that the run is to end, and why.
+	stopping string
+	stopSent bool
+	share    int
+}
+
+// place reserves room for a run on the worker that its record names. A worker that is not known
+// yet gets the run as soon as it joins.
+func (c *Conductor) place(j *job, key stepper.TaskKey, task *stepper.Task, state placeState) *place {
+	p := &place{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, sentAt: c.now}
+	if j.places == nil {
+		j.places = make(map[stepper.TaskKey]*place)
+	}
+	j.places[key] = p
+	w := c.workers[task.At.Worker]
+	if w == nil {
+		w = &worker{info: orderer.Worker{Life: task.At}, places: make(map[stepper.TaskKey]*place), leaseEnds: c.inheritedLease()}
+		c.workers[task.At.Worker] = w
+	}
+	p.worker = w
+	w.places[key] = p
+	w.used = w.used.Plus(p.step.Reserved())
+	return p
+}
+
+// attachPlaces is called when a worker joins; runs that were adopted before stand there already.
+func (c *Conductor) attachPlaces(*worker) {}
+
+// release gives back the room of a run that is over.
+func (c *Conductor) release(p *place) {
+	if p.job.places[p.key] != p {
+		return
+	}
+	delete(p.job.places, p.key)
+	delete(p.worker.places, p.key)
+	p.worker.used = p.worker.used.Minus(p.step.Reserved())
+	c.dirty = true
+}
+
+// end takes in that a run is over. The record is written before anybody is told.
+func (c *Conductor) end(p *place, how stepper.Ending, checkpoint string) {
+	j := p.job
+	if j.places[p.key] != p {
+		return
+	}
+	c.Log.Info("ended", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "how", how,
+		"ran-ms", p.ran(c.now).Milliseconds(), "stopping", p.stopping)
+	c.Counts.Ended(how)
+	c.learn(p, how)
+	c.release(p)
+	if j.progress.State.Final() {
+		if j.placed() == 0 {
+			c.touch(j, func() { j.definition = nil })
+		}
+		return
+	}
+	if checkpoint != "" {
+		c.keepCheckpoint(p, checkpoint)
+	}
+	if !j.progress.End(j.definition, p.key, p.run, how) {
+		return
+	}
+	c.touch(j, nil)
+	if p.step.Gang {
+		c.endGang(p, how)
+	}
+	c.settle(j)
+}
+
+func (p *place) ran(now time.Time) time.Duration {
+	if p.startedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(p.startedAt)
+}
+
+// endGang ends the run of a gang with that of one member: done for all of them if it is done, and
+// otherwise stopped, because the others only wait for the one that is gone.
+func (c *Conductor) endGang(p *place, how stepper.Ending) {
+	for _, other := range p.job.places {
+		if other.key.StepKey != p.key.StepKey || other.run != p.run {
+			continue
+		}
+		if how == stepper.Done {
+			// Its own end is listed in a moment; until then its room is taken.
+			other.stopping = "gang is done"
+			continue
+		}
+		c.stopPlace(other, "gang ended "+string(how))
+	}
+}
+
+// keepCheckpoint remembers saved progress. A gang has one for all of its members.
+func (c *Conductor) keepCheckpoint(p *place, checkpoint string) {
+	key := p.key
+	if p.step.Gang {
+		key.Index = 0
+	}
+	if task := p.job.progress.Task(key); task != nil {
+		task.Checkpoint = checkpoint
+	}
+}
+
+// seen takes in that a worker lists a run.
+func (c *Conductor) seen(p *place, running *orderer.Running) {
+	if p.state != started {
+		if p.state != sending {
+			c.Log.Info("run found", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker)
+		}
+		p.state = started
+		p.startedAt = c.now
+		if p.worker.info.Born != 0 {
+			if task := p.job.progress.Task(p.key); task != nil && task.Run == p.run && task.At.Born != p.worker.info.Born {
+				task.At.Born = p.worker.info.Born
+				c.touch(p.job, nil)
+			}
+		}
+	}
+	p.share = running.Share
+	if running.Checkpoint != "" && running.Checkpoint != "0" && !p.job.progress.State.Final() {
+		c.keepCheckpoint(p, running.Checkpoint)
+	}
+	if p.job.progress.State.Final() {
+		c.stopPlace(p, "job is "+string(p.job.progress.State))
+	}
+}
+
+// send orders the start of a run whose record has been written.
+func (c *Conductor) send(p *place) {
+	if c.deposed || p.state != unsent || p.job.places[p.key] != p {
+		return
+	}
+	if p.stopping != "" || p.job.progress.State.Final() {
+		// It was never sent, so it is over.
+		c.end(p, stepper.NeverRan, "")
+		return
+	}
+	w := p.worker
+	ticket, valid := c.ticket(p.key.StepKey, w)
+	if w.clockAt.IsZero() || !w.known || !valid {
+		c.end(p, stepper.NeverRan, "")
+		return
+	}
+	order := &orderer.Start{
+		Task:       p.key,
+		Run:        p.run,
+		Payload:    p.job.definition.Payload,
+		Checkpoint: c.checkpoint(p),
+		Ticket:     ticket,
+		LeaseEnds:  c.extend(w),
+		Fence:      c.claim.Fence,
+	}
+	p.state, p.sentAt = sending, c.now
+	info := w.info
+	go func() {
+		self, err := c.Workers.Start(c.ctx, &info, order)
+		c.post(func() { c.answered(p, info.Born, self, err) })
+	}()
+}
+
+func (c *Conductor) checkpoint(p *place) string {
+	if !p.step.Checkpoints {
+		return ""
+	}
+	key := p.key
+	if p.step.Gang {
+		key.Index = 0
+	}
+	if task := p.job.progress.Task(key); task != nil {
+		return task.Checkpoint
+	}
+	return ""
+}
+
+// answered takes in what came of a start.
+func (c *Conductor) answered(p *place, born int64, self orderer.Self, err error) {
+	if p.job.places[p.key] != p {
+		return
+	}
+	w := p.worker
+	c.Counts.Ordered(c.now.Sub(p.sentAt), err)
+	if err == nil {
+		c.readClock(w, self)
+		if p.state == sending {
+			p.state, p.startedAt = started, c.now
+			c.Log.Info("started", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "took-ms", c.now.Sub(p.sentAt).Milliseconds())
+		}
+		if p.stopping != "" {
+			c.orderStop(p)
+		}
+		return
+	}
+	var refused *orderer.RefusedError
+	if !errors.As(err, &refused) {
+		if p.state == sending {
+			p.state = doubted
+			p.sentAt = c.now
+			c.Log.Warn("start in doubt", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "error", err)
+			c.peek(w)
+		}
+		return
+	}
+	c.Log.Info("start refused", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "reason", refused.Reason)
+	c.refusedStart(p, refused.Reason)
+}
+
+func (c *Conductor) refusedStart(p *place, why orderer.Reason) {
+	w := p.worker
+	switch why {
+	case orderer.LowFence:
+		c.depose("worker " + w.info.Worker + " has seen a higher fence")
+		return
+	case orderer.NoTicket:
+		c.dropTicket(p.key.StepKey, w)
+	case orderer.Unhealthy, orderer.NoRoom, orderer.Malformed:
+		w.avoidUntil = c.now.Add(avoidFor)
+		w.pace.refused(c.now)
+	case orderer.OtherLife:
+		w.known = false
+	case orderer.OldRun, orderer.Late:
+	}
+	c.end(p, stepper.NeverRan, "")
+}
+
+// peek asks for a worker's list at once, beside the hold that may be waiting for an end.
+func (c *Conductor) peek(w *worker) {
+	info, fence, seen := w.info, c.claim.Fence, w.seen
+	sentAt := c.now
+	go func() {
+		listing, err := c.Workers.Hold(c.ctx, &info, orderer.Hold{Fence: fence, Seen: seen})
+		if err != nil {
+			return
+		}
+		c.post(func() {
+			if listing.Born == 0 || listing.Born == w.info.Born {
+				c.takeRunning(w, listing, sentAt)
+			}
+		})
+	}()
+}
+
+// stopPlace orders the end of a run. Its room is free once its end is listed.
+func (c *Conductor) stopPlace(p *place, why string) {
+	if p.stopping == "" {
+		p.stopping = why
+		c.Log.Info("stopping", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "reason", why)
+	}
+	switch p.state {
+	case unsent:
+		// What was never sent is over; send sees to it once the record is written.
+	case sending:
+		// The stop follows the answer, so that it can't overtake the start.
+	case started, doubted, inQuestion:
+		c.orderStop(p)
+	}
+}
+
+func (c *Conductor) orderStop(p *place) {
+	if p.stopSent || c.deposed {
+		return
+	}
+	p.stopSent = true
+	info := p.worker.info
+	order := orderer.Stop{Task: p.key, Run: p.run, Fence: c.claim.Fence}
+	go func() {
+		self, err := c.Workers.Stop(c.ctx, &info, order)
+		c.post(func() { c.stopAnswered(p, self, err) })
+	}()
+}
+
+func (c *Conductor) stopAnswered(p *place, self orderer.Self, err error) {
+	if p.job.places[p.key] != p {
+		return
+	}
+	p.sentAt = c.now
+	if err == nil && (self.Born == 0 || self.Born == p.worker.info.Born) {
+		p.refusedAt = c.now
+		if p.state == doubted {
+			c.peek(p.worker)
+		}
+		return
+	}
+	p.stopSent = false
+}
+
+// stopStray ends a run that nobody wants: its order was carried out late, or its job is over.
+func (c *Conductor) stopStray(w *worker, running *orderer.Running, sentAt time.Time) {
+	if j := c.jobs[running.Task.Job]; j != nil && j.places[running.Task] != nil && j.places[running.Task].worker == w {
+		return
+	}
+	c.Log.Warn("stray run", "task", running.Task.String(), "run", running.Run, "worker", w.info.Worker)
+	info := w.info
+	order := orderer.Stop{Task: running.Task, Run: running.Run, Fence: c.claim.Fence}
+	go func() {
+		if _, err := c.Workers.Stop(c.ctx, &info, order); err != nil {
+			c.Log.Warn("stray run not stopped", "task", order.Task.String(), "run", order.Run, "error", err)
+		}
+	}()
+}
+
+const (
+	// doubtFor is how long a start without an answer may show up in its worker's list before the
+	// run is refused for good.
+	doubtFor = 250 * time.Millisecond
+	// stopAgain is after how much time a stop without effect is ordered again.
+	stopAgain = 500 * time.Millisecond
+)
+
+// watchPlace does what is due for a run.
+func (c *Conductor) watchPlace(p *place) {
+	waited := c.now.Sub(p.sentAt)
+	switch {
+	case p.state == doubted && p.stopping == "" && waited > doubtFor:
+		c.stopPlace(p, "its start had no answer")
+	case p.stopping != "" && !p.stopSent && p.state != unsent && p.state != sending && waited > stopAgain && p.stopping != "gang is done":
+		c.orderStop(p)
+	case p.state == doubted && !p.refusedAt.IsZero() && waited > stopAgain:
+		p.sentAt = c.now
+		c.peek(p.worker)
+	}
+}
--- /dev/null
+++ b/internal/conductor/roster.go
@@ -0,0 +1,339 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it answers. It bounds the age of
+	// what is known of the worker, and of its lease.
+	holdWait = time.Second
+	// firstRetry and lastRetry are the pauses after a call that had no answer.
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = 600 * time.Millisecond
+	// unwrittenHold is after how much time a worker is held again although its last ends are not
+	// written yet: its lease must not lapse because the store is down.
+	unwrittenHold = 800 * time.Millisecond
+	// silentAfter is after how much time without an answer a worker gets nothing new.
+	silentAfter = 2500 * time.Millisecond
+	// islandLimit is how long an owner that hears nothing of the store goes on extending leases.
+	islandLimit = 6 * time.Second
+	// clockDrift is by how much a worker's steady clock may be slow.
+	clockDrift = 0.02
+	// avoidFor is how long a worker that said it is unhealthy gets nothing new.
+	avoidFor = 700 * time.Millisecond
+)
+
+// worker is a worker of the cell's service.
+type worker struct {
+	info orderer.Worker
+	// listed tells that the worker is in the platform's list.
+	listed bool
+	// known tells that this life has listed what it runs under this owner's fence.
+	known bool
+	// clock was read at clockAt, never later than it really was.
+	clock   orderer.Clock
+	clockAt time.Time
+	// leaseEnds is when everything there is over at the latest, if nothing more is heard.
+	leaseEnds time.Time
+	heard     time.Time
+	// taken is the number of the last end that was taken in, seen that of the last one written.
+	taken, seen int64
+	holding     bool
+	holdDue     time.Time
+	failures    int
+	avoidUntil  time.Time
+	used        modeler.Resources
+	places      map[stepper.TaskKey]*place
+	pace        pace
+}
+
+// free is what is left of a worker. It is never negative: adopted runs may exceed what the worker
+// says that it has.
+func (w *worker) free() modeler.Resources {
+	capacity := w.info.Capacity
+	return capacity.Minus(modeler.Resources{
+		Processors:   min(w.used.Processors, capacity.Processors),
+		Memory:       min(w.used.Memory, capacity.Memory),
+		Accelerators: min(w.used.Accelerators, capacity.Accelerators),
+	})
+}
+
+// usable tells whether a worker may get new work.
+func (c *Conductor) usable(w *worker) bool {
+	return w.listed && w.known && !w.info.Draining && c.now.Sub(w.heard) < silentAfter && c.now.After(w.avoidUntil) &&
+		!w.pace.quarantined(c.now)
+}
+
+// SetWorkers tells the conductor of workers in the platform's list. With whole set, a worker that is
+// not named has left the list.
+func (c *Conductor) SetWorkers(named []orderer.Worker, gone []string, whole bool) {
+	c.post(func() {
+		if whole {
+			for _, w := range c.workers {
+				w.listed = false
+			}
+		}
+		for i := range named {
+			if named[i].Service == c.claim.Cell {
+				c.enlist(named[i])
+			}
+		}
+		for _, id := range gone {
+			if w := c.workers[id]; w != nil {
+				w.listed = false
+				c.Log.Info("worker gone from the list", "worker", id, "places", len(w.places))
+			}
+		}
+	})
+}
+
+func (c *Conductor) enlist(info orderer.Worker) {
+	w := c.workers[info.Worker]
+	if w == nil {
+		w = &worker{info: info, places: make(map[stepper.TaskKey]*place)}
+		w.leaseEnds = c.inheritedLease()
+		c.workers[info.Worker] = w
+		c.Log.Info("worker joined", "worker", info.Worker, "born", info.Born, "zone", info.AvailabilityZone, "rack", info.Rack)
+		c.attachPlaces(w)
+	}
+	if info.Draining && !w.info.Draining {
+		c.Log.Info("worker draining", "worker", info.Worker, "remaining-ms", info.Remaining.Milliseconds(), "places", len(w.places))
+	}
+	w.listed = true
+	reborn := info.Born > w.info.Born && w.info.Born != 0
+	born := w.info.Born
+	w.info = info
+	if info.Born < born {
+		w.info.Born = born
+	}
+	if reborn {
+		c.beginLife(w, info.Born)
+	}
+	if !w.holding {
+		c.hold(w)
+	}
+}
+
+// inheritedLease is when a lease that an earlier owner gave is over at the latest.
+func (c *Conductor) inheritedLease() time.Time {
+	if c.claim.First {
+		return c.claimedAt
+	}
+	longest := time.Duration(float64(c.settings.LongestLease) * (1 + 2*clockDrift))
+	return c.claimedAt.Add(islandLimit + longest)
+}
+
+// beginLife takes note that a worker has started anew: what its life before ran is over. Orders
+// whose fate is open may still reach the new life.
+func (c *Conductor) beginLife(w *worker, born int64) {
+	c.Log.Info("worker started anew", "worker", w.info.Worker, "born", born, "places", len(w.places))
+	w.info.Born = born
+	w.known, w.taken, w.seen = false, 0, 0
+	w.clockAt = time.Time{}
+	w.pace = pace{}
+	for _, p := range w.places {
+		switch p.state {
+		case started, inQuestion:
+			p.state = inQuestion
+		case sending, doubted, unsent:
+		}
+	}
+}
+
+// hold sends the next hold to a worker, if it is time for one.
+func (c *Conductor) hold(w *worker) {
+	if w.holding || c.deposed || !c.recovered || c.now.Before(w.holdDue) {
+		return
+	}
+	order := orderer.Hold{Fence: c.claim.Fence, Seen: w.seen}
+	switch {
+	case !w.known:
+		// The first list of a life comes at once.
+	case w.taken > w.seen:
+		// The ends are not written yet; the worker would repeat them at once.
+	default:
+		order.Wait = holdWait
+	}
+	if !w.clockAt.IsZero() && c.Confirmed() {
+		order.LeaseEnds = c.extend(w)
+	}
+	w.holding = true
+	info := w.info
+	sentAt := c.now
+	go func() {
+		listing, err := c.Workers.Hold(c.ctx, &info, order)
+		c.post(func() {
+			w.holding = false
+			c.heldBy(w, listing, err, sentAt)
+		})
+	}()
+}
+
+// extend returns the end of a lease that begins now, on the worker's clock, and remembers when it
+// is over at the latest.
+func (c *Conductor) extend(w *worker) orderer.Clock {
+	since := c.now.Sub(w.clockAt)
+	slack := time.Duration(clockDrift * float64(since+c.settings.Lease) * 1.1)
+	if ends := c.now.Add(c.settings.Lease + slack); ends.After(w.leaseEnds) {
+		w.leaseEnds = ends
+	}
+	return w.clock + orderer.Clock(since+c.settings.Lease)
+}
+
+// readClock notes a worker's clock and life. It reports false if the answer is of another life than
+// is known here.
+func (c *Conductor) readClock(w *worker, self orderer.Self) bool {
+	if self.Born != 0 && self.Born != w.info.Born {
+		if self.Born < w.info.Born {
+			return false
+		}
+		c.beginLife(w, self.Born)
+	}
+	w.clock, w.clockAt = self.Clock, c.now
+	return true
+}
+
+func (c *Conductor) heldBy(w *worker, listing orderer.Listing, err error, sentAt time.Time) {
+	if err != nil {
+		c.holdFailed(w, err)
+		return
+	}
+	if c.now.Sub(sentAt) > silentAfter && w.failures > 0 {
+		c.Log.Info("worker regained", "worker", w.info.Worker)
+	}
+	w.failures = 0
+	lifeBefore := w.info.Born
+	if !c.readClock(w, listing.Self) {
+		w.holdDue = c.now.Add(firstRetry)
+		return
+	}
+	w.heard = c.now
+	if w.info.Born != lifeBefore && lifeBefore != 0 && !sentAt.Before(w.clockAt) {
+		w.known = false
+	}
+	c.takeEnds(w, listing.Ended)
+	c.takeRunning(w, listing, sentAt)
+	if !w.known {
+		w.known = true
+		c.dirty = true
+		c.Log.Info("worker listed", "worker", w.info.Worker, "running", len(listing.Running), "ended", len(listing.Ended), "fence", c.claim.Fence)
+	}
+	if w.taken > w.seen {
+		taken, born := w.taken, w.info.Born
+		w.holdDue = c.now.Add(unwrittenHold)
+		c.whenWritten(func() {
+			if w.info.Born != born {
+				return
+			}
+			w.seen = max(w.seen, taken)
+			w.holdDue = c.now
+			c.hold(w)
+		})
+		return
+	}
+	w.holdDue = c.now
+	c.hold(w)
+}
+
+func (c *Conductor) holdFailed(w *worker, err error) {
+	w.failures++
+	if w.failures == 1 || w.failures%16 == 0 {
+		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.failures, "places", len(w.places), "error", err)
+	}
+	w.holdDue = c.now.Add(min(firstRetry*time.Duration(w.failures), lastRetry))
+	var refused *orderer.RefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
+	switch refused.Reason {
+	case orderer.LowFence:
+		c.depose("worker " + w.info.Worker + " has seen a higher fence")
+	case orderer.Unhealthy:
+		w.avoidUntil = c.now.Add(avoidFor)
+	case orderer.OldRun, orderer.Late, orderer.NoRoom, orderer.NoTicket, orderer.OtherLife, orderer.Malformed:
+	}
+}
+
+// watch does what is due for a worker.
+func (c *Conductor) watch(w *worker) {
+	if !w.holding {
+		c.hold(w)
+	}
+	// A lease that is surely over ends all that the worker may have run. New orders carry a new
+	// lease, so only runs that were there before are over.
+	if len(w.places) > 0 && c.now.After(w.leaseEnds) && c.now.Sub(w.heard) > silentAfter {
+		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.places), "heard-ms-ago", c.now.Sub(w.heard).Milliseconds())
+		for _, p := range w.places {
+			c.end(p, stepper.Lapsed, "")
+		}
+		w.known = false
+	}
+	if !w.listed && len(w.places) == 0 && c.now.After(w.leaseEnds) && c.now.Sub(w.heard) > silentAfter {
+		delete(c.workers, w.info.Worker)
+		return
+	}
+	for _, p := range w.places {
+		c.watchPlace(p)
+	}
+}
+
+// takeEnds takes in the ends that are new.
+func (c *Conductor) takeEnds(w *worker, ended []orderer.Ended) {
+	for i := range ended {
+		e := &ended[i]
+		if e.Number <= w.taken {
+			continue
+		}
+		w.taken = e.Number
+		j := c.jobs[e.Task.Job]
+		if j == nil {
+			continue
+		}
+		p := j.places[e.Task]
+		if p == nil || p.run != e.Run || p.worker != w {
+			continue
+		}
+		c.end(p, e.How, e.Checkpoint)
+	}
+}
+
+// takeRunning compares a list with what should be there.
+func (c *Conductor) takeRunning(w *worker, listing orderer.Listing, sentAt time.Time) {
+	there := make(map[stepper.TaskKey]int, len(listing.Running))
+	for i := range listing.Running {
+		running := &listing.Running[i]
+		there[running.Task] = running.Run
+		p := w.places[running.Task]
+		if p == nil || p.run != running.Run {
+			c.stopStray(w, running, sentAt)
+			continue
+		}
+		c.seen(p, running)
+	}
+	for _, p := range w.places {
+		if run, found := there[p.key]; found && run == p.run {
+			continue
+		}
+		switch p.state {
+		case inQuestion:
+			// The worker has seen the new fence, so no order of an earlier owner arrives any more.
+			c.end(p, stepper.NeverRan, "")
+		case started:
+			if p.startedAt.Before(sentAt) {
+				c.end(p, stepper.Lost, "")
+			}
+		case doubted:
+			if !p.refusedAt.IsZero() && p.refusedAt.Before(sentAt) {
+				c.end(p, stepper.NeverRan, "")
+			}
+		case sending, unsent:
+		}
+	}
+}
--- /dev/null
+++ b/internal/conductor/round.go
@@ -0,0 +1,300 @@
+package conductor
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/packer"
+	"dotterelpost.example/dotterelpost/internal/ranker"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// step is a step of an open occurrence whose turn has come and that has tasks to place.
+type step struct {
+	key stepper.StepKey
+	job *job
+	def *stepper.Step
+	// good and rejected are the workers that the advisor allowed and did not.
+	good     map[string]goodWorker
+	rejected map[string]int64
+	asking   bool
+	askAfter time.Time
+	since    time.Time
+	tasks    []stepper.Task
+	// failedOn are the workers on which a task of the step failed.
+	failedOn map[string]bool
+}
+
+func (s *step) isGood(worker string) bool {
+	_, good := s.good[worker]
+	return good
+}
+
+// missing counts the tasks that have no place.
+func (s *step) missing() int {
+	count := 0
+	for i := range s.tasks {
+		if !s.tasks[i].Done && !s.tasks[i].Assigned() {
+			count++
+		}
+	}
+	return count
+}
+
+// placeable tells whether tasks of the step may be placed now. A gang starts as a whole, so all of
+// its last run must be over.
+func (s *step) placeable() bool {
+	missing := s.missing()
+	if s.def.Gang {
+		return missing == len(s.tasks) && missing > 0
+	}
+	return missing > 0
+}
+
+// refresh brings the list of steps to place up to date with a job.
+func (c *Conductor) refresh(j *job) {
+	if j.definition == nil || j.progress.State != "" {
+		c.forgetSteps(j)
+		return
+	}
+	j.progress.Advance(j.definition, c.Clock.Now())
+	for _, occurrence := range j.progress.Open {
+		for number := range j.definition.Steps {
+			key := stepper.StepKey{Job: j.id, Occurrence: occurrence.Number, Step: number}
+			s := j.steps[key]
+			if !occurrence.StepReady(j.definition, number) {
+				continue
+			}
+			if s == nil {
+				s = &step{
+					key: key, job: j, def: &j.definition.Steps[number], tasks: occurrence.Steps[number],
+					good: make(map[string]goodWorker), rejected: make(map[string]int64), since: c.now,
+				}
+				if j.steps == nil {
+					j.steps = make(map[stepper.StepKey]*step)
+				}
+				j.steps[key] = s
+			}
+			if s.placeable() {
+				c.hungry[key] = s
+				c.dirty = true
+			} else {
+				delete(c.hungry, key)
+			}
+		}
+	}
+}
+
+func (c *Conductor) forgetSteps(j *job) {
+	for key := range j.steps {
+		delete(c.hungry, key)
+	}
+	if j.placed() == 0 {
+		j.steps = nil
+	}
+}
+
+// round places what can be placed, in the order of its rank, and asks for advice about what will be
+// placed next.
+func (c *Conductor) round() {
+	if !c.dirty || c.leaving {
+		return
+	}
+	c.dirty = false
+	if len(c.hungry) == 0 {
+		return
+	}
+	for _, s := range c.ranked() {
+		c.tryStep(s)
+	}
+}
+
+// ranked returns the steps to place, the one that goes first at the front.
+func (c *Conductor) ranked() []*step {
+	type entry struct {
+		step *step
+		rank ranker.Rank
+	}
+	entries := make([]entry, 0, len(c.hungry))
+	for _, s := range c.hungry {
+		entries = append(entries, entry{s, c.rank(s)})
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
+			return order < 0
+		}
+		return entries[i].step.key.Job < entries[j].step.key.Job
+	})
+	steps := make([]*step, len(entries))
+	for i := range entries {
+		steps[i] = entries[i].step
+	}
+	return steps
+}
+
+// rank sorts a step among those that wait.
+func (c *Conductor) rank(s *step) ranker.Rank {
+	j := s.job
+	ask := ranker.Ask{AcceptedAt: j.progress.AcceptedAt, Priority: lastPriority, Stretch: 2}
+	if queue := c.queueOf(j); queue != nil {
+		ask.Priority, ask.Stretch, ask.Target = queue.Priority, queue.Stretch, queue.Target
+	}
+	if j.definition.Scheduled() {
+		ask.AcceptedAt = j.definition.Due(s.key.Occurrence)
+	}
+	ask.Chain = j.definition.Chain(func(number int) time.Duration { return c.duration(j, number) })
+	ask.Left = c.duration(j, s.key.Step)
+	ask.Lasting = s.def.Lasting
+	return ranker.Of(ask, c.Clock.Now())
+}
+
+// lastPriority is that of jobs whose queue was dropped.
+const lastPriority = 9
+
+// sites returns the workers that may take tasks of a step.
+func (c *Conductor) sites(s *step) []packer.Site {
+	sites := make([]packer.Site, 0, len(c.workers))
+	for id, w := range c.workers {
+		if !c.usable(w) || !w.info.HasLabel(s.def.Label) {
+			continue
+		}
+		sites = append(sites, packer.Site{
+			Worker: id, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: w.free(),
+			Present: c.present(w, s), Slowness: c.slowness(w, s),
+		})
+	}
+	slices.SortFunc(sites, func(a, b packer.Site) int {
+		if a.Worker < b.Worker {
+			return -1
+		}
+		return 1
+	})
+	return sites
+}
+
+// failedHere makes a worker on which a task of the step failed the last choice.
+const failedHere = 4
+
+func (c *Conductor) slowness(w *worker, s *step) float64 {
+	slowness := w.pace.slowness()
+	if s.failedOn[w.info.Worker] {
+		slowness += failedHere
+	}
+	return slowness
+}
+
+func (c *Conductor) present(w *worker, s *step) int {
+	if s.def.MostPerWorker == 0 {
+		return 0
+	}
+	count := 0
+	for key := range w.places {
+		if key.StepKey == s.key {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *Conductor) tryStep(s *step) {
+	sites := c.sites(s)
+	queue := c.queueOf(s.job)
+	if queue == nil || queue.Advice == nil {
+		c.assign(s, sites)
+		return
+	}
+	if c.assign(s, c.ticketed(s, sites)) {
+		return
+	}
+	if c.hasRoom(s, sites) {
+		c.seek(s, queue, sites)
+	}
+}
+
+// ticketed returns the sites for which the step has a ticket.
+func (c *Conductor) ticketed(s *step, sites []packer.Site) []packer.Site {
+	var allowed []packer.Site
+	for _, site := range sites {
+		good, found := s.good[site.Worker]
+		if found && good.born == c.workers[site.Worker].info.Born && c.now.Before(good.until) {
+			allowed = append(allowed, site)
+		}
+	}
+	return allowed
+}
+
+// hasRoom tells whether the workers that may be good have room for the step, so that asking is worth
+// the time.
+func (c *Conductor) hasRoom(s *step, sites []packer.Site) bool {
+	room := 0
+	for _, site := range sites {
+		if s.rejected[site.Worker] != 0 && s.rejected[site.Worker] == c.workers[site.Worker].info.Born {
+			continue
+		}
+		room += packer.Count(site.Free, s.def.Reserved(), s.def.MostPerWorker)
+	}
+	if s.def.Gang {
+		return room >= len(s.tasks)
+	}
+	return room > 0
+}
+
+// assign places tasks of a step and has the record written. It reports whether nothing is left to
+// place.
+func (c *Conductor) assign(s *step, sites []packer.Site) bool {
+	if len(sites) == 0 {
+		return false
+	}
+	missing := s.missing()
+	places := packer.Pack(sites, packer.Ask{Step: s.def, Tasks: missing, Together: s.def.Gang})
+	if len(places) == 0 {
+		return false
+	}
+	run := 0
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].Run)
+	}
+	var placed []*place
+	for i := range s.tasks {
+		task := &s.tasks[i]
+		if task.Done || task.Assigned() || len(placed) == len(places) {
+			continue
+		}
+		key := stepper.TaskKey{StepKey: s.key, Index: i}
+		w := c.workers[sites[places[len(placed)]].Worker]
+		number := task.Run + 1
+		if s.def.Gang {
+			number = run + 1
+		}
+		s.job.progress.Assign(key, number, w.info.Life)
+		placed = append(placed, c.place(s.job, key, task, unsent))
+	}
+	c.Log.Info("placed", "job", s.key.Job, "occurrence", s.key.Occurrence, "step", s.key.Step, "tasks", len(placed), "left", missing-len(placed),
+		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(sites), "waited-ms", c.now.Sub(s.since).Milliseconds())
+	j := s.job
+	c.touch(j, func() {
+		if j.shown == stepper.Queued {
+			j.shown = stepper.Running
+		}
+		for _, p := range placed {
+			c.send(p)
+		}
+	})
+	if !s.placeable() {
+		delete(c.hungry, s.key)
+		return true
+	}
+	return false
+}
+
+// admit decides whether a job is accepted.
+func (c *Conductor) admit(definition *stepper.Job) *RefusedError {
+	if len(c.jobs) >= mostJobs {
+		return &RefusedError{Reason: "too many jobs are open", RetryAfter: time.Second}
+	}
+	return nil
+}
+
+// mostJobs bounds the memory of a cell: a job takes a few kilobytes.
+const mostJobs = 20000
--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 
@@ -170,3 +171,21 @@
 func (p *Platform) Register(ctx context.Context, instance modeler.Instance) error {
 	return p.call(ctx, http.MethodPost, p.path("instances"), instance, nil)
 }
+
+// Changes are rows that changed in a table up to a version. A removed row has the version 0 and no
+// value.
+type Changes struct {
+	Rows    []Row
+	Version int64
+}
+
+// ForgottenError tells that the store no longer has the history that was asked for. What is there
+// now has to be read anew.
+type ForgottenError struct {
+	Table string
+	After int64
+}
+
+func (e *ForgottenError) Error() string {
+	return fmt.Sprintf("the history of table %s after version %d is forgotten", e.Table, e.After)
+}
--- /dev/null
+++ b/internal/director/calls.go
@@ -0,0 +1,297 @@
+package director
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/conductor"
+	"dotterelpost.example/dotterelpost/internal/mesher"
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/ruler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+const (
+	// tryAgain is the pause before a call is handed on again.
+	tryAgain = 60 * time.Millisecond
+	// onePatience bounds one attempt of a call, so that a silent owner does not use up the
+	// caller's whole time.
+	onePatience = 1200 * time.Millisecond
+	// advicePatience is added to how long the advisor takes for a call: others may wait before it.
+	advicePatience = 2 * time.Second
+)
+
+// answer is what an owner says to a call, besides refusals.
+type answer struct {
+	Known   bool            `json:"known,omitempty"`
+	Unknown bool            `json:"unknown,omitempty"`
+	State   stepper.State   `json:"state,omitempty"`
+	Pending int             `json:"pending,omitempty"`
+	Advice  *orderer.Advice `json:"advice,omitempty"`
+}
+
+// Submit hands a job to the owner of the queue's cell. A *conductor.RefusedError or a *NoOwnerError
+// means that the job was not accepted.
+func (d *Director) Submit(ctx context.Context, queue *ruler.Queue, job *stepper.Job) error {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return errors.Wrap(err, "encode job")
+	}
+	_, err = d.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_SUBMIT, Key: job.ID, Job: body})
+	return err
+}
+
+// State asks for the state of a job. The error is a *conductor.UnknownJobError if there is none.
+func (d *Director) State(ctx context.Context, queue *ruler.Queue, id string) (stepper.State, error) {
+	reply, err := d.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_STATUS, Key: id})
+	if err == nil && reply.Unknown {
+		err = &conductor.UnknownJobError{ID: id}
+	}
+	return reply.State, err
+}
+
+// Cancel cancels a job.
+func (d *Director) Cancel(ctx context.Context, queue *ruler.Queue, id string) error {
+	reply, err := d.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_CANCEL, Key: id})
+	if err == nil && reply.Unknown {
+		err = &conductor.UnknownJobError{ID: id}
+	}
+	return err
+}
+
+// Pending returns how many accepted jobs of a queue have started no task.
+func (d *Director) Pending(ctx context.Context, queue *ruler.Queue) (int, error) {
+	reply, err := d.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_PENDING, Key: queue.Name})
+	return reply.Pending, err
+}
+
+// route hands a call to the owner of a cell, again and again until there is an answer or the time is
+// over. A refusal counts only if no earlier attempt may have been accepted.
+func (d *Director) route(ctx context.Context, name string, call *messenger.Call) (answer, error) {
+	call.Partition = name
+	var doubt error
+	for {
+		reply, err := d.attempt(ctx, name, call)
+		var refused *conductor.RefusedError
+		switch {
+		case err == nil:
+			return reply, nil
+		case errors.As(err, &refused):
+			if doubt != nil {
+				return reply, &UndecidedError{Cell: name, Err: doubt}
+			}
+			return reply, err
+		case !neverSent(err):
+			doubt = err
+		}
+		select {
+		case <-ctx.Done():
+			if doubt != nil {
+				return reply, &UndecidedError{Cell: name, Err: doubt}
+			}
+			return reply, &NoOwnerError{Cell: name}
+		case <-d.changed(name):
+		case <-d.Clock.After(tryAgain):
+		}
+	}
+}
+
+// neverSent tells whether a failed attempt can't have had an effect.
+func neverSent(err error) bool {
+	var noOwner *NoOwnerError
+	var notOwner *notOwnerError
+	var noLink *mesher.NoLinkError
+	return errors.As(err, &noOwner) || errors.As(err, &notOwner) || errors.As(err, &noLink)
+}
+
+// notOwnerError tells that a peer was asked that does not own the cell.
+type notOwnerError struct{ Cell string }
+
+func (e *notOwnerError) Error() string { return "the peer does not own cell " + e.Cell }
+
+func (d *Director) changed(name string) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.cells[name]; c != nil {
+		return c.changed
+	}
+	return nil
+}
+
+// attempt asks whoever owns the cell now.
+func (d *Director) attempt(ctx context.Context, name string, call *messenger.Call) (answer, error) {
+	d.mu.Lock()
+	c := d.cells[name]
+	var own *conductor.Conductor
+	holder := ""
+	if c != nil {
+		own, holder = c.conductor, c.ownership.Holder
+	}
+	d.mu.Unlock()
+	if own != nil {
+		return serveOwn(ctx, own, call)
+	}
+	if holder == "" || holder == d.run {
+		return answer{}, &NoOwnerError{Cell: name}
+	}
+	ctx, cancel := context.WithTimeout(ctx, onePatience)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	call.PatienceNanos = int64(deadline.Sub(d.Clock.Now()))
+	reply, err := d.mesh.Call(ctx, holder, call)
+	if err != nil {
+		return answer{}, err
+	}
+	return decodeReply(name, reply)
+}
+
+// ServeCall answers a call of a peer.
+func (d *Director) ServeCall(ctx context.Context, call *messenger.Call) *messenger.Reply {
+	if call.GetKind() == messenger.CallKind_CALL_KIND_ADVISE {
+		return encodeReply(d.serveAdvice(ctx, call))
+	}
+	d.mu.Lock()
+	c := d.cells[call.GetPartition()]
+	var own *conductor.Conductor
+	if c != nil {
+		own = c.conductor
+	}
+	d.mu.Unlock()
+	if own == nil {
+		return encodeReply(answer{}, &notOwnerError{Cell: call.GetPartition()})
+	}
+	return encodeReply(serveOwn(ctx, own, call))
+}
+
+// badCallError tells that a peer sent a call that can't be understood.
+type badCallError struct{ Reason string }
+
+func (e *badCallError) Error() string { return "call not understood: " + e.Reason }
+
+func serveOwn(ctx context.Context, own *conductor.Conductor, call *messenger.Call) (answer, error) {
+	var reply answer
+	var err error
+	switch call.GetKind() {
+	case messenger.CallKind_CALL_KIND_SUBMIT:
+		job := &stepper.Job{}
+		if err := json.Unmarshal(call.GetJob(), job); err != nil {
+			return reply, &badCallError{Reason: err.Error()}
+		}
+		var outcome conductor.Outcome
+		outcome, err = own.Submit(ctx, job)
+		reply.Known = outcome.Known
+	case messenger.CallKind_CALL_KIND_STATUS:
+		reply.State, err = own.State(ctx, call.GetKey())
+	case messenger.CallKind_CALL_KIND_CANCEL:
+		err = own.Cancel(ctx, call.GetKey())
+	case messenger.CallKind_CALL_KIND_PENDING:
+		reply.Pending, err = own.Pending(ctx, call.GetKey())
+	case messenger.CallKind_CALL_KIND_ADVISE, messenger.CallKind_CALL_KIND_TRANSACT, messenger.CallKind_CALL_KIND_UNSPECIFIED:
+		err = &badCallError{Reason: call.GetKind().String()}
+	}
+	var unknown *conductor.UnknownJobError
+	if errors.As(err, &unknown) {
+		return answer{Unknown: true}, nil
+	}
+	return reply, err
+}
+
+func encodeReply(a answer, err error) *messenger.Reply {
+	if err == nil {
+		text, err := json.Marshal(a)
+		if err != nil {
+			return &messenger.Reply{Error: messenger.ErrorKind_ERROR_KIND_BAD_CALL, Reason: err.Error()}
+		}
+		return &messenger.Reply{Answer: text}
+	}
+	reply := &messenger.Reply{Reason: err.Error(), Error: messenger.ErrorKind_ERROR_KIND_UNDECIDED}
+	var refused *conductor.RefusedError
+	var elsewhere *notOwnerError
+	var bad *badCallError
+	switch {
+	case errors.As(err, &refused):
+		reply.Error = messenger.ErrorKind_ERROR_KIND_REFUSED
+		reply.Reason, reply.RetryAfterNanos = refused.Reason, int64(refused.RetryAfter)
+	case errors.As(err, &elsewhere):
+		reply.Error = messenger.ErrorKind_ERROR_KIND_NOT_OWNER
+	case errors.As(err, &bad):
+		reply.Error = messenger.ErrorKind_ERROR_KIND_BAD_CALL
+	}
+	return reply
+}
+
+func decodeReply(cell string, reply *messenger.Reply) (answer, error) {
+	var a answer
+	switch reply.GetError() {
+	case messenger.ErrorKind_ERROR_KIND_UNSPECIFIED:
+		if err := json.Unmarshal(reply.GetAnswer(), &a); err != nil {
+			return a, &UndecidedError{Cell: cell, Err: err}
+		}
+		return a, nil
+	case messenger.ErrorKind_ERROR_KIND_NOT_OWNER:
+		return a, &notOwnerError{Cell: cell}
+	case messenger.ErrorKind_ERROR_KIND_REFUSED:
+		return a, &conductor.RefusedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterNanos())}
+	case messenger.ErrorKind_ERROR_KIND_BAD_CALL:
+		return a, &badCallError{Reason: reply.GetReason()}
+	case messenger.ErrorKind_ERROR_KIND_UNDECIDED:
+	}
+	return a, &UndecidedError{Cell: cell, Err: &badCallError{Reason: reply.GetReason()}}
+}
+
+// question is what a peer is asked to ask the advisor.
+type question struct {
+	Step    stepper.StepKey `json:"step"`
+	Workers []string        `json:"workers"`
+}
+
+// Instances returns the runs that can ask the advisor: this one and all that are heard.
+func (d *Director) Instances() []string {
+	names := []string{d.run}
+	for run, beat := range d.mesh.Live() {
+		if !beat.GetLeaving() {
+			names = append(names, run)
+		}
+	}
+	return names
+}
+
+// Advise asks the advisor, from this instance or through a peer.
+func (d *Director) Advise(ctx context.Context, instance string, step stepper.StepKey, workers []string) (orderer.Advice, error) {
+	ctx, cancel := context.WithTimeout(ctx, advicePatience)
+	defer cancel()
+	if instance == d.run {
+		return d.Advisor.Advise(ctx, step, workers)
+	}
+	body, err := json.Marshal(question{Step: step, Workers: workers})
+	if err != nil {
+		return orderer.Advice{}, errors.Wrap(err, "encode question")
+	}
+	reply, err := d.mesh.Call(ctx, instance, &messenger.Call{
+		Kind: messenger.CallKind_CALL_KIND_ADVISE, Job: body, PatienceNanos: int64(advicePatience),
+	})
+	if err != nil {
+		return orderer.Advice{}, err
+	}
+	a, err := decodeReply("", reply)
+	if err != nil {
+		return orderer.Advice{}, err
+	}
+	if a.Advice == nil {
+		return orderer.Advice{}, &badCallError{Reason: "no advice in the answer"}
+	}
+	return *a.Advice, nil
+}
+
+func (d *Director) serveAdvice(ctx context.Context, call *messenger.Call) (answer, error) {
+	var ask question
+	if err := json.Unmarshal(call.GetJob(), &ask); err != nil {
+		return answer{}, &badCallError{Reason: err.Error()}
+	}
+	advice, err := d.Advisor.Advise(ctx, ask.Step, ask.Workers)
+	return answer{Advice: &advice}, err
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,330 @@
+package director
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/claimer"
+	"dotterelpost.example/dotterelpost/internal/committer"
+	"dotterelpost.example/dotterelpost/internal/conductor"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/follower"
+	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/ruler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// Store is what the package needs of the platform's store.
+type Store interface {
+	claimer.Table
+	follower.Store
+}
+
+// Mesh carries calls to other instances.
+type Mesh interface {
+	Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error)
+	Live() map[string]*messenger.Heartbeat
+	SetPeers(instances []modeler.Instance)
+}
+
+// Advisor asks the placement advisor from this instance.
+type Advisor interface {
+	Advise(ctx context.Context, step stepper.StepKey, workers []string) (orderer.Advice, error)
+}
+
+// Decoders read the rows that the platform and its workers write.
+type Decoders struct {
+	// ConfigurationTable and ConfigurationKey name the row of the rules.
+	ConfigurationTable, ConfigurationKey string
+	Configuration                        func(text []byte) (*ruler.Rules, error)
+	WorkersTable                         string
+	Worker                               func(key string, text []byte) (orderer.Worker, error)
+}
+
+// Settings of a director.
+type Settings struct {
+	// Name is that of the instance. A run of its process is Name and the time of its start.
+	Name             string
+	Region           string
+	AvailabilityZone string
+	Mesh             netip.AddrPort
+	Conductor        conductor.Settings
+}
+
+// Dependencies of a director.
+type Dependencies struct {
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	Store    Store
+	Workers  conductor.Workers
+	Advisor  Advisor
+	Decoders Decoders
+	Counts   *conductor.Counts
+}
+
+// Director answers for an instance.
+type Director struct {
+	settings Settings
+	Dependencies
+	mesh      Mesh
+	run       string
+	startedAt time.Time
+	book      *ruler.Book
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	leaving   atomic.Bool
+	// storeAnswered is when the store answered last, in Unix nanoseconds.
+	storeAnswered atomic.Int64
+
+	mu    sync.Mutex
+	cells map[string]*cell
+	heard map[string]time.Time
+}
+
+// cell is what is known here of one cell.
+type cell struct {
+	name      string
+	ownership claimer.Ownership
+	// read tells that the row has been read at least once.
+	read bool
+	// since is when the present holder was first seen here.
+	since     time.Time
+	conductor *conductor.Conductor
+	stop      func()
+	claiming  bool
+	// changed is closed and made anew whenever the owner changes.
+	changed chan struct{}
+}
+
+// RunName names a run of an instance's process.
+func RunName(instance string, startedAt time.Time) string {
+	return instance + "@" + strconv.FormatInt(startedAt.UnixMilli(), 10)
+}
+
+// startOf reads the time of the start out of the name of a run.
+func startOf(run string) time.Time {
+	_, digits, _ := strings.Cut(run, "@")
+	milliseconds, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(milliseconds)
+}
+
+// New returns a director and the function that ends it at once.
+func New(settings Settings, dependencies Dependencies) (*Director, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	now := dependencies.Clock.Now()
+	d := &Director{
+		settings:     settings,
+		Dependencies: dependencies,
+		run:          RunName(settings.Name, now),
+		startedAt:    now,
+		book:         &ruler.Book{},
+		ctx:          ctx,
+		cancel:       cancel,
+		cells:        make(map[string]*cell),
+		heard:        make(map[string]time.Time),
+	}
+	d.storeAnswered.Store(now.UnixNano())
+	return d, d.stop
+}
+
+// SetMesh gives the director its mesh, before Follow is called.
+func (d *Director) SetMesh(mesh Mesh) { d.mesh = mesh }
+
+// Run is the name under which this process is known to others.
+func (d *Director) Run() string { return d.run }
+
+// Book returns the rules in force.
+func (d *Director) Book() *ruler.Book { return d.book }
+
+func (d *Director) stop() {
+	d.cancel()
+	d.mu.Lock()
+	var stops []func()
+	for _, c := range d.cells {
+		if c.stop != nil {
+			stops = append(stops, c.stop)
+		}
+	}
+	d.mu.Unlock()
+	for _, stop := range stops {
+		stop()
+	}
+	d.group.Wait()
+}
+
+// Beat returns the heartbeat to send now.
+func (d *Director) Beat() *messenger.Heartbeat {
+	beat := &messenger.Heartbeat{
+		Instance:           d.run,
+		Region:             d.settings.Region,
+		Leaving:            d.leaving.Load(),
+		Configuration:      d.book.Version(),
+		StoreSilenceMillis: d.storeSilence().Milliseconds(),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.cells {
+		if c.conductor != nil {
+			beat.Holdings = append(beat.Holdings, &messenger.Holding{Partition: c.name, Epoch: c.ownership.Fence})
+		}
+	}
+	return beat
+}
+
+// Heard takes in a heartbeat of a peer.
+func (d *Director) Heard(beat *messenger.Heartbeat) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard[beat.GetInstance()] = d.Clock.Now()
+	for _, holding := range beat.GetHoldings() {
+		c := d.cells[holding.GetPartition()]
+		if c == nil || holding.GetEpoch() <= c.ownership.Fence {
+			continue
+		}
+		// The peer has claimed the cell, and its row has not been read here yet.
+		c.ownership.Holder, c.ownership.Fence, c.ownership.Version = beat.GetInstance(), holding.GetEpoch(), 0
+		d.ownerChanged(c)
+	}
+}
+
+func (d *Director) storeSilence() time.Duration {
+	return d.Clock.Since(time.Unix(0, d.storeAnswered.Load()))
+}
+
+func (d *Director) answered() { d.storeAnswered.Store(d.Clock.Now().UnixNano()) }
+
+const (
+	// storeLost is from how long a silence on the store counts as lost.
+	storeLost = 2500 * time.Millisecond
+	// ownershipLimit is how long an owner goes on without word of the store while others have it.
+	ownershipLimit = 6 * time.Second
+)
+
+// confirmed tells whether an owner here may go on giving leases: it has heard of the store lately,
+// or nobody that it hears of has.
+func (d *Director) confirmed() bool {
+	if d.storeSilence() < ownershipLimit {
+		return true
+	}
+	live := d.mesh.Live()
+	for _, beat := range live {
+		if time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond < storeLost {
+			return false
+		}
+	}
+	return len(live) > 0
+}
+
+// Ready tells whether this instance can serve callers: it has rules and an owner for every service.
+func (d *Director) Ready() bool {
+	rules := d.book.Rules()
+	if rules == nil || d.leaving.Load() {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, service := range rules.Services {
+		c := d.cells[service.Name]
+		if c == nil || c.conductor == nil && !d.alive(c.ownership.Holder) {
+			return false
+		}
+	}
+	return true
+}
+
+// alive tells whether a peer was heard lately. The caller holds the mutex.
+func (d *Director) alive(run string) bool {
+	heard, known := d.heard[run]
+	return known && d.Clock.Since(heard) < claimer.SuspectAfter
+}
+
+// NoOwnerError tells that no owner of a cell was found in time; the call was never handed on.
+type NoOwnerError struct{ Cell string }
+
+func (e *NoOwnerError) Error() string { return "no owner of cell " + e.Cell + " was found in time" }
+
+// UndecidedError tells that it is not known what became of a call.
+type UndecidedError struct {
+	Cell string
+	Err  error
+}
+
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("cell %s: not known what became of the call: %v", e.Cell, e.Err)
+}
+
+func (e *UndecidedError) Unwrap() error { return e.Err }
+
+// newWriter returns a journal for one ownership.
+func (d *Director) newWriter(c *cell, fence int64) *committer.Writer {
+	return committer.NewWriter(storeWatch{d.Store, d}, c.name+"/"+d.run+"."+strconv.FormatInt(fence, 10), d.Clock)
+}
+
+// storeWatch notes when the store answered.
+type storeWatch struct {
+	Store
+	director *Director
+}
+
+// Transact sends one transaction, once.
+func (s storeWatch) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	outcome, err := s.Store.Transact(ctx, transaction)
+	if err == nil {
+		s.director.answered()
+	}
+	return outcome, err
+}
+
+// peerRow is an instance's row: how others reach it.
+type peerRow struct {
+	Run              string         `json:"run"`
+	Region           string         `json:"region"`
+	AvailabilityZone string         `json:"availability-zone"`
+	Mesh             netip.AddrPort `json:"mesh"`
+}
+
+// instancesTable holds a row for each instance.
+const instancesTable = "instances"
+
+func (d *Director) register() {
+	value, err := json.Marshal(peerRow{Run: d.run, Region: d.settings.Region, AvailabilityZone: d.settings.AvailabilityZone, Mesh: d.settings.Mesh})
+	if err != nil {
+		d.Log.Error("instance not registered", "error", errors.Wrap(err, "encode row"))
+		return
+	}
+	put := connector.Transaction{Puts: []connector.Put{{Key: instancesTable + "/all/" + d.settings.Name, Value: value}}}
+	for d.ctx.Err() == nil {
+		if _, err = d.Store.Transact(d.ctx, put); err == nil {
+			return
+		}
+		d.Log.Warn("instance not registered yet", "error", err)
+		d.pause(registerAgain)
+	}
+}
+
+// registerAgain is the pause before another attempt to register.
+const registerAgain = 300 * time.Millisecond
+
+func (d *Director) pause(pause time.Duration) {
+	select {
+	case <-d.ctx.Done():
+	case <-d.Clock.After(pause):
+	}
+}
--- /dev/null
+++ b/internal/director/ownership.go
@@ -0,0 +1,358 @@
+package director
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/claimer"
+	"dotterelpost.example/dotterelpost/internal/conductor"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/follower"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+)
+
+const (
+	// lookEvery is how often owners are looked after.
+	lookEvery = 100 * time.Millisecond
+	// watchWait is how long a watch of a table waits for a change.
+	watchWait = time.Second
+	// readAnew is after how much time a followed table is read anew.
+	readAnew = 6 * time.Second
+	// claimTimeout bounds one claim.
+	claimTimeout = 2 * time.Second
+)
+
+// Follow registers the instance and follows the rules, the peers and the owners.
+func (d *Director) Follow() {
+	d.group.Go(d.register)
+	d.follow(d.ctx, d.Decoders.ConfigurationTable, "", d.applyRules)
+	d.follow(d.ctx, instancesTable, "all", d.applyPeers())
+	d.group.Go(d.lookAfterOwners)
+}
+
+func (d *Director) follow(ctx context.Context, table, part string, apply func([]connector.Row, bool)) {
+	d.group.Go(func() {
+		follower.Follow(ctx, follower.Options{
+			Store: d.Store, Clock: d.Clock, Log: d.Log, Table: table, Part: part,
+			Wait: watchWait, Anew: readAnew, Apply: apply, Answered: d.answered,
+		})
+	})
+}
+
+func (d *Director) applyRules(rows []connector.Row, _ bool) {
+	for _, row := range rows {
+		if row.Key != d.Decoders.ConfigurationKey || row.Value == nil {
+			continue
+		}
+		rules, err := d.Decoders.Configuration(row.Value)
+		if err != nil {
+			d.Log.Error("rules can't be read", "row", row.Key, "version", row.Version, "error", err)
+			continue
+		}
+		if !d.book.Apply(rules) {
+			continue
+		}
+		d.Log.Info("rules applied", "version", rules.Version, "queues", len(rules.Queues), "services", len(rules.Services))
+		for _, service := range rules.Services {
+			d.openCell(service.Name)
+		}
+	}
+}
+
+// openCell begins to follow the owner of a cell.
+func (d *Director) openCell(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cells[name] != nil {
+		return
+	}
+	c := &cell{name: name, since: d.Clock.Now(), changed: make(chan struct{}), ownership: claimer.Ownership{Cell: name}}
+	d.cells[name] = c
+	d.follow(d.ctx, claimer.OwnersTable, name, func(rows []connector.Row, whole bool) { d.applyOwner(c, rows, whole) })
+}
+
+func (d *Director) applyOwner(c *cell, rows []connector.Row, whole bool) {
+	stored := connector.Row{Key: claimer.Key(c.name)}
+	found := whole
+	for _, row := range rows {
+		if row.Key == stored.Key {
+			stored, found = row, true
+		}
+	}
+	if !found {
+		return
+	}
+	ownership, err := claimer.Parse(c.name, stored)
+	if err != nil {
+		d.Log.Error("owner's row can't be read", "row", stored.Key, "version", stored.Version, "error", err)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.read = true
+	d.learnOwner(c, ownership)
+}
+
+// learnOwner takes in what a row says, unless something newer is known. The caller holds the mutex.
+func (d *Director) learnOwner(c *cell, ownership claimer.Ownership) {
+	known := &c.ownership
+	if ownership.Fence < known.Fence || ownership.Version <= known.Version {
+		return
+	}
+	changed := ownership.Holder != known.Holder || ownership.Fence != known.Fence
+	*known = ownership
+	if changed {
+		d.ownerChanged(c)
+	}
+}
+
+// ownerChanged starts or ends this instance's own work on a cell. The caller holds the mutex.
+func (d *Director) ownerChanged(c *cell) {
+	c.since = d.Clock.Now()
+	close(c.changed)
+	c.changed = make(chan struct{})
+	d.Log.Info("owner known", "cell", c.name, "owner", c.ownership.Holder, "fence", c.ownership.Fence, "version", c.ownership.Version)
+	if c.conductor != nil && (c.ownership.Holder != d.run || c.conductor.Claim().Fence != c.ownership.Fence) {
+		d.group.Go(c.stop)
+		c.conductor, c.stop = nil, nil
+	}
+	if c.ownership.Holder == d.run && c.conductor == nil && c.ownership.Version != 0 && !d.leaving.Load() {
+		d.startConductor(c)
+	}
+}
+
+func (d *Director) startConductor(c *cell) {
+	claim := conductor.Claim{
+		Cell:    c.name,
+		Fence:   c.ownership.Fence,
+		Row:     claimer.Key(c.name),
+		Version: c.ownership.Version,
+		First:   c.ownership.Fence == 1,
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	var stop func()
+	c.conductor, stop = conductor.Start(claim, d.settings.Conductor, conductor.Dependencies{
+		Clock:     d.Clock,
+		Log:       d.Log,
+		Workers:   d.Workers,
+		Advisors:  d,
+		Journal:   d.newWriter(c, claim.Fence),
+		Rows:      d.Store,
+		Book:      d.book,
+		Confirmed: d.confirmed,
+		Deposed:   func() { d.deposed(c, claim.Fence) },
+		Counts:    d.Counts,
+	})
+	c.stop = func() {
+		cancel()
+		stop()
+	}
+	began := c.conductor
+	d.follow(ctx, d.Decoders.WorkersTable, "", func(rows []connector.Row, whole bool) { d.applyWorkers(began, rows, whole) })
+}
+
+// deposed is called when the store or a worker has shown that somebody else owns a cell. Who that is
+// comes with the row.
+func (d *Director) deposed(c *cell, fence int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.conductor == nil || c.conductor.Claim().Fence != fence {
+		return
+	}
+	d.group.Go(c.stop)
+	c.conductor, c.stop = nil, nil
+	if c.ownership.Holder == d.run {
+		c.ownership.Holder = ""
+		c.since = d.Clock.Now()
+	}
+}
+
+func (d *Director) applyWorkers(to *conductor.Conductor, rows []connector.Row, whole bool) {
+	var named []orderer.Worker
+	var gone []string
+	for _, row := range rows {
+		if row.Value == nil {
+			if info, known := idOf(row.Key); known {
+				gone = append(gone, info)
+			}
+			continue
+		}
+		worker, err := d.Decoders.Worker(row.Key, row.Value)
+		if err != nil {
+			d.Log.Warn("worker's entry can't be read", "row", row.Key, "version", row.Version, "error", err)
+			continue
+		}
+		named = append(named, worker)
+	}
+	to.SetWorkers(named, gone, whole)
+}
+
+// idOf is the last part of a row's key.
+func idOf(key string) (string, bool) {
+	slashes := 0
+	for i := range key {
+		if key[i] == '/' {
+			if slashes++; slashes == 2 {
+				return key[i+1:], i+1 < len(key)
+			}
+		}
+	}
+	return "", false
+}
+
+func (d *Director) applyPeers() func([]connector.Row, bool) {
+	peers := make(map[string]peerRow)
+	return func(rows []connector.Row, whole bool) {
+		if whole {
+			clear(peers)
+		}
+		for _, row := range rows {
+			var peer peerRow
+			if row.Value == nil {
+				delete(peers, row.Key)
+				continue
+			}
+			if err := json.Unmarshal(row.Value, &peer); err != nil || !peer.Mesh.IsValid() {
+				d.Log.Error("peer's row can't be read", "row", row.Key, "version", row.Version, "error", err)
+				continue
+			}
+			peers[row.Key] = peer
+		}
+		instances := make([]modeler.Instance, 0, len(peers))
+		for _, peer := range peers {
+			if peer.Run != d.run {
+				instances = append(instances, modeler.Instance{Name: peer.Run, Region: peer.Region, AvailabilityZone: peer.AvailabilityZone, Mesh: peer.Mesh})
+			}
+		}
+		d.mesh.SetPeers(instances)
+	}
+}
+
+// lookAfterOwners claims cells whose owner is silent.
+func (d *Director) lookAfterOwners() {
+	ticker := d.Clock.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		if d.leaving.Load() {
+			continue
+		}
+		d.mu.Lock()
+		for _, c := range d.cells {
+			if d.claimDue(c) {
+				c.claiming = true
+				d.group.Go(func() { d.claim(c, c.ownership) })
+			}
+		}
+		d.mu.Unlock()
+	}
+}
+
+// claimDue tells whether it is this instance's turn to claim a cell. The caller holds the mutex.
+func (d *Director) claimDue(c *cell) bool {
+	if !c.read || c.claiming || c.conductor != nil {
+		return false
+	}
+	if c.ownership.Holder == d.run && c.ownership.Version != 0 {
+		return false
+	}
+	silentFrom := c.since
+	if c.ownership.Holder != "" {
+		if heard, known := d.heard[c.ownership.Holder]; known && heard.After(silentFrom) {
+			silentFrom = heard
+		}
+		silentFrom = silentFrom.Add(claimer.SuspectAfter)
+	}
+	delay, candidate := claimer.Delay(d.candidates(), d.run)
+	return candidate && d.Clock.Since(silentFrom) >= delay
+}
+
+// candidates are the instances that could claim a cell. The caller holds the mutex.
+func (d *Director) candidates() []claimer.Candidate {
+	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.storeSilence() > storeLost}}
+	for run, beat := range d.mesh.Live() {
+		if d.alive(run) {
+			candidates = append(candidates, claimer.Candidate{
+				Name: run, Started: startOf(run), Leaving: beat.GetLeaving(),
+				Cut: time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost,
+			})
+		}
+	}
+	return candidates
+}
+
+func (d *Director) claim(c *cell, known claimer.Ownership) {
+	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
+	defer cancel()
+	d.Log.Info("claiming", "cell", c.name, "owner", known.Holder, "fence", known.Fence, "version", known.Version)
+	ownership, err := claimer.Claim(ctx, d.Store, d.run, known)
+	var lost *claimer.LostError
+	if err != nil && !errors.As(err, &lost) {
+		// The row tells what became of the claim.
+		d.Log.Warn("claim without answer", "cell", c.name, "error", err)
+		ownership, err = d.readOwner(ctx, c)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.claiming = false
+	if err != nil && !errors.As(err, &lost) {
+		c.since = d.Clock.Now()
+		return
+	}
+	d.learnOwner(c, ownership)
+}
+
+func (d *Director) readOwner(ctx context.Context, c *cell) (claimer.Ownership, error) {
+	rows, err := d.Store.Read(ctx, claimer.Key(c.name))
+	if err != nil {
+		return claimer.Ownership{}, err
+	}
+	return claimer.Parse(c.name, rows[claimer.Key(c.name)])
+}
+
+// Leave hands the cells of this instance over: what is being written is finished, and each row is
+// left without an owner, so that another instance claims it at once.
+func (d *Director) Leave(ctx context.Context) {
+	d.leaving.Store(true)
+	d.mu.Lock()
+	var own []*cell
+	for _, c := range d.cells {
+		if c.conductor != nil {
+			own = append(own, c)
+		}
+	}
+	d.mu.Unlock()
+	for _, c := range own {
+		d.leaveCell(ctx, c)
+	}
+}
+
+func (d *Director) leaveCell(ctx context.Context, c *cell) {
+	d.mu.Lock()
+	leaving, stop := c.conductor, c.stop
+	known := c.ownership
+	d.mu.Unlock()
+	if leaving == nil {
+		return
+	}
+	if err := leaving.Leave(ctx); err != nil {
+		d.Log.Warn("cell left in haste", "cell", c.name, "error", err)
+	}
+	stop()
+	ownership, err := claimer.Release(ctx, d.Store, known)
+	d.Log.Info("cell left", "cell", c.name, "fence", known.Fence, "error", err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c.conductor, c.stop = nil, nil
+	if err == nil {
+		d.learnOwner(c, ownership)
+	}
+}
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -12,6 +14,10 @@
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
+// dialTimeout bounds one attempt to connect to a peer. The slowest link takes a few tens of
+// milliseconds a way.
+const dialTimeout = time.Second
+
 // link is the dialled connection to one peer, made anew whenever it breaks.
 type link struct {
 	mesh   *Mesh
@@ -19,12 +25,14 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	conn    gnet.Conn
-	closed  chan struct{}
-	nextID  uint64
-	sent    int64
-	pending map[uint64]chan *messenger.Reply
+	mu     sync.Mutex
+	conn   gnet.Conn
+	closed chan struct{}
+	nextID uint64
+	sent   int64
+	// unanswered counts the heartbeats since something last came back on the connection.
+	unanswered atomic.Int32
+	pending    map[uint64]chan *messenger.Reply
 }
 
 func newLink(m *Mesh, peer modeler.Instance) *link {
@@ -64,7 +72,13 @@
 
 func (l *link) dial() (closed chan struct{}, err error) {
 	closed = make(chan struct{})
-	conn, err := l.mesh.client.DialContext("tcp", l.peer.Mesh.String(), &session{link: l, closed: closed})
+	// gnet's own dialling has no timeout: it would wait minutes for a peer behind a cut.
+	dialler := net.Dialer{Timeout: dialTimeout}
+	plain, err := dialler.DialContext(l.ctx, "tcp", l.peer.Mesh.String())
+	if err != nil {
+		return nil, err
+	}
+	conn, err := l.mesh.client.EnrollContext(plain, &session{link: l, closed: closed})
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +94,12 @@
 func (l *link) beat(closed chan struct{}) {
 	ticker := l.mesh.Clock.NewTicker(l.mesh.beatOf(l.peer.Region))
 	defer ticker.Stop()
+	l.unanswered.Store(0)
 	for {
+		if l.unanswered.Add(1) > beatsUntilSilent {
+			l.mesh.Log.Info("connection silent", "peer", l.peer.Name, "beats", beatsUntilSilent)
+			return
+		}
 		beat := &messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: l.mesh.Beat()}}
 		if err := l.send(beat); err != nil {
 			return
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -64,6 +64,9 @@
 	Token    string
 	// Peer is where this instance serves the Peer service.
 	Peer netip.AddrPort
+	// NearBeat and FarBeat are the times between heartbeats to peers of the same region and of
+	// other regions. Zero takes the defaults.
+	NearBeat, FarBeat time.Duration
 }
 
 // Dependencies of a mesh.
@@ -123,6 +126,12 @@
 
 // New returns a mesh that listens, and the function that closes all of it.
 func New(settings Settings, dependencies Dependencies) (*Mesh, func(), error) {
+	if settings.NearBeat == 0 {
+		settings.NearBeat = nearBeat
+	}
+	if settings.FarBeat == 0 {
+		settings.FarBeat = farBeat
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mesh{
 		settings:     settings,
@@ -242,9 +251,9 @@
 
 func (m *Mesh) beatOf(region string) time.Duration {
 	if region == m.settings.Region {
-		return nearBeat
+		return m.settings.NearBeat
 	}
-	return farBeat
+	return m.settings.FarBeat
 }
 
 // AddressOf returns where a peer serves the Peer service, as it said itself. The platform's list lags:
--- a/internal/mesher/mesh_test.go
+++ b/internal/mesher/mesh_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -163,3 +164,36 @@
 		})
 	}
 }
+
+// TestSilentConnectionIsDialledAnew: a peer whose connection takes bytes and gives none back is
+// dialled again, because its process may be reachable on a new connection.
+func TestSilentConnectionIsDialledAnew(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	mesh, stop, err := mesher.New(mesher.Settings{
+		Instance: "a", Region: "north", Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		NearBeat: time.Millisecond,
+	}, mesher.Dependencies{
+		Clock:   clockwork.NewRealClock(),
+		Log:     slog.New(slog.DiscardHandler),
+		Handler: echo{},
+		Beat:    func() *messenger.Heartbeat { return &messenger.Heartbeat{Instance: "a", Region: "north"} },
+		Heard:   func(*messenger.Heartbeat) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	silent := netip.MustParseAddrPort(listener.Addr().String())
+	mesh.SetPeers([]modeler.Instance{{Name: "b", Region: "north", Mesh: silent}})
+	for range 2 {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+}
--- a/internal/mesher/side.go
+++ b/internal/mesher/side.go
@@ -100,11 +100,7 @@
 
 func (s *side) take(conn gnet.Conn, state *session, frame *messenger.Frame) error {
 	if s.dialled {
-		if reply := frame.GetReply(); reply != nil {
-			state.link.deliver(reply)
-			return nil
-		}
-		return &FrameError{Reason: "only replies are expected here"}
+		return takeDialled(state.link, frame)
 	}
 	switch kind := frame.GetKind().(type) {
 	case *messenger.Frame_Hello:
@@ -118,7 +114,7 @@
 			return &FrameError{Reason: "heartbeat before hello"}
 		}
 		go s.mesh.heard(state.hello, kind.Heartbeat)
-		return nil
+		return s.echo(conn, state.hello.GetRegion())
 	case *messenger.Frame_Call:
 		if state.hello == nil {
 			return &FrameError{Reason: "call before hello"}
@@ -130,6 +126,30 @@
 	}
 }
 
+// takeDialled takes what comes back on a connection that this end dialled.
+func takeDialled(l *link, frame *messenger.Frame) error {
+	l.unanswered.Store(0)
+	switch kind := frame.GetKind().(type) {
+	case *messenger.Frame_Reply:
+		l.deliver(kind.Reply)
+		return nil
+	case *messenger.Frame_Echo:
+		return nil
+	default:
+		return &FrameError{Reason: "only replies and echoes are expected here"}
+	}
+}
+
+// echo answers a heartbeat.
+func (s *side) echo(conn gnet.Conn, region string) error {
+	data, err := encodeFrame(&messenger.Frame{Kind: &messenger.Frame_Echo{Echo: &messenger.Echo{}}})
+	if err != nil {
+		return err
+	}
+	s.mesh.countSent(region, len(data))
+	return conn.AsyncWrite(data, nil)
+}
+
 // serve answers a call on a goroutine of its own and sends the reply back.
 func (s *side) serve(conn gnet.Conn, region string, call *messenger.Call) {
 	m := s.mesh
--- /dev/null
+++ b/internal/packer/packer.go
@@ -0,0 +1,151 @@
+// Package packer decides which workers the tasks of one step go to. It is pure: no I/O, no clock, no
+// state of its own.
+//
+// # Usage
+//
+//	places, fits := packer.Pack(sites, packer.Ask{Step: step, Tasks: 4, Together: true})
+//
+// The load that it answers: many small urgent tasks beside a few wide gangs whose tasks each take a
+// third of a worker. Small tasks go where the least room is left over, so that whole workers stay
+// free for the gangs. A worker whose measured pace is slow is taken last.
+package packer
+
+import (
+	"slices"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// Site is a worker that may take tasks of the step.
+type Site struct {
+	Worker   string
+	Rack     string
+	Capacity modeler.Resources
+	Free     modeler.Resources
+	// Present is how many tasks of the step are there.
+	Present int
+	// Slowness is how long work takes there against the usual, 1 for a sound worker.
+	Slowness float64
+}
+
+// Ask is what has to be placed.
+type Ask struct {
+	Step  *stepper.Step
+	Tasks int
+	// Together asks for all tasks or none.
+	Together bool
+}
+
+// Pack returns the index of a site for each task, as many as fit. With Together it returns all or
+// none. It changes the free room of the sites that it gives out.
+func Pack(sites []Site, ask Ask) []int {
+	if ask.Step.SameRack {
+		return packRack(sites, ask)
+	}
+	return pack(sites, ask, "")
+}
+
+// packRack tries each rack alone, and all racks together only if no rack could ever hold the tasks:
+// spread over racks they take longer.
+func packRack(sites []Site, ask Ask) []int {
+	possible := false
+	for _, rack := range racks(sites) {
+		if places := pack(sites, Ask{Step: ask.Step, Tasks: ask.Tasks, Together: true}, rack); len(places) > 0 {
+			return places
+		}
+		possible = possible || holds(sites, ask, rack)
+	}
+	if possible {
+		return nil
+	}
+	return pack(sites, ask, "")
+}
+
+func racks(sites []Site) []string {
+	var names []string
+	for i := range sites {
+		if !slices.Contains(names, sites[i].Rack) {
+			names = append(names, sites[i].Rack)
+		}
+	}
+	return names
+}
+
+// holds tells whether a rack could take the tasks if nothing else ran there.
+func holds(sites []Site, ask Ask, rack string) bool {
+	room := 0
+	for i := range sites {
+		if sites[i].Rack == rack {
+			room += Count(sites[i].Capacity, ask.Step.Reserved(), ask.Step.MostPerWorker)
+		}
+	}
+	return room >= ask.Tasks
+}
+
+// Count is how many tasks fit into some room, at most most of them if that is not 0.
+func Count(room, needs modeler.Resources, most int) int {
+	count := 1 << 20
+	if needs.Processors > 0 {
+		count = min(count, int(max(0, room.Processors)/needs.Processors))
+	}
+	if needs.Memory > 0 {
+		count = min(count, int(room.Memory/needs.Memory))
+	}
+	if needs.Accelerators > 0 {
+		count = min(count, int(max(0, room.Accelerators)/needs.Accelerators))
+	}
+	if most > 0 {
+		count = min(count, most)
+	}
+	return count
+}
+
+func pack(sites []Site, ask Ask, rack string) []int {
+	needs := ask.Step.Reserved()
+	var places []int
+	for len(places) < ask.Tasks {
+		best := -1
+		for i := range sites {
+			if rack != "" && sites[i].Rack != rack || !takes(&sites[i], ask.Step, needs) {
+				continue
+			}
+			if best < 0 || better(&sites[i], &sites[best], ask.Step) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		sites[best].Free = sites[best].Free.Minus(needs)
+		sites[best].Present++
+		places = append(places, best)
+	}
+	if ask.Together && len(places) < ask.Tasks {
+		for _, place := range places {
+			sites[place].Free = sites[place].Free.Plus(needs)
+			sites[place].Present--
+		}
+		return nil
+	}
+	return places
+}
+
+func takes(site *Site, step *stepper.Step, needs modeler.Resources) bool {
+	return needs.Fits(site.Free) && (step.MostPerWorker == 0 || site.Present < step.MostPerWorker)
+}
+
+// slownessStep is by how much the pace of two workers must differ to matter more than how well a
+// task fits.
+const slownessStep = 0.4
+
+// better prefers the rack of the data, then sound workers, then the tightest fit.
+func better(a, b *Site, step *stepper.Step) bool {
+	if step.DataRack != "" && (a.Rack == step.DataRack) != (b.Rack == step.DataRack) {
+		return a.Rack == step.DataRack
+	}
+	if difference := a.Slowness - b.Slowness; difference > slownessStep || difference < -slownessStep {
+		return difference < 0
+	}
+	return a.Free.Processors < b.Free.Processors
+}
--- /dev/null
+++ b/internal/ranker/ranker.go
@@ -0,0 +1,73 @@
+// Package ranker orders the work that waits for room. It is pure.
+//
+// # Usage
+//
+//	rank := ranker.Of(ask, now)
+//	if rank.Compare(other) < 0 { … }
+//
+// The load that it answers: offered work comes near to the room of all workers, and bursts of one
+// kind pass it for some seconds. What can still meet its objective goes first, by priority and then
+// by how soon the objective ends; then what is late but still of use; then the rest, which still
+// ends.
+package ranker
+
+import (
+	"cmp"
+	"time"
+)
+
+// Ask is what is known of a step that waits.
+type Ask struct {
+	AcceptedAt time.Time
+	Priority   int
+	// Stretch and Target give the objective: Stretch times the chain, and Target more.
+	Stretch float64
+	Target  time.Duration
+	// Chain is how long the job's longest chain of steps takes, Left what remains of it.
+	Chain, Left time.Duration
+	Lasting     bool
+}
+
+// Use is how much a job is still worth to its caller.
+type Use int
+
+// The uses, the best first.
+const (
+	InTime Use = iota
+	Late
+	TooLate
+)
+
+// lateFactor times the objective is when a late job is of no use any more.
+const lateFactor = 3
+
+// Rank orders steps.
+type Rank struct {
+	Use      Use
+	Priority int
+	// Ends is when the objective ends, or the time of use once that has passed.
+	Ends time.Time
+}
+
+// Of returns the rank of a step.
+func Of(ask Ask, now time.Time) Rank {
+	objective := time.Duration(ask.Stretch*float64(ask.Chain)) + ask.Target
+	ends := ask.AcceptedAt.Add(objective)
+	rank := Rank{Priority: ask.Priority, Ends: ends}
+	if ask.Lasting {
+		return rank
+	}
+	if now.Add(ask.Left).After(ends) {
+		rank.Use = Late
+		rank.Ends = ask.AcceptedAt.Add(lateFactor * objective)
+		if now.Add(ask.Left).After(rank.Ends) {
+			rank.Use = TooLate
+		}
+	}
+	return rank
+}
+
+// Compare is negative if r goes first.
+func (r Rank) Compare(other Rank) int {
+	return cmp.Or(cmp.Compare(r.Use, other.Use), cmp.Compare(r.Priority, other.Priority), r.Ends.Compare(other.Ends))
+}
--- /dev/null
+++ b/internal/ruler/ruler.go
@@ -0,0 +1,130 @@
+// Package ruler holds the rules in force: queues, services and limits of one version of the
+// configuration.
+//
+// # Usage
+//
+//	book := &ruler.Book{}
+//	if book.Apply(rules) { … }
+//	queue, rest, found := book.Rules().Find(host, path)
+//
+// A book never goes back to an older version.
+package ruler
+
+import (
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Advice tells that an advisor decides which workers may run a step, and what a call costs.
+type Advice struct {
+	// Decide is what a call takes at least, PerWorker what each worker named adds.
+	Decide, PerWorker time.Duration
+	// Valid is how long a ticket holds.
+	Valid time.Duration
+}
+
+// Cost is how long a call that names some workers takes.
+func (a *Advice) Cost(workers int) time.Duration {
+	return a.Decide + time.Duration(workers)*a.PerWorker
+}
+
+// Queue takes jobs at a host and a path.
+type Queue struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Service    string
+	Timeout    time.Duration
+	// Target and Stretch give the objective of a job: Stretch times its longest chain of work, and
+	// Target more.
+	Target  time.Duration
+	Stretch float64
+	// MaxFailures is after how many failed runs of one task a job fails.
+	MaxFailures int
+	// Priority 0 comes first.
+	Priority int
+	// Advice is nil if any worker of the service may run the queue's tasks.
+	Advice *Advice
+}
+
+// Service is a pool of workers. Guards tells that its workers refuse what does not fit.
+type Service struct {
+	Name   string
+	Guards bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Rules are one version of the configuration.
+type Rules struct {
+	Version  int64
+	Queues   []Queue
+	Services []Service
+	Limits   Limits
+}
+
+// Sort puts the longest path prefix of each host first, as Find needs it.
+func (r *Rules) Sort() {
+	sort.SliceStable(r.Queues, func(i, j int) bool {
+		return len(r.Queues[i].PathPrefix) > len(r.Queues[j].PathPrefix)
+	})
+}
+
+// Find returns the queue whose prefix is the longest that the path begins with, and the rest of the
+// path.
+func (r *Rules) Find(host, path string) (queue *Queue, rest string, found bool) {
+	for i := range r.Queues {
+		queue := &r.Queues[i]
+		if queue.Host == host && strings.HasPrefix(path, queue.PathPrefix) {
+			return queue, path[len(queue.PathPrefix):], true
+		}
+	}
+	return nil, "", false
+}
+
+// Queue returns a queue by its name, or nil.
+func (r *Rules) Queue(name string) *Queue {
+	for i := range r.Queues {
+		if r.Queues[i].Name == name {
+			return &r.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Book holds the rules in force. Its zero value holds none.
+type Book struct {
+	rules atomic.Pointer[Rules]
+}
+
+// Rules returns what is in force, or nil before the first version.
+func (b *Book) Rules() *Rules { return b.rules.Load() }
+
+// Version returns the version in force, or 0.
+func (b *Book) Version() int64 {
+	if rules := b.Rules(); rules != nil {
+		return rules.Version
+	}
+	return 0
+}
+
+// Apply puts rules in force unless they are older than what is. It reports whether it did.
+func (b *Book) Apply(rules *Rules) bool {
+	for {
+		current := b.rules.Load()
+		if current != nil && current.Version >= rules.Version {
+			return false
+		}
+		if b.rules.CompareAndSwap(current, rules) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/scribe/scribe.go
@@ -0,0 +1,110 @@
+// Package scribe writes log lines without ever making their writer wait: lines go into a bounded
+// buffer that one goroutine empties. What does not fit is dropped and counted, and a line says so.
+//
+// # Usage
+//
+//	out, stop := scribe.New(os.Stdout, clock)
+//	log := slog.New(slog.NewJSONHandler(out, nil))
+//
+// The clean-up function writes what is left, unless the reader takes nothing any more.
+package scribe
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// mostBytes bounds the lines that wait, and so their memory.
+	mostBytes = 1 << 20
+	// flushEvery bounds the age of a line that waits. Lines are written together because each write
+	// is a system call.
+	flushEvery = 200 * time.Millisecond
+	// stopTimeout bounds the last write.
+	stopTimeout = 500 * time.Millisecond
+)
+
+// Scribe is a writer of lines. It is safe for concurrent use.
+type Scribe struct {
+	out     io.Writer
+	clock   clockwork.Clock
+	dropped atomic.Int64
+	total   atomic.Int64
+	stop    chan struct{}
+	done    chan struct{}
+
+	mu      sync.Mutex
+	waiting bytes.Buffer
+	missing int64
+}
+
+// New returns a writer and the function that ends it.
+func New(out io.Writer, clock clockwork.Clock) (*Scribe, func()) {
+	s := &Scribe{out: out, clock: clock, stop: make(chan struct{}), done: make(chan struct{})}
+	go s.run()
+	return s, s.close
+}
+
+// Dropped returns how many lines were dropped.
+func (s *Scribe) Dropped() int64 { return s.dropped.Load() }
+
+// Bytes returns how many bytes were taken.
+func (s *Scribe) Bytes() int64 { return s.total.Load() }
+
+// Write takes a line. It never waits and never fails.
+func (s *Scribe) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting.Len()+len(line) > mostBytes {
+		s.missing++
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	s.total.Add(int64(len(line)))
+	return s.waiting.Write(line)
+}
+
+func (s *Scribe) run() {
+	defer close(s.done)
+	ticker := s.clock.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			s.flush()
+		case <-s.stop:
+			s.flush()
+			return
+		}
+	}
+}
+
+func (s *Scribe) flush() {
+	s.mu.Lock()
+	lines := bytes.Clone(s.waiting.Bytes())
+	s.waiting.Reset()
+	missing := s.missing
+	s.missing = 0
+	s.mu.Unlock()
+	if missing > 0 {
+		lines = fmt.Appendf(lines, `{"level":"WARN","msg":"lines dropped","count":%d}`+"\n", missing)
+	}
+	if len(lines) > 0 {
+		// There is nowhere else to report it.
+		_, _ = s.out.Write(lines)
+	}
+}
+
+func (s *Scribe) close() {
+	close(s.stop)
+	select {
+	case <-s.done:
+	case <-s.clock.After(stopTimeout):
+	}
+}
--- /dev/null
+++ b/internal/stepper/job.go
@@ -0,0 +1,172 @@
+package stepper
+
+import (
+	"fmt"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+)
+
+// Limits of a job. They bound what one request may cost; the widest jobs of both users have a
+// tenth of them.
+const (
+	maxSteps       = 64
+	maxTasks       = 2000
+	maxPayload     = 4000
+	maxOccurrences = 10000
+	maxAmount      = 1 << 40
+)
+
+// Step is a part of a job: tasks that are alike.
+type Step struct {
+	Tasks int               `json:"tasks"`
+	Needs modeler.Resources `json:"needs"`
+	// Estimate is the caller's rough guess of how long one task takes.
+	Estimate time.Duration `json:"estimate,omitempty"`
+	// After lists the steps that must have ended before this one starts.
+	After []int `json:"after,omitempty"`
+	// Checkpoints tells that the tasks save their progress.
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Gang tells that the tasks work only together and end together.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack tells that the tasks slow down if they are spread over racks.
+	SameRack bool `json:"same-rack,omitempty"`
+	// Label is one that the worker must have, or empty.
+	Label string `json:"label,omitempty"`
+	// DataRack is where the data of the tasks is, or empty.
+	DataRack string `json:"data-rack,omitempty"`
+	// MostPerWorker bounds the tasks of the step on one worker; 0 is no bound.
+	MostPerWorker int `json:"most-per-worker,omitempty"`
+	// Duplicates tells that copies of a task may run side by side.
+	Duplicates bool `json:"duplicates,omitempty"`
+	// Lasting tells that the tasks run until the job is cancelled.
+	Lasting bool `json:"lasting,omitempty"`
+	// Image names what the tasks run.
+	Image string `json:"image,omitempty"`
+	// TailTarget bounds the tail of the response times of a lasting task; 0 is no bound.
+	TailTarget time.Duration `json:"tail-target,omitempty"`
+	// Fills tells that the tasks use only processor time that others leave.
+	Fills bool `json:"fills,omitempty"`
+	// MayMiss is how many tasks of a lasting step may be away by the system's own doing.
+	MayMiss int `json:"may-miss,omitempty"`
+}
+
+// Reserved is what one task of the step takes of a worker.
+func (s *Step) Reserved() modeler.Resources {
+	needs := s.Needs
+	if s.Fills {
+		needs.Processors = 0
+	}
+	return needs
+}
+
+// Schedule tells when the occurrences of a job are due. The zero value is a job that runs once, at
+// once.
+type Schedule struct {
+	Occurrences int           `json:"occurrences,omitempty"`
+	First       time.Time     `json:"first,omitzero"`
+	Interval    time.Duration `json:"interval,omitempty"`
+}
+
+// Job is what a caller handed in. It never changes.
+type Job struct {
+	ID       string   `json:"id"`
+	Queue    string   `json:"queue"`
+	Payload  string   `json:"payload,omitempty"`
+	Steps    []Step   `json:"steps"`
+	Schedule Schedule `json:"schedule,omitzero"`
+}
+
+// BadJobError tells what is wrong with a job and where.
+type BadJobError struct {
+	Path   string
+	Reason string
+}
+
+func (e *BadJobError) Error() string { return e.Path + ": " + e.Reason }
+
+// Check returns a *BadJobError if the job can't be taken.
+func (j *Job) Check() error {
+	switch {
+	case len(j.Payload) > maxPayload:
+		return &BadJobError{Path: "$.spec", Reason: fmt.Sprintf("%d bytes are over the limit of %d", len(j.Payload), maxPayload)}
+	case len(j.Steps) == 0:
+		return &BadJobError{Path: "$.steps", Reason: "a job has at least one step"}
+	case len(j.Steps) > maxSteps:
+		return &BadJobError{Path: "$.steps", Reason: fmt.Sprintf("%d steps are over the limit of %d", len(j.Steps), maxSteps)}
+	case j.Schedule.Occurrences < 0 || j.Schedule.Occurrences > maxOccurrences:
+		return &BadJobError{Path: "$.run_count", Reason: fmt.Sprintf("must be between 0 and %d", maxOccurrences)}
+	case j.Schedule.Interval < 0:
+		return &BadJobError{Path: "$.interval_ms", Reason: "must not be negative"}
+	}
+	total := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i, len(j.Steps)); err != nil {
+			return err
+		}
+		total += j.Steps[i].Tasks
+	}
+	if total > maxTasks {
+		return &BadJobError{Path: "$.steps", Reason: fmt.Sprintf("%d tasks are over the limit of %d", total, maxTasks)}
+	}
+	return nil
+}
+
+// check refuses numbers without meaning. A step may only follow earlier ones, so there is no cycle.
+func (s *Step) check(number, steps int) error {
+	path := fmt.Sprintf("$.steps[%d]", number)
+	if s.Tasks < 1 || s.Tasks > maxTasks {
+		return &BadJobError{Path: path + ".count", Reason: fmt.Sprintf("must be between 1 and %d", maxTasks)}
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= number || earlier >= steps {
+			return &BadJobError{Path: path + ".after", Reason: fmt.Sprintf("step %d does not come before step %d", earlier, number)}
+		}
+	}
+	needs := s.Needs
+	if needs.Processors < 0 || needs.Processors > maxAmount || needs.Accelerators < 0 || needs.Accelerators > maxAmount || needs.Memory > maxAmount<<20 {
+		return &BadJobError{Path: path, Reason: "a size is negative or beyond any worker"}
+	}
+	if s.Estimate < 0 || s.MostPerWorker < 0 || s.MayMiss < 0 || s.TailTarget < 0 {
+		return &BadJobError{Path: path, Reason: "a number is negative"}
+	}
+	return nil
+}
+
+// Scheduled tells whether the job runs at set times.
+func (j *Job) Scheduled() bool { return j.Schedule.Occurrences > 0 }
+
+// Occurrences is how often the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Schedule.Occurrences) }
+
+// Due is when an occurrence may start; the zero time is at once.
+func (j *Job) Due(occurrence int) time.Time {
+	if !j.Scheduled() {
+		return time.Time{}
+	}
+	return j.Schedule.First.Add(time.Duration(occurrence) * j.Schedule.Interval)
+}
+
+// Lasts tells whether any step runs until the job is cancelled.
+func (j *Job) Lasts() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Chain is the longest chain of the steps' durations, as estimate gives them.
+func (j *Job) Chain(estimate func(step int) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := range j.Steps {
+		for _, earlier := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += estimate(i)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/stepper/progress.go
@@ -0,0 +1,304 @@
+package stepper
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// State is what callers are told of a job.
+type State string
+
+// The states of a job. The last three are final.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final tells whether the state can't change any more.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Ending is how a run ended.
+type Ending string
+
+// How runs end. Only Done and FailedItself count for the job; the others are no fault of the task.
+const (
+	Done         Ending = "done"
+	FailedItself Ending = "failed"
+	Stopped      Ending = "stopped"
+	Lapsed       Ending = "lapsed"
+	Broken       Ending = "broken"
+	Alone        Ending = "alone"
+	// NeverRan is an ending that no worker reports: the run is proved never to have started.
+	NeverRan Ending = "never-ran"
+	// Lost is an ending that no worker reports: the worker's life ended with the run in it.
+	Lost Ending = "lost"
+)
+
+// StepKey names a step of an occurrence of a job.
+type StepKey struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// TaskKey names a task.
+type TaskKey struct {
+	StepKey
+	Index int
+}
+
+// String writes the key as workers know it.
+func (k TaskKey) String() string {
+	return k.Job + "." + strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
+}
+
+// BadKeyError tells that a text names no task.
+type BadKeyError struct {
+	Text string
+}
+
+func (e *BadKeyError) Error() string { return strconv.Quote(e.Text) + " names no task" }
+
+// ParseTaskKey reads what String writes.
+func ParseTaskKey(text string) (TaskKey, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskKey{}, &BadKeyError{Text: text}
+	}
+	var numbers [3]int
+	for i := range numbers {
+		number, err := strconv.Atoi(parts[i+1])
+		if err != nil || number < 0 {
+			return TaskKey{}, &BadKeyError{Text: text}
+		}
+		numbers[i] = number
+	}
+	return TaskKey{StepKey: StepKey{Job: parts[0], Occurrence: numbers[0], Step: numbers[1]}, Index: numbers[2]}, nil
+}
+
+// Life names one life of a worker: the same worker may start again under its name.
+type Life struct {
+	Worker string `json:"worker,omitempty"`
+	// Born is the worker's own word for its start, in Unix milliseconds.
+	Born int64 `json:"born,omitempty"`
+}
+
+// Task is what is known of one task.
+type Task struct {
+	// Run is the number of the latest run, 0 before the first.
+	Run int `json:"run,omitempty"`
+	// At is where the latest run may be; the zero life means nowhere.
+	At       Life `json:"at,omitzero"`
+	Done     bool `json:"done,omitempty"`
+	Failures int  `json:"failures,omitempty"`
+	// FailedRun is the last run that failed. The members of a gang share their first member's
+	// failures: several of them may fail in one run, which counts once.
+	FailedRun int `json:"failed-run,omitempty"`
+	// Checkpoint is the latest saved progress that is known.
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Assigned tells whether a run of the task may be somewhere.
+func (t *Task) Assigned() bool { return t.At.Worker != "" }
+
+// Occurrence is one round of a job's steps.
+type Occurrence struct {
+	Number int      `json:"number"`
+	Steps  [][]Task `json:"steps"`
+}
+
+// Progress is what has become of a job. It is written whole after each change.
+type Progress struct {
+	Queue string `json:"queue"`
+	// State is set only when it is final.
+	State      State     `json:"state,omitempty"`
+	Reason     string    `json:"reason,omitempty"`
+	AcceptedAt time.Time `json:"accepted-at"`
+	// EndedAt is when the final state was decided.
+	EndedAt time.Time `json:"ended-at,omitzero"`
+	// Next is the first occurrence that has not begun.
+	Next int `json:"next,omitempty"`
+	// Begun tells that some task was assigned once.
+	Begun bool `json:"begun,omitempty"`
+	// Open are the occurrences that have begun and not ended.
+	Open []*Occurrence `json:"open,omitempty"`
+}
+
+// NewProgress returns the progress of a job that has just been accepted.
+func NewProgress(job *Job, acceptedAt time.Time) *Progress {
+	return &Progress{Queue: job.Queue, AcceptedAt: acceptedAt}
+}
+
+// Encode writes the progress for the store.
+func (p *Progress) Encode() ([]byte, error) {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode progress")
+	}
+	return text, nil
+}
+
+// Decode reads what Encode wrote.
+func Decode(text []byte) (*Progress, error) {
+	p := &Progress{}
+	if err := json.Unmarshal(text, p); err != nil {
+		return nil, errors.Wrap(err, "decode progress")
+	}
+	return p, nil
+}
+
+// Advance opens the occurrences that are due.
+func (p *Progress) Advance(job *Job, now time.Time) {
+	for p.State == "" && p.Next < job.Occurrences() && !job.Due(p.Next).After(now) {
+		occurrence := &Occurrence{Number: p.Next, Steps: make([][]Task, len(job.Steps))}
+		for i := range job.Steps {
+			occurrence.Steps[i] = make([]Task, job.Steps[i].Tasks)
+		}
+		p.Open = append(p.Open, occurrence)
+		p.Next++
+	}
+}
+
+// Find returns an open occurrence.
+func (p *Progress) Find(number int) (*Occurrence, bool) {
+	for _, occurrence := range p.Open {
+		if occurrence.Number == number {
+			return occurrence, true
+		}
+	}
+	return nil, false
+}
+
+// Task returns the record of a task, or nil if its occurrence is over or there is no such task.
+func (p *Progress) Task(key TaskKey) *Task {
+	occurrence, found := p.Find(key.Occurrence)
+	if !found || key.Step >= len(occurrence.Steps) || key.Index >= len(occurrence.Steps[key.Step]) {
+		return nil
+	}
+	return &occurrence.Steps[key.Step][key.Index]
+}
+
+// StepEnded tells whether all tasks of a step have ended well.
+func (o *Occurrence) StepEnded(step int) bool {
+	for i := range o.Steps[step] {
+		if !o.Steps[step][i].Done {
+			return false
+		}
+	}
+	return true
+}
+
+// StepReady tells whether the steps before a step have ended.
+func (o *Occurrence) StepReady(job *Job, step int) bool {
+	for _, earlier := range job.Steps[step].After {
+		if !o.StepEnded(earlier) {
+			return false
+		}
+	}
+	return true
+}
+
+// Assign records that a run of a task goes to a life of a worker.
+func (p *Progress) Assign(key TaskKey, run int, at Life) {
+	task := p.Task(key)
+	task.Run, task.At = run, at
+	p.Begun = true
+}
+
+// End records the end of a run. It reports false, and changes nothing, if the run is not the one
+// that the task waits for. A gang ends as one: an end of a member is that of all its members in the
+// same run, and a failure counts once for each.
+func (p *Progress) End(job *Job, key TaskKey, run int, how Ending) bool {
+	task := p.Task(key)
+	if task == nil || task.Done || task.Run != run || !task.Assigned() {
+		return false
+	}
+	step := &job.Steps[key.Step]
+	occurrence, _ := p.Find(key.Occurrence)
+	switch how {
+	case Done:
+		task.At = Life{}
+		if step.Lasting {
+			return true
+		}
+		task.Done = true
+		if step.Gang {
+			for i := range occurrence.Steps[key.Step] {
+				occurrence.Steps[key.Step][i].Done = true
+			}
+		}
+	case FailedItself:
+		task.At = Life{}
+		blamed := task
+		if step.Gang {
+			blamed = &occurrence.Steps[key.Step][0]
+		}
+		if blamed.FailedRun != run {
+			blamed.FailedRun = run
+			blamed.Failures++
+		}
+	case Stopped, Lapsed, Broken, Alone, NeverRan, Lost:
+		task.At = Life{}
+	}
+	return true
+}
+
+// Settle closes occurrences that have ended and decides the final state, if there is one now. A
+// task that lasts has no limit of failures.
+func (p *Progress) Settle(job *Job, maxFailures int, now time.Time) {
+	if p.State != "" {
+		return
+	}
+	open := p.Open[:0]
+	for _, occurrence := range p.Open {
+		ended := true
+		for i := range job.Steps {
+			if !job.Steps[i].Lasting && occurrence.failed(i, maxFailures) {
+				p.State, p.Reason, p.EndedAt = Failed, "a task failed in "+strconv.Itoa(maxFailures)+" attempts", now
+			}
+			ended = ended && !job.Steps[i].Lasting && occurrence.StepEnded(i)
+		}
+		if !ended {
+			open = append(open, occurrence)
+		}
+	}
+	p.Open = open
+	if p.State == "" && len(p.Open) == 0 && p.Next == job.Occurrences() {
+		p.State, p.EndedAt = Completed, now
+	}
+}
+
+func (o *Occurrence) failed(step, maxFailures int) bool {
+	for i := range o.Steps[step] {
+		if o.Steps[step][i].Failures >= maxFailures {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel makes the job cancelled, if it has no final state yet.
+func (p *Progress) Cancel(now time.Time) {
+	if p.State == "" {
+		p.State, p.EndedAt = Cancelled, now
+	}
+}
+
+// Each calls visit for every task of the open occurrences.
+func (p *Progress) Each(id string, visit func(key TaskKey, task *Task)) {
+	for _, occurrence := range p.Open {
+		for step := range occurrence.Steps {
+			for index := range occurrence.Steps[step] {
+				key := TaskKey{StepKey: StepKey{Job: id, Occurrence: occurrence.Number, Step: step}, Index: index}
+				visit(key, &occurrence.Steps[step][index])
+			}
+		}
+	}
+}
