One survey of the workers a round, rounds at most every 10 ms

Cause: each message had a round of its own, and each waiting step listed and sorted all workers; in the first burst the owner spent all its processor time on it. Ruled out: commits (45 ms at the median).

--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -32,15 +32,14 @@
 
 // advice is what is known of the advisor.
 type advice struct {
-	// busy tells which instances have a call in flight, and whether it is a long one.
+	// busy tells which instances have a call in flight.
 	busy map[string]bool
-	long map[string]bool
 	// share is the share of named workers that were good, for each queue.
 	share map[string]float64
 }
 
 func (a *advice) init() {
-	a.busy, a.long, a.share = make(map[string]bool), make(map[string]bool), make(map[string]float64)
+	a.busy, a.share = make(map[string]bool), make(map[string]float64)
 }
 
 // goodWorker is a worker that may run a step, as far as the advisor said so in one life of it.
@@ -78,51 +77,42 @@
 	}
 }
 
-// expireTickets marks steps whose tickets are running out, so that a round asks again.
-func (c *Conductor) expireTickets() {
-	if len(c.hungry) > 0 {
-		c.dirty = true
-	}
-}
-
-// instance chooses an instance for a call: a free one, and for long calls only as many as leave some
-// for the quick ones.
-func (c *Conductor) instance(cost time.Duration) (name string, found bool) {
+// instances chooses an instance for a quick call and one for a long call, out of those that are free;
+// an empty name means that none is. Long calls get only as many instances as leave some for the
+// quick ones.
+func (c *Conductor) instances() (quick, long string) {
 	names := c.Advisors.Instances()
 	sort.Strings(names)
-	if cost < longCall {
-		// Those that never get long calls come last in the order of names.
-		for i := len(names) - 1; i >= 0; i-- {
-			if !c.advice.busy[names[i]] {
-				return names[i], true
-			}
+	for i, name := range names {
+		if c.advice.busy[name] {
+			continue
 		}
-		return "", false
-	}
-	for i := range max(1, len(names)-quickInstances) {
-		if i < len(names) && !c.advice.busy[names[i]] {
-			return names[i], true
+		// Those that never get long calls come last in the order of names.
+		quick = name
+		if long == "" && i < max(1, len(names)-quickInstances) {
+			long = name
 		}
 	}
-	return "", false
+	return quick, long
 }
 
 // seek asks the advisor about a step if an instance is free for it. It reports whether it did.
 func (c *Conductor) seek(s *step, queue *ruler.Queue, sites []packer.Site) bool {
-	if s.asking || c.now.Before(s.askAfter) {
-		return false
-	}
 	named := c.nominees(s, queue, sites)
 	if len(named) == 0 {
 		return false
 	}
 	cost := queue.Advice.Cost(len(named))
-	instance, found := c.instance(cost)
-	if !found {
+	instance := c.freeQuick
+	if cost >= longCall {
+		instance = c.freeLong
+	}
+	if instance == "" {
 		return false
 	}
 	s.asking = true
-	c.advice.busy[instance], c.advice.long[instance] = true, cost >= longCall
+	c.advice.busy[instance] = true
+	c.freeQuick, c.freeLong = c.instances()
 	key, born := s.key, make(map[string]int64, len(named))
 	for _, id := range named {
 		born[id] = c.workers[id].info.Born
@@ -134,7 +124,6 @@
 		answer, err := c.Advisors.Advise(c.ctx, instance, key, named)
 		c.post(func() {
 			delete(c.advice.busy, instance)
-			delete(c.advice.long, instance)
 			c.advised(s, queueName, answer, err, born, sentAt, min(valid, max(answer.Valid, valid/2)))
 		})
 	}()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -10,6 +10,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/packer"
 	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
@@ -99,8 +100,11 @@
 	return fmt.Sprintf("refused: %s; come back after %s", e.Reason, e.RetryAfter)
 }
 
-// tick is how often timers are looked at.
-const tick = 40 * time.Millisecond
+// tick is how often timers are looked at, sweepEvery how often all jobs are.
+const (
+	tick       = 20 * time.Millisecond
+	sweepEvery = 100 * time.Millisecond
+)
 
 // mailboxSize is how many messages may wait for the control goroutine.
 const mailboxSize = 4096
@@ -131,8 +135,14 @@
 	journal journal
 	advice  advice
 	learned map[string]*learned
-	dirty   bool
-	idle    []func()
+	// dirty tells that a round may find something to do; nextRound is when it may at the earliest.
+	dirty     bool
+	nextRound time.Time
+	sweepAt   time.Time
+	// sites are the usable workers during a round, chosen those that one step may use.
+	sites, chosen []packer.Site
+	// freeQuick and freeLong are the instances that the next call of the advisor goes through.
+	freeQuick, freeLong string
 }
 
 // Start returns the conductor of a claimed cell, which at first reads the cell's rows, and the
@@ -223,9 +233,12 @@
 	for _, w := range c.workers {
 		c.watch(w)
 	}
-	c.openDue()
-	c.expireTickets()
-	c.prune()
+	c.dirty = true
+	if c.now.After(c.sweepAt) {
+		c.sweepAt = c.now.Add(sweepEvery)
+		c.openDue()
+		c.prune()
+	}
 }
 
 // depose ends the conductor's work: another instance owns the cell.
--- a/internal/conductor/places.go
+++ b/internal/conductor/places.go
@@ -53,18 +53,18 @@
 	j.places[key] = p
 	w := c.workers[task.At.Worker]
 	if w == nil {
-		w = &worker{info: orderer.Worker{Life: task.At}, places: make(map[stepper.TaskKey]*place), leaseEnds: c.inheritedLease()}
+		w = &worker{info: orderer.Worker{Life: task.At}, site: -1, places: make(map[stepper.TaskKey]*place), leaseEnds: c.inheritedLease()}
 		c.workers[task.At.Worker] = w
 	}
 	p.worker = w
 	w.places[key] = p
 	w.used = w.used.Plus(p.step.Reserved())
+	if w.site >= 0 && w.site < len(c.sites) {
+		c.sites[w.site].Free = w.free()
+	}
 	return p
 }
 
-// attachPlaces is called when a worker joins; runs that were adopted before stand there already.
-func (c *Conductor) attachPlaces(*worker) {}
-
 // release gives back the room of a run that is over.
 func (c *Conductor) release(p *place) {
 	if p.job.places[p.key] != p {
--- a/internal/conductor/roster.go
+++ b/internal/conductor/roster.go
@@ -52,6 +52,8 @@
 	used        modeler.Resources
 	places      map[stepper.TaskKey]*place
 	pace        pace
+	// site is the worker's place in the survey of a round, or -1.
+	site int
 }
 
 // free is what is left of a worker. It is never negative: adopted runs may exceed what the worker
@@ -97,11 +99,10 @@
 func (c *Conductor) enlist(info orderer.Worker) {
 	w := c.workers[info.Worker]
 	if w == nil {
-		w = &worker{info: info, places: make(map[stepper.TaskKey]*place)}
+		w = &worker{info: info, site: -1, places: make(map[stepper.TaskKey]*place)}
 		w.leaseEnds = c.inheritedLease()
 		c.workers[info.Worker] = w
 		c.Log.Info("worker joined", "worker", info.Worker, "born", info.Born, "zone", info.AvailabilityZone, "rack", info.Rack)
-		c.attachPlaces(w)
 	}
 	if info.Draining && !w.info.Draining {
 		c.Log.Info("worker draining", "worker", info.Worker, "remaining-ms", info.Remaining.Milliseconds(), "places", len(w.places))
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/packer"
@@ -95,19 +96,43 @@
 	}
 }
 
+// roundEvery is the least time between two rounds. What changes meanwhile is decided together.
+const roundEvery = 10 * time.Millisecond
+
 // round places what can be placed, in the order of its rank, and asks for advice about what will be
 // placed next.
 func (c *Conductor) round() {
-	if !c.dirty || c.leaving {
+	if !c.dirty || c.leaving || c.now.Before(c.nextRound) {
 		return
 	}
 	c.dirty = false
+	c.nextRound = c.now.Add(roundEvery)
 	if len(c.hungry) == 0 {
 		return
 	}
+	c.survey()
 	for _, s := range c.ranked() {
 		c.tryStep(s)
 	}
+	c.sites = c.sites[:0]
+}
+
+// survey lists the workers that may get new work, for one round.
+func (c *Conductor) survey() {
+	c.sites = c.sites[:0]
+	for id, w := range c.workers {
+		w.site = -1
+		if c.usable(w) {
+			c.sites = append(c.sites, packer.Site{
+				Worker: id, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: w.free(), Slowness: w.pace.slowness(),
+			})
+		}
+	}
+	slices.SortFunc(c.sites, func(a, b packer.Site) int { return strings.Compare(a.Worker, b.Worker) })
+	for i := range c.sites {
+		c.workers[c.sites[i].Worker].site = i
+	}
+	c.freeQuick, c.freeLong = c.instances()
 }
 
 // ranked returns the steps to place, the one that goes first at the front.
@@ -152,38 +177,35 @@
 // lastPriority is that of jobs whose queue was dropped.
 const lastPriority = 9
 
-// sites returns the workers that may take tasks of a step.
-func (c *Conductor) sites(s *step) []packer.Site {
-	sites := make([]packer.Site, 0, len(c.workers))
-	for id, w := range c.workers {
-		if !c.usable(w) || !w.info.HasLabel(s.def.Label) {
+// sitesFor returns the workers that may take a task of a step and have room for one. The result holds
+// until the next call.
+func (c *Conductor) sitesFor(s *step) []packer.Site {
+	needs := s.def.Reserved()
+	c.chosen = c.chosen[:0]
+	for _, site := range c.sites {
+		if !needs.Fits(site.Free) {
 			continue
 		}
-		sites = append(sites, packer.Site{
-			Worker: id, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: w.free(),
-			Present: c.present(w, s), Slowness: c.slowness(w, s),
-		})
-	}
-	slices.SortFunc(sites, func(a, b packer.Site) int {
-		if a.Worker < b.Worker {
-			return -1
+		w := c.workers[site.Worker]
+		if !w.info.HasLabel(s.def.Label) {
+			continue
 		}
-		return 1
-	})
-	return sites
+		if s.def.MostPerWorker > 0 {
+			if site.Present = c.present(w, s); site.Present >= s.def.MostPerWorker {
+				continue
+			}
+		}
+		if s.failedOn[site.Worker] {
+			site.Slowness += failedHere
+		}
+		c.chosen = append(c.chosen, site)
+	}
+	return c.chosen
 }
 
 // failedHere makes a worker on which a task of the step failed the last choice.
 const failedHere = 4
 
-func (c *Conductor) slowness(w *worker, s *step) float64 {
-	slowness := w.pace.slowness()
-	if s.failedOn[w.info.Worker] {
-		slowness += failedHere
-	}
-	return slowness
-}
-
 func (c *Conductor) present(w *worker, s *step) int {
 	if s.def.MostPerWorker == 0 {
 		return 0
@@ -198,20 +220,35 @@
 }
 
 func (c *Conductor) tryStep(s *step) {
-	sites := c.sites(s)
 	queue := c.queueOf(s.job)
 	if queue == nil || queue.Advice == nil {
-		c.assign(s, sites)
+		c.assign(s, c.sitesFor(s))
+		return
+	}
+	held := c.holdsTickets(s)
+	mayAsk := !s.asking && c.now.After(s.askAfter) && (c.freeQuick != "" || c.freeLong != "")
+	if !held && !mayAsk {
 		return
 	}
-	if c.assign(s, c.ticketed(s, sites)) {
+	sites := c.sitesFor(s)
+	if held && c.assign(s, c.ticketed(s, sites)) {
 		return
 	}
-	if c.hasRoom(s, sites) {
+	if mayAsk && c.hasRoom(s, sites) {
 		c.seek(s, queue, sites)
 	}
 }
 
+// holdsTickets tells whether any ticket of a step still holds.
+func (c *Conductor) holdsTickets(s *step) bool {
+	for _, good := range s.good {
+		if c.now.Before(good.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // ticketed returns the sites for which the step has a ticket.
 func (c *Conductor) ticketed(s *step, sites []packer.Site) []packer.Site {
 	var allowed []packer.Site
