--- a/internal/conductor/places.go
+++ b/internal/conductor/places.go
@@ -146,8 +146,7 @@
 		if p.state != sending {
 			c.Log.Info("run found", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker)
 		}
-		p.state = started
-		p.startedAt = c.now
+		c.begin(p)
 		if p.worker.info.Born != 0 {
 			if task := p.job.progress.Task(p.key); task != nil && task.Run == p.run && task.At.Born != p.worker.info.Born {
 				task.At.Born = p.worker.info.Born
@@ -164,6 +163,15 @@
 	}
 }
 
+// begin takes in that a worker has confirmed a start.
+func (c *Conductor) begin(p *place) {
+	p.state, p.startedAt = started, c.now
+	p.job.progress.Begun = true
+	if p.job.shown == stepper.Queued {
+		p.job.shown = stepper.Running
+	}
+}
+
 // send orders the start of a run whose record has been written.
 func (c *Conductor) send(p *place) {
 	if c.deposed || p.state != unsent || p.job.places[p.key] != p {
@@ -221,7 +229,7 @@
 	if err == nil {
 		c.readClock(w, self)
 		if p.state == sending {
-			p.state, p.startedAt = started, c.now
+			c.begin(p)
 			c.Log.Info("started", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "took-ms", c.now.Sub(p.sentAt).Milliseconds())
 		}
 		if p.stopping != "" {
--- a/internal/conductor/roster.go
+++ b/internal/conductor/roster.go
@@ -307,7 +307,11 @@
 
 // takeRunning compares a list with what should be there.
 func (c *Conductor) takeRunning(w *worker, listing orderer.Listing, sentAt time.Time) {
-	there := make(map[stepper.TaskKey]int, len(listing.Running))
+	there := make(map[stepper.TaskKey]int, len(listing.Running)+len(listing.Ended))
+	// A run whose end is listed is not lost. Its end is taken in with the hold that may acknowledge it.
+	for i := range listing.Ended {
+		there[listing.Ended[i].Task] = listing.Ended[i].Run
+	}
 	for i := range listing.Running {
 		running := &listing.Running[i]
 		there[running.Task] = running.Run
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -311,9 +311,6 @@
 		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(sites), "waited-ms", c.now.Sub(s.since).Milliseconds())
 	j := s.job
 	c.touch(j, func() {
-		if j.shown == stepper.Queued {
-			j.shown = stepper.Running
-		}
 		for _, p := range placed {
 			c.send(p)
 		}
--- a/internal/director/calls.go
+++ b/internal/director/calls.go
@@ -154,6 +154,13 @@
 	if call.GetKind() == messenger.CallKind_CALL_KIND_ADVISE {
 		return encodeReply(d.serveAdvice(ctx, call))
 	}
+	if call.GetKind() == messenger.CallKind_CALL_KIND_TRANSACT {
+		text, err := d.store.Serve(ctx, call.GetJob())
+		if err != nil {
+			return encodeReply(answer{}, &badCallError{Reason: err.Error()})
+		}
+		return &messenger.Reply{Answer: text}
+	}
 	d.mu.Lock()
 	c := d.cells[call.GetPartition()]
 	var own *conductor.Conductor
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,20 +20,14 @@
 	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/conductor"
 	"dotterelpost.example/dotterelpost/internal/connector"
-	"dotterelpost.example/dotterelpost/internal/follower"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/relayer"
 	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
 
-// Store is what the package needs of the platform's store.
-type Store interface {
-	claimer.Table
-	follower.Store
-}
-
 // Mesh carries calls to other instances.
 type Mesh interface {
 	Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error)
@@ -68,7 +63,7 @@
 type Dependencies struct {
 	Clock    clockwork.Clock
 	Log      *slog.Logger
-	Store    Store
+	Store    relayer.Store
 	Workers  conductor.Workers
 	Advisor  Advisor
 	Decoders Decoders
@@ -87,8 +82,7 @@
 	cancel    context.CancelFunc
 	group     sync.WaitGroup
 	leaving   atomic.Bool
-	// storeAnswered is when the store answered last, in Unix nanoseconds.
-	storeAnswered atomic.Int64
+	store     *relayer.Relayer
 
 	mu    sync.Mutex
 	cells map[string]*cell
@@ -140,7 +134,9 @@
 		cells:        make(map[string]*cell),
 		heard:        make(map[string]time.Time),
 	}
-	d.storeAnswered.Store(now.UnixNano())
+	d.store = relayer.New(relayer.Dependencies{
+		Store: dependencies.Store, Clock: d.Clock, Log: d.Log, Call: d.callStore, Peers: d.servedPeers,
+	})
 	return d, d.stop
 }
 
@@ -176,7 +172,7 @@
 		Region:             d.settings.Region,
 		Leaving:            d.leaving.Load(),
 		Configuration:      d.book.Version(),
-		StoreSilenceMillis: d.storeSilence().Milliseconds(),
+		StoreSilenceMillis: d.store.DirectSilence().Milliseconds(),
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -204,12 +200,6 @@
 	}
 }
 
-func (d *Director) storeSilence() time.Duration {
-	return d.Clock.Since(time.Unix(0, d.storeAnswered.Load()))
-}
-
-func (d *Director) answered() { d.storeAnswered.Store(d.Clock.Now().UnixNano()) }
-
 const (
 	// storeLost is from how long a silence on the store counts as lost.
 	storeLost = 2500 * time.Millisecond
@@ -220,7 +210,7 @@
 // confirmed tells whether an owner here may go on giving leases: it has heard of the store lately,
 // or nobody that it hears of has.
 func (d *Director) confirmed() bool {
-	if d.storeSilence() < ownershipLimit {
+	if d.store.Silence() < ownershipLimit {
 		return true
 	}
 	live := d.mesh.Live()
@@ -274,24 +264,46 @@
 
 // newWriter returns a journal for one ownership.
 func (d *Director) newWriter(c *cell, fence int64) *committer.Writer {
-	return committer.NewWriter(storeWatch{d.Store, d}, c.name+"/"+d.run+"."+strconv.FormatInt(fence, 10), d.Clock)
+	return committer.NewWriter(d.store, c.name+"/"+d.run+"."+strconv.FormatInt(fence, 10), d.Clock)
 }
 
-// storeWatch notes when the store answered.
-type storeWatch struct {
-	Store
-	director *Director
+// servedPeers are the peers that the store answers, those of the same region first.
+func (d *Director) servedPeers() []string {
+	var near, far []string
+	for run, beat := range d.mesh.Live() {
+		if beat.GetLeaving() || time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost {
+			continue
+		}
+		if beat.GetRegion() == d.settings.Region {
+			near = append(near, run)
+		} else {
+			far = append(far, run)
+		}
+	}
+	sort.Strings(near)
+	sort.Strings(far)
+	return append(near, far...)
 }
 
-// Transact sends one transaction, once.
-func (s storeWatch) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
-	outcome, err := s.Store.Transact(ctx, transaction)
-	if err == nil {
-		s.director.answered()
+// callStore asks a peer to call the store.
+func (d *Director) callStore(ctx context.Context, peer string, ask []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayPatience)
+	defer cancel()
+	reply, err := d.mesh.Call(ctx, peer, &messenger.Call{
+		Kind: messenger.CallKind_CALL_KIND_TRANSACT, Job: ask, PatienceNanos: int64(relayPatience),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetError() != messenger.ErrorKind_ERROR_KIND_UNSPECIFIED {
+		return nil, &badCallError{Reason: reply.GetReason()}
 	}
-	return outcome, err
+	return reply.GetAnswer(), nil
 }
 
+// relayPatience bounds a call to the store through a peer, the wait of a watch included.
+const relayPatience = 3 * time.Second
+
 // peerRow is an instance's row: how others reach it.
 type peerRow struct {
 	Run              string         `json:"run"`
@@ -311,7 +323,7 @@
 	}
 	put := connector.Transaction{Puts: []connector.Put{{Key: instancesTable + "/all/" + d.settings.Name, Value: value}}}
 	for d.ctx.Err() == nil {
-		if _, err = d.Store.Transact(d.ctx, put); err == nil {
+		if _, err = d.store.Transact(d.ctx, put); err == nil {
 			return
 		}
 		d.Log.Warn("instance not registered yet", "error", err)
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -37,8 +37,8 @@
 func (d *Director) follow(ctx context.Context, table, part string, apply func([]connector.Row, bool)) {
 	d.group.Go(func() {
 		follower.Follow(ctx, follower.Options{
-			Store: d.Store, Clock: d.Clock, Log: d.Log, Table: table, Part: part,
-			Wait: watchWait, Anew: readAnew, Apply: apply, Answered: d.answered,
+			Store: d.store, Clock: d.Clock, Log: d.Log, Table: table, Part: part,
+			Wait: watchWait, Anew: readAnew, Apply: apply,
 		})
 	})
 }
@@ -141,7 +141,7 @@
 		Workers:   d.Workers,
 		Advisors:  d,
 		Journal:   d.newWriter(c, claim.Fence),
-		Rows:      d.Store,
+		Rows:      d.store,
 		Book:      d.book,
 		Confirmed: d.confirmed,
 		Deposed:   func() { d.deposed(c, claim.Fence) },
@@ -277,7 +277,7 @@
 
 // candidates are the instances that could claim a cell. The caller holds the mutex.
 func (d *Director) candidates() []claimer.Candidate {
-	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.storeSilence() > storeLost}}
+	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.Silence() > storeLost}}
 	for run, beat := range d.mesh.Live() {
 		if d.alive(run) {
 			candidates = append(candidates, claimer.Candidate{
@@ -293,7 +293,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
 	defer cancel()
 	d.Log.Info("claiming", "cell", c.name, "owner", known.Holder, "fence", known.Fence, "version", known.Version)
-	ownership, err := claimer.Claim(ctx, d.Store, d.run, known)
+	ownership, err := claimer.Claim(ctx, d.store, d.run, known)
 	var lost *claimer.LostError
 	if err != nil && !errors.As(err, &lost) {
 		// The row tells what became of the claim.
@@ -311,7 +311,7 @@
 }
 
 func (d *Director) readOwner(ctx context.Context, c *cell) (claimer.Ownership, error) {
-	rows, err := d.Store.Read(ctx, claimer.Key(c.name))
+	rows, err := d.store.Read(ctx, claimer.Key(c.name))
 	if err != nil {
 		return claimer.Ownership{}, err
 	}
@@ -347,7 +347,7 @@
 		d.Log.Warn("cell left in haste", "cell", c.name, "error", err)
 	}
 	stop()
-	ownership, err := claimer.Release(ctx, d.Store, known)
+	ownership, err := claimer.Release(ctx, d.store, known)
 	d.Log.Info("cell left", "cell", c.name, "fence", known.Fence, "error", err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,8 +40,6 @@
 	// Apply is called with all rows when whole is set, and otherwise with those that changed. It is
 	// called by one goroutine.
 	Apply func(rows []connector.Row, whole bool)
-	// Answered is called after each answer of the store. It may be nil.
-	Answered func()
 }
 
 // The pause after a failed call grows from the first to the last of these.
@@ -88,9 +86,6 @@
 		}
 		lost = false
 		pauses.Reset()
-		if o.Answered != nil {
-			o.Answered()
-		}
 		after = changes.Version
 		if whole {
 			readAt = o.Clock.Now()
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,269 @@
+// Package relayer reaches the store through a peer when the store turns this instance away and
+// serves others.
+//
+// # Usage
+//
+//	store := relayer.New(relayer.Dependencies{Store: direct, Clock: clock, Log: log, Call: call, Peers: peers})
+//	outcome, err := store.Transact(ctx, transaction)
+//	reply := relayer.Serve(ctx, direct, call.GetJob())
+//
+// A relayed transaction is as safe as a direct one: its preconditions are checked by the store, and a
+// lost answer leaves the same doubt. A call is relayed only if the store did nothing about it before.
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/connector"
+)
+
+// Store is the platform's store.
+type Store interface {
+	Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error)
+	Read(ctx context.Context, keys ...string) (map[string]connector.Row, error)
+	Snapshot(ctx context.Context, table, part string) (connector.Changes, error)
+	Watch(ctx context.Context, table string, after int64, wait time.Duration) (connector.Changes, error)
+}
+
+// Dependencies of a relayer.
+type Dependencies struct {
+	Store Store
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	// Call asks a peer and returns what Serve returned there.
+	Call func(ctx context.Context, peer string, ask []byte) ([]byte, error)
+	// Peers are the instances that the store serves, the best first.
+	Peers func() []string
+}
+
+// Relayer is a store that may be reached through a peer.
+type Relayer struct {
+	Dependencies
+	// refusedAt is when the store last turned this instance away or did not answer, in Unix
+	// nanoseconds; directAt is when it last answered directly, anyAt when it last answered at all.
+	refusedAt, directAt, anyAt atomic.Int64
+	relaying                   atomic.Bool
+}
+
+// tryDirectly is for how long after a refusal calls go to a peer first.
+const tryDirectly = 700 * time.Millisecond
+
+// New returns a store.
+func New(dependencies Dependencies) *Relayer {
+	r := &Relayer{Dependencies: dependencies}
+	now := dependencies.Clock.Now().UnixNano()
+	r.directAt.Store(now)
+	r.anyAt.Store(now)
+	return r
+}
+
+// DirectSilence is how long the store has not answered this instance itself.
+func (r *Relayer) DirectSilence() time.Duration { return r.since(&r.directAt) }
+
+// Silence is how long the store has not answered, directly or through a peer.
+func (r *Relayer) Silence() time.Duration { return r.since(&r.anyAt) }
+
+func (r *Relayer) since(at *atomic.Int64) time.Duration {
+	return r.Clock.Since(time.Unix(0, at.Load()))
+}
+
+// ask is a call to the store; one of its fields is set.
+type ask struct {
+	Transact *connector.Transaction `json:"transact,omitempty"`
+	Read     []string               `json:"read,omitempty"`
+	Snapshot *place                 `json:"snapshot,omitempty"`
+	Watch    *watch                 `json:"watch,omitempty"`
+}
+
+type place struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+}
+
+type watch struct {
+	Table string        `json:"table"`
+	After int64         `json:"after"`
+	Wait  time.Duration `json:"wait"`
+}
+
+// reply is what the store said to a call.
+type reply struct {
+	Outcome   connector.Outcome        `json:"outcome,omitzero"`
+	Rows      map[string]connector.Row `json:"rows,omitempty"`
+	Changes   connector.Changes        `json:"changes,omitzero"`
+	Forgotten bool                     `json:"forgotten,omitempty"`
+	// Refused is set if the store did nothing, Doubt if that is not known.
+	Refused string `json:"refused,omitempty"`
+	Status  int    `json:"status,omitempty"`
+	Doubt   string `json:"doubt,omitempty"`
+}
+
+// PeerError tells that a peer had no answer of the store.
+type PeerError struct {
+	Peer   string
+	Reason string
+}
+
+func (e *PeerError) Error() string { return fmt.Sprintf("through %s: %s", e.Peer, e.Reason) }
+
+// Transact sends one transaction, once, directly or through a peer.
+func (r *Relayer) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	answer, err := r.do(ctx, &ask{Transact: &transaction})
+	return answer.Outcome, err
+}
+
+// Read returns the rows that are there, by key.
+func (r *Relayer) Read(ctx context.Context, keys ...string) (map[string]connector.Row, error) {
+	answer, err := r.do(ctx, &ask{Read: keys})
+	return answer.Rows, err
+}
+
+// Snapshot returns all rows of a part of a table.
+func (r *Relayer) Snapshot(ctx context.Context, table, part string) (connector.Changes, error) {
+	answer, err := r.do(ctx, &ask{Snapshot: &place{Table: table, Part: part}})
+	return answer.Changes, err
+}
+
+// Watch waits for rows of a table that changed after a version.
+func (r *Relayer) Watch(ctx context.Context, table string, after int64, wait time.Duration) (connector.Changes, error) {
+	answer, err := r.do(ctx, &ask{Watch: &watch{Table: table, After: after, Wait: wait}})
+	return answer.Changes, err
+}
+
+// do makes a call: directly first, unless the store turned this instance away a moment ago.
+func (r *Relayer) do(ctx context.Context, a *ask) (reply, error) {
+	if r.since(&r.refusedAt) < tryDirectly {
+		if answer, sent, err := r.relay(ctx, a); sent {
+			return answer, err
+		}
+	}
+	answer, err := direct(ctx, r.Store, a)
+	var forgotten *connector.ForgottenError
+	if err == nil || errors.As(err, &forgotten) {
+		r.answered()
+		return answer, err
+	}
+	r.refusedAt.Store(r.Clock.Now().UnixNano())
+	if !nothingDone(err) && a.Transact != nil {
+		return answer, err
+	}
+	if relayed, sent, err := r.relay(ctx, a); sent {
+		return relayed, err
+	}
+	return answer, err
+}
+
+func (r *Relayer) answered() {
+	now := r.Clock.Now().UnixNano()
+	r.directAt.Store(now)
+	r.anyAt.Store(now)
+	r.refusedAt.Store(0)
+	if r.relaying.CompareAndSwap(true, false) {
+		r.Log.Info("store reached directly again")
+	}
+}
+
+// nothingDone tells whether a failed call can't have had an effect.
+func nothingDone(err error) bool {
+	var refused *connector.RefusedError
+	var unreachable *connector.UnreachableError
+	return errors.As(err, &refused) || errors.As(err, &unreachable) && unreachable.NeverSent
+}
+
+// relay makes a call through the best peer. sent is false if there is none.
+func (r *Relayer) relay(ctx context.Context, a *ask) (answer reply, sent bool, err error) {
+	peers := r.Peers()
+	if len(peers) == 0 {
+		return reply{}, false, nil
+	}
+	if r.relaying.CompareAndSwap(false, true) {
+		r.Log.Warn("store reached through a peer", "peer", peers[0])
+	}
+	text, err := json.Marshal(a)
+	if err != nil {
+		return reply{}, true, errors.Wrap(err, "encode call")
+	}
+	text, err = r.Call(ctx, peers[0], text)
+	if err != nil {
+		return reply{}, true, &connector.UnreachableError{Call: "store through " + peers[0], Err: err}
+	}
+	if err := json.Unmarshal(text, &answer); err != nil {
+		return reply{}, true, &connector.UnreachableError{Call: "store through " + peers[0], Err: err}
+	}
+	if err := answer.failure(peers[0], a); err != nil {
+		return answer, true, err
+	}
+	r.anyAt.Store(r.Clock.Now().UnixNano())
+	return answer, true, nil
+}
+
+// failure returns the error that the peer had.
+func (r *reply) failure(peer string, a *ask) error {
+	switch {
+	case r.Forgotten:
+		return &connector.ForgottenError{Table: a.Watch.Table, After: a.Watch.After}
+	case r.Refused != "":
+		return &connector.RefusedError{Call: "store through " + peer, Status: r.Status, Reason: r.Refused}
+	case r.Doubt != "":
+		return &connector.UnreachableError{Call: "store through " + peer, Err: &PeerError{Peer: peer, Reason: r.Doubt}}
+	default:
+		return nil
+	}
+}
+
+// EmptyCallError tells that a peer asked for nothing.
+type EmptyCallError struct{}
+
+func (*EmptyCallError) Error() string { return "the call asks for nothing" }
+
+func direct(ctx context.Context, store Store, a *ask) (answer reply, err error) {
+	switch {
+	case a.Transact != nil:
+		answer.Outcome, err = store.Transact(ctx, *a.Transact)
+	case a.Read != nil:
+		answer.Rows, err = store.Read(ctx, a.Read...)
+	case a.Snapshot != nil:
+		answer.Changes, err = store.Snapshot(ctx, a.Snapshot.Table, a.Snapshot.Part)
+	case a.Watch != nil:
+		answer.Changes, err = store.Watch(ctx, a.Watch.Table, a.Watch.After, a.Watch.Wait)
+	default:
+		err = &EmptyCallError{}
+	}
+	return answer, err
+}
+
+// Serve makes a peer's call directly.
+func (r *Relayer) Serve(ctx context.Context, text []byte) ([]byte, error) {
+	var a ask
+	if err := json.Unmarshal(text, &a); err != nil {
+		return nil, errors.Wrap(err, "decode call")
+	}
+	answer, err := direct(ctx, r.Store, &a)
+	var refused *connector.RefusedError
+	var forgotten *connector.ForgottenError
+	switch {
+	case err == nil:
+		r.answered()
+	case errors.As(err, &forgotten):
+		answer.Forgotten = true
+	case errors.As(err, &refused):
+		answer.Refused, answer.Status = refused.Error(), refused.Status
+	case nothingDone(err):
+		answer.Refused = err.Error()
+	default:
+		answer.Doubt = err.Error()
+	}
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode reply")
+	}
+	return encoded, nil
+}
--- a/internal/stepper/progress.go
+++ b/internal/stepper/progress.go
@@ -125,7 +125,7 @@
 	EndedAt time.Time `json:"ended-at,omitzero"`
 	// Next is the first occurrence that has not begun.
 	Next int `json:"next,omitempty"`
-	// Begun tells that some task was assigned once.
+	// Begun tells that a worker has confirmed the start of a task.
 	Begun bool `json:"begun,omitempty"`
 	// Open are the occurrences that have begun and not ended.
 	Open []*Occurrence `json:"open,omitempty"`
@@ -209,7 +209,6 @@
 func (p *Progress) Assign(key TaskKey, run int, at Life) {
 	task := p.Task(key)
 	task.Run, task.At = run, at
-	p.Begun = true
 }
 
 // End records the end of a run. It reports false, and changes nothing, if the run is not the one
