Dead runs are replaced at once; refusals while the store does not answer; advice queues by service time

Cause: (1) after all instances lost power the successor waited 1.25 s for a run that its own instance's restart proved dead; (2) jobs waited unwritten until their caller's deadline while the store was down; (3) quick calls of the advisor went one at a time through two instances, 60 ms each from another region: 20 a second. Change: a refused connection or a newer run of an instance ends the older one; jobs none of whose rows was sent are refused with a time to come back; each instance's calls queue, quick ones where they are served soonest.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -43,8 +43,12 @@
 	// outOfRotation is how long after the first refused readiness the platform may still send new
 	// connections: two misses, a second apart.
 	outOfRotation = 2500 * time.Millisecond
+	// handOver bounds the hand-over of the cells: if the store is down, a successor claims them.
+	handOver = 2 * time.Second
 	// leaveMargin is left of the grace at the end.
-	leaveMargin = 700 * time.Millisecond
+	leaveMargin = time.Second
+	// closeTimeout bounds the closing of connections, whose peers may be unreachable.
+	closeTimeout = 300 * time.Millisecond
 	// headerTimeout bounds how long a caller may take for the header of a request.
 	headerTimeout = 3 * time.Second
 	// idleTimeout closes connections of callers that are silent.
@@ -108,7 +112,7 @@
 	i.cleanUps = []func(){closeStore, closeWorkers, closeAdvisor, stop}
 	mesh, closeMesh, err := mesher.New(mesher.Settings{
 		Instance: i.director.Run(), Region: settings.Region, Listen: settings.Mesh, NearBeat: beatEvery, FarBeat: beatEvery,
-	}, mesher.Dependencies{Clock: clock, Log: log, Handler: i.director, Beat: i.director.Beat, Heard: i.director.Heard})
+	}, mesher.Dependencies{Clock: clock, Log: log, Handler: i.director, Beat: i.director.Beat, Heard: i.director.Heard, Gone: i.director.Gone})
 	if err != nil {
 		i.cleanUp()
 		return nil, err
@@ -189,7 +193,9 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), i.clock, grace)
 	defer cancel()
 	i.front.Close()
-	i.director.Leave(ctx)
+	handing, cancelHanding := clockwork.WithTimeout(ctx, i.clock, min(handOver, grace))
+	defer cancelHanding()
+	i.director.Leave(handing)
 	select {
 	case <-i.clock.After(min(outOfRotation, grace)):
 	case <-ctx.Done():
@@ -197,6 +203,14 @@
 	if err := i.callers.Shutdown(ctx); err != nil {
 		i.log.Warn("requests cut off", "open", i.front.Open(), "error", err)
 	}
-	i.cleanUp()
+	closed := make(chan struct{})
+	go func() {
+		i.cleanUp()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-i.clock.After(closeTimeout):
+	}
 	i.log.Info("stopped", "run", i.director.Run(), "took-ms", i.clock.Since(began).Milliseconds())
 }
--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -17,7 +17,16 @@
 	// the start travels meanwhile.
 	ticketMargin = 200 * time.Millisecond
 	// longCall is from which length a call of the advisor keeps others waiting noticeably.
-	longCall = 150 * time.Millisecond
+	longCall = 30 * time.Millisecond
+	// quickQueue and longQueue are how much work may wait for the advisor on one instance when
+	// another call joins it.
+	quickQueue = 60 * time.Millisecond
+	longQueue  = 20 * time.Millisecond
+	// mostQueued bounds the calls of one instance; the advisor refuses them from 32 on.
+	mostQueued = 16
+	// overheadWeight is the weight of the latest call in what is known of an instance's way to the
+	// advisor.
+	overheadWeight = 0.2
 	// quickInstances are kept free of long calls, where there are more instances.
 	quickInstances = 2
 	// mostNamed is how many workers one call may name.
@@ -32,14 +41,29 @@
 
 // advice is what is known of the advisor.
 type advice struct {
-	// busy tells which instances have a call in flight.
-	busy map[string]bool
+	lines map[string]*line
 	// share is the share of named workers that were good, for each queue.
 	share map[string]float64
 }
 
+// line is the queue of one instance's calls at the advisor, which serves them in turn.
+type line struct {
+	// clearAt is when the calls so far are served.
+	clearAt time.Time
+	queued  int
+	// overhead is how long a call takes beyond the advisor's own work and the calls before it.
+	overhead time.Duration
+}
+
 func (a *advice) init() {
-	a.busy, a.share = make(map[string]bool), make(map[string]float64)
+	a.lines, a.share = make(map[string]*line), make(map[string]float64)
+}
+
+func (a *advice) line(instance string) *line {
+	if a.lines[instance] == nil {
+		a.lines[instance] = &line{}
+	}
+	return a.lines[instance]
 }
 
 // goodWorker is a worker that may run a step, as far as the advisor said so in one life of it.
@@ -77,20 +101,28 @@
 	}
 }
 
-// instances chooses an instance for a quick call and one for a long call, out of those that are free;
-// an empty name means that none is. Long calls get only as many instances as leave some for the
-// quick ones.
+// instances chooses an instance for a quick call and one for a long call; an empty name means that
+// none should take one now. The instances nearest to the advisor are kept for the quick calls, where
+// there are others.
 func (c *Conductor) instances() (quick, long string) {
 	names := c.Advisors.Instances()
 	sort.Strings(names)
+	sort.SliceStable(names, func(i, j int) bool {
+		return c.advice.line(names[i]).overhead < c.advice.line(names[j]).overhead
+	})
+	var quickAt, longAt time.Time
 	for i, name := range names {
-		if c.advice.busy[name] {
+		l := c.advice.line(name)
+		waits := max(0, l.clearAt.Sub(c.now))
+		servedAt := c.now.Add(waits + l.overhead)
+		if l.queued >= mostQueued {
 			continue
 		}
-		// Those that never get long calls come last in the order of names.
-		quick = name
-		if long == "" && i < max(1, len(names)-quickInstances) {
-			long = name
+		if waits <= quickQueue && (quick == "" || servedAt.Before(quickAt)) {
+			quick, quickAt = name, servedAt
+		}
+		if waits <= longQueue && i >= min(quickInstances, len(names)-1) && (long == "" || servedAt.Before(longAt)) {
+			long, longAt = name, servedAt
 		}
 	}
 	return quick, long
@@ -111,7 +143,10 @@
 		return false
 	}
 	s.asking = true
-	c.advice.busy[instance] = true
+	l := c.advice.line(instance)
+	l.clearAt = maxTime(l.clearAt, c.now).Add(cost)
+	l.queued++
+	served := l.clearAt
 	c.freeQuick, c.freeLong = c.instances()
 	key, born := s.key, make(map[string]int64, len(named))
 	for _, id := range named {
@@ -123,13 +158,30 @@
 	go func() {
 		answer, err := c.Advisors.Advise(c.ctx, instance, key, named)
 		c.post(func() {
-			delete(c.advice.busy, instance)
+			l.queued--
+			l.learn(c.now.Sub(served), err)
 			c.advised(s, queueName, answer, err, born, sentAt, min(valid, max(answer.Valid, valid/2)))
 		})
 	}()
 	return true
 }
 
+// learn takes in how long after the advisor should have served a call its answer came. A call that
+// failed counts as a second: the instance may be cut off.
+func (l *line) learn(late time.Duration, err error) {
+	if err != nil {
+		late = time.Second
+	}
+	l.overhead += time.Duration(overheadWeight * float64(max(0, late)-l.overhead))
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // nominees chooses the workers to name: each costs time, and only a share of them is good. Workers
 // known to be good are named alone if they have the room.
 func (c *Conductor) nominees(s *step, queue *ruler.Queue, sites []packer.Site) []string {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -94,6 +95,8 @@
 type RefusedError struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Unavailable tells that it is no matter of load.
+	Unavailable bool
 }
 
 func (e *RefusedError) Error() string {
@@ -139,6 +142,7 @@
 	dirty     bool
 	nextRound time.Time
 	sweepAt   time.Time
+	random    *rand.Rand
 	// sites are the usable workers during a round, chosen those that one step may use.
 	sites, chosen []packer.Site
 	// freeQuick and freeLong are the instances that the next call of the advisor goes through.
@@ -164,6 +168,7 @@
 		learned:      make(map[string]*learned),
 	}
 	c.now = c.claimedAt
+	c.random = rand.New(rand.NewPCG(uint64(claim.Fence), uint64(c.claimedAt.UnixNano())))
 	c.advice.init()
 	go c.recover()
 	go c.run()
@@ -234,6 +239,7 @@
 		c.watch(w)
 	}
 	c.dirty = true
+	c.withdraw()
 	if c.now.After(c.sweepAt) {
 		c.sweepAt = c.now.Add(sweepEvery)
 		c.openDue()
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -24,6 +24,9 @@
 	fresh, forgotten bool
 	dirty            bool
 	after            []func()
+	// callers wait to hear whether the job was accepted.
+	callers []func(error)
+	arrived time.Time
 	// places are the runs that hold room on workers.
 	places map[stepper.TaskKey]*place
 	// steps are those whose turn has come.
@@ -114,8 +117,7 @@
 			return
 		}
 		if refusal := c.admit(definition); refusal != nil {
-			c.Log.Info("refused", "job", definition.ID, "queue", definition.Queue, "reason", refusal.Reason, "retry-after-ms", refusal.RetryAfter.Milliseconds())
-			c.Counts.Refused(definition.Queue)
+			c.refused(definition, refusal)
 			reply(refusal)
 			return
 		}
@@ -131,7 +133,7 @@
 		reply(nil)
 		return
 	}
-	j.after = append(j.after, func() { reply(nil) })
+	j.callers = append(j.callers, reply)
 }
 
 func (c *Conductor) accept(definition *stepper.Job, reply func(error)) {
@@ -141,19 +143,54 @@
 		progress:   stepper.NewProgress(definition, c.Clock.Now()),
 		shown:      stepper.Queued,
 		fresh:      true,
+		callers:    []func(error){reply},
+		arrived:    c.now,
 	}
 	c.jobs[j.id] = j
-	arrived := c.now
 	c.touch(j, func() {
 		j.stored = true
 		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "steps", len(definition.Steps), "tasks", tasks(definition),
-			"took-ms", c.now.Sub(arrived).Milliseconds())
-		c.Counts.Accepted(definition.Queue, c.now.Sub(arrived))
-		reply(nil)
+			"took-ms", c.now.Sub(j.arrived).Milliseconds())
+		c.Counts.Accepted(definition.Queue, c.now.Sub(j.arrived))
+		j.tell(nil)
 	})
 	c.refresh(j)
 }
 
+// tell answers all who wait to hear of the job's acceptance.
+func (j *job) tell(err error) {
+	for _, reply := range j.callers {
+		reply(err)
+	}
+	j.callers = nil
+}
+
+// withdraw refuses the jobs that wait to be written while the store does not answer. None of their
+// rows has been sent, so none of them can be accepted any more.
+func (c *Conductor) withdraw() {
+	refusal := c.storeRefusal()
+	if refusal == nil {
+		return
+	}
+	kept := c.journal.dirty[:0]
+	for _, j := range c.journal.dirty {
+		if !j.fresh || j.placed() > 0 || len(j.after) > 1 {
+			kept = append(kept, j)
+			continue
+		}
+		c.forgetSteps(j)
+		delete(c.jobs, j.id)
+		c.refused(j.definition, refusal)
+		j.tell(refusal)
+	}
+	c.journal.dirty = kept
+}
+
+func (c *Conductor) refused(definition *stepper.Job, refusal *RefusedError) {
+	c.Log.Info("refused", "job", definition.ID, "queue", definition.Queue, "reason", refusal.Reason, "retry-after-ms", refusal.RetryAfter.Milliseconds())
+	c.Counts.Refused(definition.Queue)
+}
+
 func tasks(definition *stepper.Job) int {
 	count := 0
 	for i := range definition.Steps {
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"time"
+
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
@@ -18,10 +20,38 @@
 	// drops are final jobs that nobody may ask for any more.
 	drops    []string
 	inFlight bool
+	sentAt   time.Time
+	// usual is how long transactions took lately.
+	usual time.Duration
 	// barriers run once all that was dirty when they were set has been written.
 	barriers []func()
 }
 
+const (
+	// usualWeight is the inverse of the weight of the latest transaction in what is usual.
+	usualWeight = 3
+	// stalledAfter is from how long a transaction in flight means that the store is in trouble; it
+	// is a quarter of the shortest objective of either user. A store that is slow and answers is
+	// given stalledFactor times what is usual.
+	stalledAfter  = 400 * time.Millisecond
+	stalledFactor = 3
+	// storeBack and storeSpread give the time after which callers are asked to come back: the
+	// store's usual outages take some seconds, and callers must not come all at once.
+	storeBack   = 900 * time.Millisecond
+	storeSpread = 800 * time.Millisecond
+)
+
+// storeRefusal returns why nothing can be accepted now, or nil: the store does not answer.
+func (c *Conductor) storeRefusal() *RefusedError {
+	if !c.journal.inFlight || c.now.Sub(c.journal.sentAt) < max(stalledAfter, stalledFactor*c.journal.usual) {
+		return nil
+	}
+	return &RefusedError{
+		Reason: "the store does not answer", Unavailable: true,
+		RetryAfter: storeBack + time.Duration(c.random.Int64N(int64(storeSpread))),
+	}
+}
+
 func definitionKey(cell, id string) string { return "jobs/" + cell + "/" + id }
 func progressKey(cell, id string) string   { return "progress/" + cell + "/" + id }
 
@@ -79,6 +109,7 @@
 		return
 	}
 	c.journal.inFlight = true
+	c.journal.sentAt = c.now
 	go c.sendTransaction(transaction, after)
 }
 
@@ -119,6 +150,7 @@
 	c.Counts.Committed(c.Clock.Since(sentAt), len(transaction.Puts)+len(transaction.Deletes))
 	c.post(func() {
 		c.journal.inFlight = false
+		c.journal.usual += (c.now.Sub(sentAt) - c.journal.usual) / usualWeight
 		switch {
 		case err != nil:
 			// The writer tries until the conductor ends, so only that can have been the reason.
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -105,6 +105,10 @@
 	if !c.dirty || c.leaving || c.now.Before(c.nextRound) {
 		return
 	}
+	if c.storeRefusal() != nil {
+		// What is placed now could not be started before the store answers.
+		return
+	}
 	c.dirty = false
 	c.nextRound = c.now.Add(roundEvery)
 	if len(c.hungry) == 0 {
@@ -327,7 +331,7 @@
 	if len(c.jobs) >= mostJobs {
 		return &RefusedError{Reason: "too many jobs are open", RetryAfter: time.Second}
 	}
-	return nil
+	return c.storeRefusal()
 }
 
 // mostJobs bounds the memory of a cell: a job takes a few kilobytes.
--- a/internal/director/calls.go
+++ b/internal/director/calls.go
@@ -223,6 +223,9 @@
 	case errors.As(err, &refused):
 		reply.Error = messenger.ErrorKind_ERROR_KIND_REFUSED
 		reply.Reason, reply.RetryAfterNanos = refused.Reason, int64(refused.RetryAfter)
+		if refused.Unavailable {
+			reply.Refusal = unavailable
+		}
 	case errors.As(err, &elsewhere):
 		reply.Error = messenger.ErrorKind_ERROR_KIND_NOT_OWNER
 	case errors.As(err, &bad):
@@ -242,7 +245,7 @@
 	case messenger.ErrorKind_ERROR_KIND_NOT_OWNER:
 		return a, &notOwnerError{Cell: cell}
 	case messenger.ErrorKind_ERROR_KIND_REFUSED:
-		return a, &conductor.RefusedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterNanos())}
+		return a, &conductor.RefusedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterNanos()), Unavailable: reply.GetRefusal() == unavailable}
 	case messenger.ErrorKind_ERROR_KIND_BAD_CALL:
 		return a, &badCallError{Reason: reply.GetReason()}
 	case messenger.ErrorKind_ERROR_KIND_UNDECIDED:
@@ -250,6 +253,9 @@
 	return a, &UndecidedError{Cell: cell, Err: &badCallError{Reason: reply.GetReason()}}
 }
 
+// unavailable marks a refusal that is no matter of load.
+const unavailable = "unavailable"
+
 // question is what a peer is asked to ask the advisor.
 type question struct {
 	Step    stepper.StepKey `json:"step"`
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -87,6 +87,8 @@
 	mu    sync.Mutex
 	cells map[string]*cell
 	heard map[string]time.Time
+	// gone are the runs whose process has ended, and when that was noticed.
+	gone map[string]time.Time
 }
 
 // cell is what is known here of one cell.
@@ -119,6 +121,12 @@
 	return time.UnixMilli(milliseconds)
 }
 
+// instanceOf reads the name of the instance out of that of a run.
+func instanceOf(run string) string {
+	instance, _, _ := strings.Cut(run, "@")
+	return instance
+}
+
 // New returns a director and the function that ends it at once.
 func New(settings Settings, dependencies Dependencies) (*Director, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -133,6 +141,7 @@
 		cancel:       cancel,
 		cells:        make(map[string]*cell),
 		heard:        make(map[string]time.Time),
+		gone:         make(map[string]time.Time),
 	}
 	d.store = relayer.New(relayer.Dependencies{
 		Store: dependencies.Store, Clock: d.Clock, Log: d.Log, Call: d.callStore, Peers: d.servedPeers,
@@ -189,6 +198,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heard[beat.GetInstance()] = d.Clock.Now()
+	delete(d.gone, beat.GetInstance())
 	for _, holding := range beat.GetHoldings() {
 		c := d.cells[holding.GetPartition()]
 		if c == nil || holding.GetEpoch() <= c.ownership.Fence {
@@ -242,7 +252,35 @@
 // alive tells whether a peer was heard lately. The caller holds the mutex.
 func (d *Director) alive(run string) bool {
 	heard, known := d.heard[run]
-	return known && d.Clock.Since(heard) < claimer.SuspectAfter
+	return known && !d.ended(run) && d.Clock.Since(heard) < claimer.SuspectAfter
+}
+
+// Gone takes in that the process of a run has ended.
+func (d *Director) Gone(run string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.gone[run]; !known {
+		d.gone[run] = d.Clock.Now()
+		d.Log.Info("peer gone", "peer", run)
+	}
+}
+
+// ended tells whether a run is surely over: nothing listens where it did, or a later run of the same
+// instance is known. The caller holds the mutex.
+func (d *Director) ended(run string) bool {
+	if _, gone := d.gone[run]; gone {
+		return true
+	}
+	instance, started := instanceOf(run), startOf(run)
+	if instance == d.settings.Name && run != d.run && started.Before(d.startedAt) {
+		return true
+	}
+	for other := range d.heard {
+		if instanceOf(other) == instance && startOf(other).After(started) {
+			return true
+		}
+	}
+	return false
 }
 
 // NoOwnerError tells that no owner of a cell was found in time; the call was never handed on.
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -265,7 +265,7 @@
 		return false
 	}
 	silentFrom := c.since
-	if c.ownership.Holder != "" {
+	if c.ownership.Holder != "" && !d.ended(c.ownership.Holder) {
 		if heard, known := d.heard[c.ownership.Holder]; known && heard.After(silentFrom) {
 			silentFrom = heard
 		}
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
@@ -53,6 +55,9 @@
 		closed, err := l.dial()
 		if err != nil {
 			l.mesh.Log.Debug("peer not reached", "instance", l.peer.Name, "error", err)
+			if errors.Is(err, unix.ECONNREFUSED) && l.mesh.Gone != nil {
+				l.mesh.Gone(l.peer.Name)
+			}
 			l.broke()
 			l.wait(delays.NextBackOff())
 			continue
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -78,6 +78,8 @@
 	Beat func() *messenger.Heartbeat
 	// Heard is called with each heartbeat of a peer.
 	Heard func(*messenger.Heartbeat)
+	// Gone is called when nothing listens where a peer did: its process has ended. It may be nil.
+	Gone func(instance string)
 }
 
 // Counts of a mesh, for metrics.
