Log lines are written in pieces that a pipe takes whole

Cause: lines of a 200 ms buffer were cut where the reader of the pipe stops; 1605 of 2839 acceptances could be read back. Change: whole lines, 4096 bytes a write at most.

--- a/internal/scribe/scribe.go
+++ b/internal/scribe/scribe.go
@@ -95,12 +95,32 @@
 	if missing > 0 {
 		lines = fmt.Appendf(lines, `{"level":"WARN","msg":"lines dropped","count":%d}`+"\n", missing)
 	}
-	if len(lines) > 0 {
+	for len(lines) > 0 {
+		piece := wholeLines(lines)
 		// There is nowhere else to report it.
-		_, _ = s.out.Write(lines)
+		_, _ = s.out.Write(lines[:piece])
+		lines = lines[piece:]
 	}
 }
 
+// mostAtOnce is the size up to which a pipe takes a write whole, so that the lines of several writers
+// of one pipe do not mix.
+const mostAtOnce = 4096
+
+// wholeLines is the length of the lines that fit into one write; a longer line goes alone.
+func wholeLines(lines []byte) int {
+	if len(lines) <= mostAtOnce {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:mostAtOnce], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 func (s *Scribe) close() {
 	close(s.stop)
 	select {
