A dead or replaced worker gives its tasks back; a cell without a conductor is claimed again

Change: no lease in holds that retry; 421 ends the life before; an owner counts as alive only while its heartbeats name the cell; the round trip is the shortest of sixteen calls and must differ for three seconds. Tests of the conductor in virtual time: fake workers, store, advisor and an auditor.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -124,11 +124,14 @@
 // between regions by more. An owner waits for the store three times for each quick job.
 const near = 25 * time.Millisecond
 
+// slow is the round trip from which the store is in trouble, whoever asks: moving a cell is no help.
+const slow = 100 * time.Millisecond
+
 func (c *Candidate) distance() int { return int(c.RoundTrip / near) }
 
 // Farther tells whether an owner should give a cell to a candidate that is nearer to the store.
 func (c *Candidate) Farther(other Candidate) bool {
-	return other.RoundTrip > 0 && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
+	return other.RoundTrip > 0 && other.RoundTrip < slow && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
 }
 
 // Order sorts candidates, the one that should claim first at the front. Those nearest to the store go
--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -155,14 +155,14 @@
 	sentAt := c.now
 	queueName := queue.Name
 	valid := queue.Advice.Valid
-	go func() {
+	c.group.Go(func() {
 		answer, err := c.Advisors.Advise(c.ctx, instance, key, named)
 		c.post(func() {
 			l.queued--
 			l.learn(c.now.Sub(served), err)
 			c.advised(s, queueName, answer, err, born, sentAt, min(valid, max(answer.Valid, valid/2)))
 		})
-	}()
+	})
 	return true
 }
 
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -120,6 +121,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	mailbox  chan func()
+	// group are the goroutines that call workers, the store and the advisor.
+	group sync.WaitGroup
 	// ended is closed when the control goroutine has returned.
 	ended chan struct{}
 
@@ -170,7 +173,7 @@
 	c.now = c.claimedAt
 	c.random = rand.New(rand.NewPCG(uint64(claim.Fence), uint64(c.claimedAt.UnixNano())))
 	c.advice.init()
-	go c.recover()
+	c.group.Go(c.recover)
 	go c.run()
 	return c, c.stop
 }
@@ -178,6 +181,7 @@
 func (c *Conductor) stop() {
 	c.cancel()
 	<-c.ended
+	c.group.Wait()
 }
 
 // Claim returns the claim under which the conductor works.
--- /dev/null
+++ b/internal/conductor/conductor_test.go
@@ -0,0 +1,312 @@
+package conductor_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/conductor"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+func submit(t *testing.T, c *conductor.Conductor, j *stepper.Job) {
+	t.Helper()
+	if _, err := c.Submit(t.Context(), j); err != nil {
+		t.Fatalf("submit %s: %v", j.ID, err)
+	}
+}
+
+func wantState(t *testing.T, c *conductor.Conductor, id string, want stepper.State) {
+	t.Helper()
+	state, err := c.State(t.Context(), id)
+	if err != nil || state != want {
+		t.Errorf("state of %s is %q, %v; want %q", id, state, err, want)
+	}
+}
+
+func TestStepsRunInOrderAndEachTaskOnce(t *testing.T) {
+	for _, queue := range []string{"plain", "advised"} {
+		t.Run(queue, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 3)
+				c, stop := w.own(1)
+				defer stop()
+				second := step(5, 1000)
+				second.After = []int{0}
+				submit(t, c, job("j", queue, step(4, 1000), second))
+				time.Sleep(600 * time.Millisecond)
+				wantState(t, c, "j", stepper.Running)
+				w.set(func() {
+					if len(w.starts) != 4 {
+						t.Errorf("%d tasks started before the first step ended", len(w.starts))
+					}
+				})
+				time.Sleep(2 * time.Second)
+				wantState(t, c, "j", stepper.Completed)
+				w.set(func() {
+					for task, runs := range w.starts {
+						if len(runs) != 1 {
+							t.Errorf("task %s started %d times", task, len(runs))
+						}
+					}
+					if len(w.starts) != 9 {
+						t.Errorf("%d tasks started, want 9", len(w.starts))
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestEndListedByASecondLookIsNoLostRun: a start without an answer makes the owner look at the worker
+// beside the hold that waits there. A run whose end that look lists was once taken for lost, and
+// started again.
+func TestEndListedByASecondLookIsNoLostRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.run = func(start *orderer.Start, _ string) (time.Duration, stepper.Ending) {
+			// The first run ends while the start of the second is in doubt.
+			return 150*time.Millisecond + time.Duration(start.Task.Index)*7*time.Millisecond, stepper.Done
+		}
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("first", "plain", step(3, 1000)))
+		for i := range 12 {
+			time.Sleep(11 * time.Millisecond)
+			w.set(func() { w.workers["w0"].silentStart = i%2 == 0; w.workers["w1"].silentStart = i%2 == 1 })
+			if i < 6 {
+				submit(t, c, job("later"+string(rune('a'+i)), "plain", step(1, 1000)))
+			}
+		}
+		time.Sleep(5 * time.Second)
+		wantState(t, c, "first", stepper.Completed)
+	})
+}
+
+func TestGangStartsWholeAndEndsAsOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		c, stop := w.own(1)
+		defer stop()
+		filler := step(6, 1000)
+		submit(t, c, job("filler", "plain", filler))
+		gang := step(4, 1000)
+		gang.Gang = true
+		submit(t, c, job("gang", "plain", gang))
+		time.Sleep(500 * time.Millisecond)
+		w.set(func() {
+			if len(w.starts) != 6 {
+				t.Errorf("%d tasks started; the gang has room for two of its four tasks and must wait", len(w.starts))
+			}
+		})
+		time.Sleep(3 * time.Second)
+		wantState(t, c, "gang", stepper.Completed)
+	})
+}
+
+func TestFailuresCountAndEndTheJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) {
+			return 100 * time.Millisecond, stepper.FailedItself
+		}
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("j", "plain", step(1, 1000)))
+		time.Sleep(3 * time.Second)
+		wantState(t, c, "j", stepper.Failed)
+		w.set(func() {
+			if runs := w.starts[stepper.TaskKey{StepKey: stepper.StepKey{Job: "j"}}]; len(runs) != 2 {
+				t.Errorf("started %d times, want 2, the limit of failures", len(runs))
+			}
+		})
+	})
+}
+
+func TestSuccessorAdoptsWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) { return 3 * time.Second, stepper.Done }
+		first, stopFirst := w.own(1)
+		submit(t, first, job("j", "plain", step(6, 1000)))
+		time.Sleep(time.Second)
+		stopFirst()
+		second, stop := w.own(2)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		wantState(t, second, "j", stepper.Completed)
+	})
+}
+
+// TestTaskOnAWorkerOutOfReachWaitsForItsLease: a successor that can't reach a worker may start its
+// tasks elsewhere only when every lease is over that an earlier owner can have given.
+func TestTaskOnAWorkerOutOfReachWaitsForItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) { return time.Hour, stepper.Done }
+		first, stopFirst := w.own(1)
+		submit(t, first, job("j", "plain", step(8, 1000)))
+		time.Sleep(time.Second)
+		stopFirst()
+		w.set(func() { w.workers["w0"].cut = true })
+		_, stop := w.own(2)
+		defer stop()
+		time.Sleep(30 * time.Second)
+		w.set(func() { w.workers["w1"].running = make(map[stepper.TaskKey]*fakeRun) })
+		time.Sleep(5 * time.Second)
+		// The auditor has complained if a task had been started twice at once.
+	})
+}
+
+func TestOrderCarriedOutLateIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.set(func() { w.workers["w0"].delay = 3 * time.Second; w.workers["w1"].delay = 3 * time.Second })
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("j", "plain", step(3, 1000)))
+		time.Sleep(200 * time.Millisecond)
+		w.set(func() { w.workers["w0"].delay = 0; w.workers["w1"].delay = 0 })
+		time.Sleep(8 * time.Second)
+		wantState(t, c, "j", stepper.Completed)
+	})
+}
+
+func TestPendingCountsWhatHasNotBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.good = func(stepper.StepKey, string) bool { return false }
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("a", "advised", step(1, 1000)))
+		submit(t, c, job("b", "advised", step(1, 1000)))
+		// A start that never reaches its worker is no beginning either.
+		w.set(func() { w.workers["w0"].cut = true })
+		submit(t, c, job("c", "plain", step(1, 1000)))
+		time.Sleep(time.Second)
+		if count, err := c.Pending(t.Context(), "advised"); err != nil || count != 2 {
+			t.Errorf("pending %d, %v; want 2", count, err)
+		}
+		if count, err := c.Pending(t.Context(), "plain"); err != nil || count != 1 {
+			t.Errorf("pending %d, %v; want 1", count, err)
+		}
+	})
+}
+
+// TestStalledStoreRefusesAtOnce: what arrives while the store does not answer is told so soon, and
+// what is told so never runs.
+func TestStalledStoreRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("before", "plain", step(1, 1000)))
+		time.Sleep(3 * time.Second)
+		w.set(func() { w.stuck = make(chan struct{}) })
+		inFlight := make(chan error, 1)
+		go func() {
+			_, err := c.Submit(context.Background(), job("inflight", "plain", step(1, 1000)))
+			inFlight <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		began := time.Now()
+		_, err := c.Submit(t.Context(), job("refused", "plain", step(1, 1000)))
+		var refused *conductor.RefusedError
+		if !errors.As(err, &refused) || !refused.Unavailable || refused.RetryAfter <= 0 {
+			t.Errorf("got %v, want a refusal with a time to come back", err)
+		}
+		if waited := time.Since(began); waited > time.Second {
+			t.Errorf("refused after %s", waited)
+		}
+		w.set(func() { close(w.stuck); w.stuck = nil })
+		if err := <-inFlight; err != nil {
+			t.Errorf("the job whose rows were sent: %v", err)
+		}
+		time.Sleep(5 * time.Second)
+		wantState(t, c, "inflight", stepper.Completed)
+		w.set(func() {
+			if len(w.starts[stepper.TaskKey{StepKey: stepper.StepKey{Job: "refused"}}]) > 0 {
+				t.Error("the refused job ran")
+			}
+		})
+	})
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) { return time.Hour, stepper.Done }
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("j", "plain", step(3, 1000), step(9, 1000)))
+		time.Sleep(300 * time.Millisecond)
+		if err := c.Cancel(t.Context(), "j"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		wantState(t, c, "j", stepper.Cancelled)
+		w.set(func() {
+			for _, worker := range w.workers {
+				if len(worker.running) > 0 {
+					t.Errorf("%d tasks still run on %s", len(worker.running), worker.info.Worker)
+				}
+			}
+		})
+		var unknown *conductor.UnknownJobError
+		if err := c.Cancel(t.Context(), "nobody"); !errors.As(err, &unknown) {
+			t.Errorf("cancelling an unknown job: %v", err)
+		}
+	})
+}
+
+func TestDeposedOwnerWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		first, stopFirst := w.own(1)
+		defer stopFirst()
+		submit(t, first, job("a", "plain", step(1, 1000)))
+		second, stop := w.own(2)
+		defer stop()
+		_, err := first.Submit(t.Context(), job("b", "plain", step(1, 1000)))
+		var notOwner *conductor.NotOwnerError
+		if !errors.As(err, &notOwner) {
+			t.Errorf("the old owner answered %v", err)
+		}
+		time.Sleep(3 * time.Second)
+		wantState(t, second, "a", stepper.Completed)
+	})
+}
+
+// TestTasksOfADeadWorkerStartElsewhere: a worker that never answers again holds its tasks for a lease
+// and no longer. Every order that extended the lease in vain once put that off.
+func TestTasksOfADeadWorkerStartElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("j", "plain", step(8, 1000)))
+		time.Sleep(300 * time.Millisecond)
+		w.set(func() { w.workers["w0"].kill() })
+		time.Sleep(testLease + 5*time.Second)
+		wantState(t, c, "j", stepper.Completed)
+	})
+}
+
+// TestReplacedWorkerHasLostItsTasks: once another worker answers at the address, the one before is
+// over, and nothing has to wait for its lease.
+func TestReplacedWorkerHasLostItsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("j", "plain", step(8, 1000)))
+		time.Sleep(300 * time.Millisecond)
+		w.set(func() { w.workers["w0"].kill(); w.workers["w0"].replaced = true })
+		time.Sleep(4 * time.Second)
+		wantState(t, c, "j", stepper.Completed)
+	})
+}
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -33,6 +33,8 @@
 	steps map[stepper.StepKey]*step
 	// settling tells that the final state's write is on its way.
 	settling bool
+	// cancelling tells that somebody waits for the job's cancellation to be written.
+	cancelling bool
 }
 
 func (j *job) placed() int { return len(j.places) }
@@ -174,10 +176,15 @@
 	}
 	kept := c.journal.dirty[:0]
 	for _, j := range c.journal.dirty {
-		if !j.fresh || j.placed() > 0 || len(j.after) > 1 {
+		if !j.fresh || j.cancelling {
 			kept = append(kept, j)
 			continue
 		}
+		for _, p := range j.places {
+			// The record that names the worker has not been sent, so nothing was.
+			c.release(p)
+		}
+		j.dirty = false
 		c.forgetSteps(j)
 		delete(c.jobs, j.id)
 		c.refused(j.definition, refusal)
@@ -226,6 +233,7 @@
 			reply(nil)
 			return
 		}
+		j.cancelling = true
 		j.progress.Cancel(c.now)
 		c.Log.Info("cancelled", "job", id, "state", j.progress.State, "places", j.placed())
 		c.touch(j, func() { reply(nil) })
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -110,7 +110,7 @@
 	}
 	c.journal.inFlight = true
 	c.journal.sentAt = c.now
-	go c.sendTransaction(transaction, after)
+	c.group.Go(func() { c.sendTransaction(transaction, after) })
 }
 
 func runAll(functions []func()) {
--- a/internal/conductor/places.go
+++ b/internal/conductor/places.go
@@ -199,10 +199,10 @@
 	}
 	p.state, p.sentAt = sending, c.now
 	info := w.info
-	go func() {
+	c.group.Go(func() {
 		self, err := c.Workers.Start(c.ctx, &info, order)
 		c.post(func() { c.answered(p, info.Born, self, err) })
-	}()
+	})
 }
 
 func (c *Conductor) checkpoint(p *place) string {
@@ -273,7 +273,7 @@
 func (c *Conductor) peek(w *worker) {
 	info, fence, seen := w.info, c.claim.Fence, w.seen
 	sentAt := c.now
-	go func() {
+	c.group.Go(func() {
 		listing, err := c.Workers.Hold(c.ctx, &info, orderer.Hold{Fence: fence, Seen: seen})
 		if err != nil {
 			return
@@ -283,7 +283,7 @@
 				c.takeRunning(w, listing, sentAt)
 			}
 		})
-	}()
+	})
 }
 
 // stopPlace orders the end of a run. Its room is free once its end is listed.
@@ -309,10 +309,10 @@
 	p.stopSent = true
 	info := p.worker.info
 	order := orderer.Stop{Task: p.key, Run: p.run, Fence: c.claim.Fence}
-	go func() {
+	c.group.Go(func() {
 		self, err := c.Workers.Stop(c.ctx, &info, order)
 		c.post(func() { c.stopAnswered(p, self, err) })
-	}()
+	})
 }
 
 func (c *Conductor) stopAnswered(p *place, self orderer.Self, err error) {
@@ -338,11 +338,11 @@
 	c.Log.Warn("stray run", "task", running.Task.String(), "run", running.Run, "worker", w.info.Worker)
 	info := w.info
 	order := orderer.Stop{Task: running.Task, Run: running.Run, Fence: c.claim.Fence}
-	go func() {
+	c.group.Go(func() {
 		if _, err := c.Workers.Stop(c.ctx, &info, order); err != nil {
 			c.Log.Warn("stray run not stopped", "task", order.Task.String(), "run", order.Run, "error", err)
 		}
-	}()
+	})
 }
 
 const (
--- a/internal/conductor/roster.go
+++ b/internal/conductor/roster.go
@@ -26,6 +26,9 @@
 	islandLimit = 6 * time.Second
 	// clockDrift is by how much a worker's steady clock may be slow.
 	clockDrift = 0.02
+	// replacedPause is how long a worker that was replaced is not asked again; its entry in the
+	// platform's list goes away meanwhile.
+	replacedPause = 2 * time.Second
 	// avoidFor is how long a worker that said it is unhealthy gets nothing new.
 	avoidFor = 700 * time.Millisecond
 )
@@ -162,19 +165,25 @@
 	default:
 		order.Wait = holdWait
 	}
-	if !w.clockAt.IsZero() && c.Confirmed() {
+	switch {
+	case w.clockAt.IsZero() || !c.Confirmed():
+	case w.known && c.now.Sub(w.heard) > silentAfter:
+		// An order without an answer may have arrived, so each one that extends the lease puts off
+		// the time from which the worker's runs are surely over. The lease follows the first answer.
+		order.Wait = 0
+	default:
 		order.LeaseEnds = c.extend(w)
 	}
 	w.holding = true
 	info := w.info
 	sentAt := c.now
-	go func() {
+	c.group.Go(func() {
 		listing, err := c.Workers.Hold(c.ctx, &info, order)
 		c.post(func() {
 			w.holding = false
 			c.heldBy(w, listing, err, sentAt)
 		})
-	}()
+	})
 }
 
 // extend returns the end of a lease that begins now, on the worker's clock, and remembers when it
@@ -258,8 +267,26 @@
 		c.depose("worker " + w.info.Worker + " has seen a higher fence")
 	case orderer.Unhealthy:
 		w.avoidUntil = c.now.Add(avoidFor)
-	case orderer.OldRun, orderer.Late, orderer.NoRoom, orderer.NoTicket, orderer.OtherLife, orderer.Malformed:
+	case orderer.OtherLife:
+		c.endLife(w)
+	case orderer.OldRun, orderer.Late, orderer.NoRoom, orderer.NoTicket, orderer.Malformed:
+	}
+}
+
+// endLife takes in that another worker answers at the address: this one is over, and no order for it
+// is obeyed any more.
+func (c *Conductor) endLife(w *worker) {
+	c.Log.Warn("worker replaced", "worker", w.info.Worker, "places", len(w.places))
+	for _, p := range w.places {
+		if p.state != unsent {
+			c.end(p, stepper.Lost, "")
+		}
+	}
+	w.known = false
+	if !w.listed && len(w.places) == 0 {
+		delete(c.workers, w.info.Worker)
 	}
+	w.holdDue = c.now.Add(replacedPause)
 }
 
 // watch does what is due for a worker.
--- /dev/null
+++ b/internal/conductor/world_test.go
@@ -0,0 +1,395 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/conductor"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/ruler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+// world is a store, workers and an advisor that run in virtual time inside a synctest bubble. It
+// notes whatever breaks a promise.
+type world struct {
+	t  *testing.T
+	mu sync.Mutex
+	// rows by key; stuck makes transactions wait.
+	rows    map[string]connector.Row
+	version int64
+	stuck   chan struct{}
+
+	workers map[string]*fakeWorker
+	// good tells which workers the advisor allows; nil allows all.
+	good   func(step stepper.StepKey, worker string) bool
+	calls  []string
+	book   *ruler.Book
+	starts map[stepper.TaskKey][]int
+	// run decides how long a run takes and how it ends.
+	run func(start *orderer.Start, worker string) (time.Duration, stepper.Ending)
+}
+
+type fakeRun struct {
+	number int
+	fence  int64
+	timer  *time.Timer
+}
+
+type fakeWorker struct {
+	world   *world
+	info    orderer.Worker
+	fence   int64
+	running map[stepper.TaskKey]*fakeRun
+	ended   []orderer.Ended
+	number  int64
+	refused map[stepper.TaskKey]int
+	changed chan struct{}
+	began   time.Time
+	lease   time.Time
+	// cut makes every call end without an answer; silentStart loses the answers of starts that are
+	// carried out; delay puts off the carrying out.
+	cut bool
+	// replaced tells that another worker answers at the address.
+	replaced    bool
+	silentStart bool
+	delay       time.Duration
+}
+
+const testLease = 5 * time.Second
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{
+		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{},
+		starts: make(map[stepper.TaskKey][]int),
+		run: func(*orderer.Start, string) (time.Duration, stepper.Ending) {
+			return time.Second, stepper.Done
+		},
+	}
+	w.book.Apply(&ruler.Rules{Version: 1, Queues: []ruler.Queue{
+		{Name: "plain", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second},
+		{Name: "advised", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second, Advice: &ruler.Advice{
+			Decide: 5 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond,
+		}},
+	}})
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		w.workers[id] = &fakeWorker{
+			world: w, running: make(map[stepper.TaskKey]*fakeRun), refused: make(map[stepper.TaskKey]int),
+			changed: make(chan struct{}), began: time.Now(),
+			info: orderer.Worker{
+				Life: stepper.Life{Worker: id, Born: 1}, Service: "cell", Rack: fmt.Sprintf("r%d", i/2),
+				Capacity: modeler.Resources{Processors: 4000, Memory: 4 << 30},
+			},
+		}
+	}
+	return w
+}
+
+// Transact applies a transaction.
+func (w *world) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	w.mu.Lock()
+	stuck := w.stuck
+	w.mu.Unlock()
+	if stuck != nil {
+		select {
+		case <-stuck:
+		case <-ctx.Done():
+			return connector.Outcome{}, &connector.UnreachableError{Err: ctx.Err()}
+		}
+	}
+	time.Sleep(10 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, condition := range transaction.Preconditions {
+		if row := w.rows[condition.Key]; row.Version != condition.Version {
+			return connector.Outcome{Conflicts: []connector.Row{row}}, nil
+		}
+	}
+	w.version++
+	for _, put := range transaction.Puts {
+		w.rows[put.Key] = connector.Row{Key: put.Key, Value: put.Value, Version: w.version}
+	}
+	for _, key := range transaction.Deletes {
+		delete(w.rows, key)
+	}
+	return connector.Outcome{Committed: true, Version: w.version}, nil
+}
+
+// Commit makes the world a journal.
+func (w *world) Commit(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	return w.Transact(ctx, transaction)
+}
+
+// Snapshot returns the rows of a part.
+func (w *world) Snapshot(_ context.Context, table, part string) (connector.Changes, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	prefix := table + "/" + part + "/"
+	changes := connector.Changes{Version: w.version}
+	for key, row := range w.rows {
+		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
+			changes.Rows = append(changes.Rows, row)
+		}
+	}
+	return changes, nil
+}
+
+// Instances of the advisor's callers.
+func (w *world) Instances() []string { return []string{"a", "b", "c"} }
+
+// Advise answers with tickets for the good workers.
+func (w *world) Advise(_ context.Context, instance string, step stepper.StepKey, workers []string) (orderer.Advice, error) {
+	time.Sleep(time.Duration(5+len(workers)) * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, instance)
+	advice := orderer.Advice{Valid: 1500 * time.Millisecond}
+	for _, id := range workers {
+		if w.good == nil || w.good(step, id) {
+			advice.Tickets = append(advice.Tickets, orderer.Ticket{Worker: id, Text: "t"})
+		}
+	}
+	return advice, nil
+}
+
+func (w *world) find(to *orderer.Worker) (*fakeWorker, error) {
+	worker := w.workers[to.Worker]
+	if worker != nil && worker.replaced {
+		return nil, &orderer.RefusedError{Worker: to.Worker, Reason: orderer.OtherLife}
+	}
+	if worker == nil || worker.cut {
+		return nil, &orderer.InDoubtError{Worker: to.Worker, NeverSent: true}
+	}
+	return worker, nil
+}
+
+// Start carries out a start.
+func (w *world) Start(_ context.Context, to *orderer.Worker, order *orderer.Start) (orderer.Self, error) {
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+	worker, err := w.find(to)
+	if err != nil {
+		w.mu.Unlock()
+		time.Sleep(900 * time.Millisecond)
+		return orderer.Self{}, err
+	}
+	defer w.mu.Unlock()
+	if worker.delay > 0 {
+		time.AfterFunc(worker.delay, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			// Whether the late order is obeyed is the worker's affair.
+			_ = worker.start(order)
+		})
+		return orderer.Self{}, &orderer.InDoubtError{Worker: to.Worker}
+	}
+	if err := worker.start(order); err != nil {
+		return worker.self(), err
+	}
+	if worker.silentStart {
+		return orderer.Self{}, &orderer.InDoubtError{Worker: to.Worker}
+	}
+	return worker.self(), nil
+}
+
+func (f *fakeWorker) self() orderer.Self {
+	return orderer.Self{Clock: orderer.Clock(time.Since(f.began)), Born: f.info.Born}
+}
+
+// start obeys or refuses an order. The caller holds the world's mutex.
+func (f *fakeWorker) start(order *orderer.Start) error {
+	refuse := func(why orderer.Reason) error {
+		return &orderer.RefusedError{Worker: f.info.Worker, Reason: why}
+	}
+	if f.cut {
+		return refuse(orderer.Unhealthy)
+	}
+	if order.Fence < f.fence {
+		return refuse(orderer.LowFence)
+	}
+	f.fence = order.Fence
+	if time.Duration(order.LeaseEnds) < time.Since(f.began) {
+		return refuse(orderer.Late)
+	}
+	if run := f.running[order.Task]; run != nil && run.number == order.Run {
+		return nil
+	}
+	if order.Run <= f.refused[order.Task] {
+		return refuse(orderer.OldRun)
+	}
+	f.extend(order.LeaseEnds)
+	f.world.audit(f, order)
+	took, how := f.world.run(order, f.info.Worker)
+	run := &fakeRun{number: order.Run, fence: order.Fence}
+	if took > 0 {
+		run.timer = time.AfterFunc(took, func() {
+			f.world.mu.Lock()
+			defer f.world.mu.Unlock()
+			if f.running[order.Task] == run {
+				f.end(order.Task, how)
+			}
+		})
+	}
+	f.running[order.Task] = run
+	return nil
+}
+
+func (f *fakeWorker) extend(until orderer.Clock) {
+	at := f.began.Add(time.Duration(until))
+	if !at.After(f.lease) {
+		return
+	}
+	f.lease = at
+	time.AfterFunc(time.Until(at), func() {
+		f.world.mu.Lock()
+		defer f.world.mu.Unlock()
+		if time.Now().Before(f.lease) {
+			return
+		}
+		for task := range f.running {
+			f.end(task, stepper.Lapsed)
+		}
+	})
+}
+
+func (f *fakeWorker) end(task stepper.TaskKey, how stepper.Ending) {
+	run := f.running[task]
+	delete(f.running, task)
+	f.refused[task] = max(f.refused[task], run.number)
+	f.number++
+	f.ended = append(f.ended, orderer.Ended{Number: f.number, Task: task, Run: run.number, How: how})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// audit notes a start that breaks a promise.
+func (w *world) audit(f *fakeWorker, order *orderer.Start) {
+	for _, other := range w.workers {
+		if run := other.running[order.Task]; run != nil {
+			w.t.Errorf("task %s run %d started on %s while run %d is at work on %s", order.Task, order.Run, f.info.Worker, run.number, other.info.Worker)
+		}
+		for _, ended := range other.ended {
+			if ended.Task == order.Task && ended.How == stepper.Done {
+				w.t.Errorf("task %s run %d started after run %d was done", order.Task, order.Run, ended.Run)
+			}
+		}
+	}
+	if len(f.running) >= 4 {
+		w.t.Errorf("worker %s has %d tasks, over its capacity", f.info.Worker, len(f.running)+1)
+	}
+	w.starts[order.Task] = append(w.starts[order.Task], order.Run)
+}
+
+// Stop ends a run, or refuses it for good.
+func (w *world) Stop(_ context.Context, to *orderer.Worker, order orderer.Stop) (orderer.Self, error) {
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	worker, err := w.find(to)
+	if err != nil {
+		return orderer.Self{}, err
+	}
+	if order.Fence < worker.fence {
+		return worker.self(), &orderer.RefusedError{Worker: to.Worker, Reason: orderer.LowFence}
+	}
+	worker.fence = order.Fence
+	worker.refused[order.Task] = max(worker.refused[order.Task], order.Run)
+	if run := worker.running[order.Task]; run != nil && run.number <= order.Run {
+		worker.end(order.Task, stepper.Stopped)
+	}
+	return worker.self(), nil
+}
+
+// Hold extends the lease and lists.
+func (w *world) Hold(ctx context.Context, to *orderer.Worker, order orderer.Hold) (orderer.Listing, error) {
+	time.Sleep(2 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	worker, err := w.find(to)
+	if err != nil {
+		return orderer.Listing{}, err
+	}
+	if order.Fence < worker.fence {
+		return orderer.Listing{Self: worker.self()}, &orderer.RefusedError{Worker: to.Worker, Reason: orderer.LowFence}
+	}
+	worker.fence = order.Fence
+	if order.LeaseEnds > 0 {
+		worker.extend(order.LeaseEnds)
+	}
+	worker.ended = slices.DeleteFunc(worker.ended, func(e orderer.Ended) bool { return e.Number <= order.Seen })
+	if len(worker.ended) == 0 && order.Wait > 0 {
+		changed := worker.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(order.Wait):
+		case <-ctx.Done():
+		}
+		w.mu.Lock()
+	}
+	if worker.cut {
+		return orderer.Listing{}, &orderer.InDoubtError{Worker: to.Worker}
+	}
+	listing := orderer.Listing{Self: worker.self(), Ended: slices.Clone(worker.ended)}
+	for task, run := range worker.running {
+		listing.Running = append(listing.Running, orderer.Running{Task: task, Run: run.number})
+	}
+	return listing, nil
+}
+
+// own starts a conductor that owns the cell under a fence.
+func (w *world) own(fence int64) (*conductor.Conductor, func()) {
+	w.mu.Lock()
+	w.version++
+	w.rows["owners/cell/owner"] = connector.Row{Key: "owners/cell/owner", Version: w.version}
+	version := w.version
+	var listed []orderer.Worker
+	for _, worker := range w.workers {
+		listed = append(listed, worker.info)
+	}
+	w.mu.Unlock()
+	c, stop := conductor.Start(conductor.Claim{Cell: "cell", Fence: fence, Row: "owners/cell/owner", Version: version, First: fence == 1},
+		conductor.Settings{Lease: testLease, LongestLease: 2 * testLease, KeepStates: time.Minute},
+		conductor.Dependencies{
+			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Workers: w, Advisors: w, Journal: w, Rows: w, Book: w.book,
+			Confirmed: func() bool { return true }, Deposed: func() {}, Counts: conductor.NewCounts(),
+		})
+	c.SetWorkers(listed, nil, true)
+	return c, stop
+}
+
+// kill ends a worker's life with all that it runs.
+func (f *fakeWorker) kill() {
+	for _, run := range f.running {
+		if run.timer != nil {
+			run.timer.Stop()
+		}
+	}
+	f.running = make(map[stepper.TaskKey]*fakeRun)
+	f.ended = nil
+	f.cut = true
+}
+
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func step(tasks int, processors modeler.Processors) stepper.Step {
+	return stepper.Step{Tasks: tasks, Needs: modeler.Resources{Processors: processors, Memory: 1 << 20}, Estimate: time.Second}
+}
+
+func job(id, queue string, steps ...stepper.Step) *stepper.Job {
+	return &stepper.Job{ID: id, Queue: queue, Steps: steps}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -97,11 +97,14 @@
 	ownership claimer.Ownership
 	// read tells that the row has been read at least once.
 	read bool
-	// since is when the present holder was first seen here.
-	since     time.Time
-	conductor *conductor.Conductor
-	stop      func()
-	claiming  bool
+	// since is when the present holder was first seen here, heldAt when it last said itself that it
+	// holds the cell.
+	since, heldAt time.Time
+	// fartherSince is since when a nearer instance could hold the cell, or zero.
+	fartherSince time.Time
+	conductor    *conductor.Conductor
+	stop         func()
+	claiming     bool
 	// changed is closed and made anew whenever the owner changes.
 	changed chan struct{}
 }
@@ -203,7 +206,13 @@
 	delete(d.gone, beat.GetInstance())
 	for _, holding := range beat.GetHoldings() {
 		c := d.cells[holding.GetPartition()]
-		if c == nil || holding.GetEpoch() <= c.ownership.Fence {
+		if c == nil || holding.GetEpoch() < c.ownership.Fence {
+			continue
+		}
+		if holding.GetEpoch() == c.ownership.Fence {
+			if c.ownership.Holder == beat.GetInstance() {
+				c.heldAt = d.Clock.Now()
+			}
 			continue
 		}
 		// The peer has claimed the cell, and its row has not been read here yet.
@@ -244,7 +253,7 @@
 	defer d.mu.Unlock()
 	for _, service := range rules.Services {
 		c := d.cells[service.Name]
-		if c == nil || c.conductor == nil && !d.alive(c.ownership.Holder) {
+		if c == nil || c.conductor == nil && (c.ownership.Holder == "" || d.Clock.Since(d.lastHeld(c)) > claimer.SuspectAfter) {
 			return false
 		}
 	}
@@ -257,6 +266,19 @@
 	return known && !d.ended(run) && d.Clock.Since(heard) < claimer.SuspectAfter
 }
 
+// lastHeld is when the holder of a cell was last known to hold it: a run may be heard and hold
+// nothing any more. A run that has ended holds nothing since it was noticed here. The caller holds the
+// mutex.
+func (d *Director) lastHeld(c *cell) time.Time {
+	if d.ended(c.ownership.Holder) {
+		return time.Time{}
+	}
+	if c.heldAt.After(c.since) {
+		return c.heldAt
+	}
+	return c.since
+}
+
 // Gone takes in that the process of a run has ended.
 func (d *Director) Gone(run string) {
 	d.mu.Lock()
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -265,15 +265,9 @@
 	if !c.read || c.claiming || c.conductor != nil {
 		return false
 	}
-	if c.ownership.Holder == d.run && c.ownership.Version != 0 {
-		return false
-	}
 	silentFrom := c.since
 	if c.ownership.Holder != "" && !d.ended(c.ownership.Holder) {
-		if heard, known := d.heard[c.ownership.Holder]; known && heard.After(silentFrom) {
-			silentFrom = heard
-		}
-		silentFrom = silentFrom.Add(claimer.SuspectAfter)
+		silentFrom = d.lastHeld(c).Add(claimer.SuspectAfter)
 	}
 	delay, candidate := claimer.Delay(d.candidates(), d.run)
 	return candidate && d.Clock.Since(silentFrom) >= delay
@@ -283,15 +277,22 @@
 // mutex.
 func (d *Director) givesUp(c *cell) bool {
 	if c.conductor == nil || c.claiming || d.Clock.Since(c.since) < settledAfter {
+		c.fartherSince = time.Time{}
 		return false
 	}
 	candidates := d.candidates()
+	farther := false
 	for _, other := range candidates[1:] {
-		if candidates[0].Farther(other) && d.Clock.Since(other.Started) > settledAfter {
-			return true
-		}
+		farther = farther || candidates[0].Farther(other) && d.Clock.Since(other.Started) > settledAfter
+	}
+	if !farther {
+		c.fartherSince = time.Time{}
+		return false
+	}
+	if c.fartherSince.IsZero() {
+		c.fartherSince = d.Clock.Now()
 	}
-	return false
+	return d.Clock.Since(c.fartherSince) > settledAfter
 }
 
 // moveNearer leaves a cell to an instance nearer to the store.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,8 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,25 +53,47 @@
 	// nanoseconds; directAt is when it last answered directly, anyAt when it last answered at all.
 	refusedAt, directAt, anyAt atomic.Int64
 	relaying                   atomic.Bool
-	// roundTrip is how long direct reads and transactions take, in nanoseconds, 0 at first.
-	roundTrip atomic.Int64
+	trips                      tripMeter
 }
 
-// tripWeight is the inverse of the weight of the latest call in the round trip.
-const tripWeight = 4
-
 // RoundTrip is how long direct calls take that wait for nothing, 0 before the first.
-func (r *Relayer) RoundTrip() time.Duration { return time.Duration(r.roundTrip.Load()) }
+func (r *Relayer) RoundTrip() time.Duration { return r.trips.shortest() }
 
 func (r *Relayer) measure(a *ask, began time.Time) {
-	if a.Watch != nil {
+	if a.Watch == nil {
+		r.trips.add(r.Clock.Since(began))
+	}
+}
+
+// keptTrips is how many calls the round trip is taken from. The shortest of them counts: a store in
+// trouble is slow for everybody, and now and then for some.
+const keptTrips = 16
+
+// tripMeter keeps the latest round trips.
+type tripMeter struct {
+	mu    sync.Mutex
+	trips []time.Duration
+	next  int
+}
+
+func (m *tripMeter) add(trip time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.trips) < keptTrips {
+		m.trips = append(m.trips, trip)
 		return
 	}
-	took := int64(r.Clock.Since(began))
-	if known := r.roundTrip.Load(); known > 0 {
-		took = known + (took-known)/tripWeight
+	m.trips[m.next] = trip
+	m.next = (m.next + 1) % keptTrips
+}
+
+func (m *tripMeter) shortest() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.trips) == 0 {
+		return 0
 	}
-	r.roundTrip.Store(max(1, took))
+	return slices.Min(m.trips)
 }
 
 // tryDirectly is for how long after a refusal calls go to a peer first.
