Store calls go through a peer that the store serves; an owner without the store is replaced

Ruled out: the store itself, which served five of eight instances. Change: a peer through which a call failed is passed over for 2 s; only peers served within 1.5 s are asked; an owner whose heartbeat says that it has lost the store counts as silent where the store serves others.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -149,7 +149,7 @@
 	// SuspectAfter is how long an owner may be silent before it is replaced: five heartbeats.
 	SuspectAfter = 1250 * time.Millisecond
 	// TurnDelay is how long each candidate waits for the one before it.
-	TurnDelay = 250 * time.Millisecond
+	TurnDelay = 150 * time.Millisecond
 )
 
 // Delay is how long after the loss of an owner a candidate claims. It reports false for an instance
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -185,6 +185,7 @@
 		Leaving:            d.leaving.Load(),
 		Configuration:      d.book.Version(),
 		StoreSilenceMillis: d.store.DirectSilence().Milliseconds(),
+		StoreLost:          d.store.Silence() > storeLost,
 
 		StoreRoundTripMillis: d.store.RoundTrip().Milliseconds(),
 	}
@@ -210,7 +211,9 @@
 			continue
 		}
 		if holding.GetEpoch() == c.ownership.Fence {
-			if c.ownership.Holder == beat.GetInstance() {
+			// An owner that the store has lost can't do its work: it counts as silent where the
+			// store serves others.
+			if c.ownership.Holder == beat.GetInstance() && (!beat.GetStoreLost() || d.store.DirectSilence() > storeServed) {
 				c.heldAt = d.Clock.Now()
 			}
 			continue
@@ -224,6 +227,9 @@
 const (
 	// storeLost is from how long a silence on the store counts as lost.
 	storeLost = 2500 * time.Millisecond
+	// storeServed is up to which silence the store surely serves an instance: a watch of it waits for
+	// a second.
+	storeServed = 1500 * time.Millisecond
 	// ownershipLimit is how long an owner goes on without word of the store while others have it.
 	ownershipLimit = 6 * time.Second
 )
@@ -333,7 +339,7 @@
 func (d *Director) servedPeers() []string {
 	var near, far []string
 	for run, beat := range d.mesh.Live() {
-		if beat.GetLeaving() || time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost {
+		if beat.GetLeaving() || time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeServed {
 			continue
 		}
 		if beat.GetRegion() == d.settings.Region {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -53,7 +53,11 @@
 	// nanoseconds; directAt is when it last answered directly, anyAt when it last answered at all.
 	refusedAt, directAt, anyAt atomic.Int64
 	relaying                   atomic.Bool
-	trips                      tripMeter
+
+	mu sync.Mutex
+	// failed are the peers through which a call had no answer, and when.
+	failed map[string]time.Time
+	trips  tripMeter
 }
 
 // RoundTrip is how long direct calls take that wait for nothing, 0 before the first.
@@ -101,7 +105,7 @@
 
 // New returns a store.
 func New(dependencies Dependencies) *Relayer {
-	r := &Relayer{Dependencies: dependencies}
+	r := &Relayer{Dependencies: dependencies, failed: make(map[string]time.Time)}
 	now := dependencies.Clock.Now().UnixNano()
 	r.directAt.Store(now)
 	r.anyAt.Store(now)
@@ -227,31 +231,59 @@
 
 // relay makes a call through the best peer. sent is false if there is none.
 func (r *Relayer) relay(ctx context.Context, a *ask) (answer reply, sent bool, err error) {
-	peers := r.Peers()
-	if len(peers) == 0 {
+	peer, found := r.choose()
+	if !found {
 		return reply{}, false, nil
 	}
 	if r.relaying.CompareAndSwap(false, true) {
-		r.Log.Warn("store reached through a peer", "peer", peers[0])
+		r.Log.Warn("store reached through a peer", "peer", peer)
 	}
+	defer func() {
+		var forgotten *connector.ForgottenError
+		if err != nil && !errors.As(err, &forgotten) {
+			r.blame(peer)
+		}
+	}()
 	text, err := json.Marshal(a)
 	if err != nil {
 		return reply{}, true, errors.Wrap(err, "encode call")
 	}
-	text, err = r.Call(ctx, peers[0], text)
+	text, err = r.Call(ctx, peer, text)
 	if err != nil {
-		return reply{}, true, &connector.UnreachableError{Call: "store through " + peers[0], Err: err}
+		return reply{}, true, &connector.UnreachableError{Call: "store through " + peer, Err: err}
 	}
 	if err := json.Unmarshal(text, &answer); err != nil {
-		return reply{}, true, &connector.UnreachableError{Call: "store through " + peers[0], Err: err}
+		return reply{}, true, &connector.UnreachableError{Call: "store through " + peer, Err: err}
 	}
-	if err := answer.failure(peers[0], a); err != nil {
+	if err := answer.failure(peer, a); err != nil {
 		return answer, true, err
 	}
 	r.anyAt.Store(r.Clock.Now().UnixNano())
 	return answer, true, nil
 }
 
+// avoidPeer is for how long a peer is passed over through which a call had no answer.
+const avoidPeer = 2 * time.Second
+
+// choose returns the best peer that has not failed lately.
+func (r *Relayer) choose() (peer string, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, peer := range r.Peers() {
+		if at, failed := r.failed[peer]; !failed || r.Clock.Since(at) > avoidPeer {
+			delete(r.failed, peer)
+			return peer, true
+		}
+	}
+	return "", false
+}
+
+func (r *Relayer) blame(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed[peer] = r.Clock.Now()
+}
+
 // failure returns the error that the peer had.
 func (r *reply) failure(peer string, a *ask) error {
 	switch {
