--- /dev/null
+++ b/internal/claimer/claimer_test.go
@@ -0,0 +1,84 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/claimer"
+	"dotterelpost.example/dotterelpost/internal/connector"
+)
+
+// table is one row with a compare-and-set.
+type table struct {
+	row     connector.Row
+	version int64
+}
+
+func (t *table) Transact(_ context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	if condition := transaction.Preconditions[0]; condition.Version != t.row.Version {
+		return connector.Outcome{Conflicts: []connector.Row{t.row}}, nil
+	}
+	t.version++
+	t.row = connector.Row{Key: transaction.Puts[0].Key, Value: transaction.Puts[0].Value, Version: t.version}
+	return connector.Outcome{Committed: true, Version: t.version}, nil
+}
+
+func (t *table) Read(context.Context, ...string) (map[string]connector.Row, error) {
+	return map[string]connector.Row{t.row.Key: t.row}, nil
+}
+
+func TestOneOfTwoClaimsWinsAndFencesGrow(t *testing.T) {
+	rows := &table{}
+	vacant := claimer.Ownership{Cell: "c"}
+	first, err := claimer.Claim(t.Context(), rows, "a", vacant)
+	if err != nil || first.Fence != 1 {
+		t.Fatalf("claimed %+v, %v", first, err)
+	}
+	var lost *claimer.LostError
+	if _, err := claimer.Claim(t.Context(), rows, "b", vacant); !errors.As(err, &lost) || lost.Now.Holder != "a" {
+		t.Errorf("the second claim ended with %v", err)
+	}
+	released, err := claimer.Release(t.Context(), rows, first)
+	if err != nil || released.Holder != "" || released.Fence != 1 {
+		t.Errorf("released %+v, %v", released, err)
+	}
+	second, err := claimer.Claim(t.Context(), rows, "b", released)
+	if err != nil || second.Fence != 2 {
+		t.Errorf("claimed %+v, %v", second, err)
+	}
+	if read, err := claimer.Parse("c", rows.row); err != nil || read != second {
+		t.Errorf("read %+v, %v; want %+v", read, err, second)
+	}
+}
+
+func TestOrderOfCandidates(t *testing.T) {
+	at := time.Unix(1_000_000, 0)
+	ms := time.Millisecond
+	candidates := []claimer.Candidate{
+		{Name: "far-young", Started: at.Add(time.Hour), RoundTrip: 70 * ms},
+		{Name: "near-old", Started: at, RoundTrip: 8 * ms},
+		{Name: "near-young", Started: at.Add(time.Minute), RoundTrip: 12 * ms},
+		{Name: "leaving", Started: at.Add(2 * time.Hour), RoundTrip: ms, Leaving: true},
+		{Name: "cut", Started: at.Add(2 * time.Hour), RoundTrip: ms, Cut: true},
+	}
+	var names []string
+	for _, candidate := range claimer.Order(candidates) {
+		names = append(names, candidate.Name)
+	}
+	if got := fmt.Sprint(names); got != "[near-young near-old far-young]" {
+		t.Errorf("order %s", got)
+	}
+	if delay, found := claimer.Delay(candidates, "far-young"); !found || delay != 2*claimer.TurnDelay {
+		t.Errorf("delay %s, %t", delay, found)
+	}
+	if _, found := claimer.Delay(candidates, "leaving"); found {
+		t.Error("a leaving instance is a candidate")
+	}
+	if !candidates[0].Farther(candidates[1]) || candidates[1].Farther(candidates[0]) || candidates[2].Farther(candidates[1]) {
+		t.Error("only the far one should give a cell up")
+	}
+}
--- /dev/null
+++ b/internal/ranker/ranker_test.go
@@ -0,0 +1,74 @@
+package ranker_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/ranker"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func TestOrder(t *testing.T) {
+	ask := func(priority int, age, chain time.Duration) ranker.Ask {
+		return ranker.Ask{AcceptedAt: now.Add(-age), Priority: priority, Stretch: 2, Target: time.Second, Chain: chain, Left: chain}
+	}
+	for name, test := range map[string]struct {
+		first, second ranker.Ask
+	}{
+		"priority":                     {ask(0, 0, time.Second), ask(1, 0, time.Second)},
+		"what ends sooner":             {ask(0, time.Second, time.Second), ask(0, 0, time.Second)},
+		"in time before late":          {ask(2, 0, time.Second), ask(0, 4*time.Second, time.Second)},
+		"late before too late":         {ask(2, 4*time.Second, time.Second), ask(0, time.Minute, time.Second)},
+		"too late by priority as well": {ask(0, time.Minute, time.Second), ask(1, time.Minute, time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := ranker.Of(test.first, now), ranker.Of(test.second, now)
+			if first.Compare(second) >= 0 || second.Compare(first) <= 0 {
+				t.Errorf("%+v does not go before %+v", first, second)
+			}
+		})
+	}
+}
+
+// replay serves one worker's worth of room to a burst at twice its capacity and returns how many
+// jobs end within their objective.
+func replay(less func(a, b ranker.Ask, at time.Time) bool) int {
+	var waiting []ranker.Ask
+	at, inTime := now, 0
+	for tick := range 400 {
+		at = now.Add(time.Duration(tick) * 100 * time.Millisecond)
+		if tick < 200 {
+			waiting = append(waiting, ranker.Ask{AcceptedAt: at, Stretch: 1.5, Target: 600 * time.Millisecond, Chain: 100 * time.Millisecond, Left: 100 * time.Millisecond})
+			if tick%2 == 0 {
+				waiting = append(waiting, ranker.Ask{AcceptedAt: at, Priority: 1, Stretch: 2, Target: 5 * time.Second, Chain: 100 * time.Millisecond, Left: 100 * time.Millisecond})
+			}
+		}
+		if len(waiting) == 0 {
+			continue
+		}
+		best := 0
+		for i := range waiting {
+			if less(waiting[i], waiting[best], at) {
+				best = i
+			}
+		}
+		job := waiting[best]
+		objective := time.Duration(job.Stretch*float64(job.Chain)) + job.Target
+		if !at.Add(job.Chain).After(job.AcceptedAt.Add(objective)) {
+			inTime++
+		}
+		waiting = slices.Delete(waiting, best, best+1)
+	}
+	return inTime
+}
+
+// TestBurstBeatsArrivalOrder: in order of arrival a burst makes everything late, one after the other.
+func TestBurstBeatsArrivalOrder(t *testing.T) {
+	ranked := replay(func(a, b ranker.Ask, at time.Time) bool { return ranker.Of(a, at).Compare(ranker.Of(b, at)) < 0 })
+	arrival := replay(func(a, b ranker.Ask, _ time.Time) bool { return a.AcceptedAt.Before(b.AcceptedAt) })
+	if ranked < 2*arrival {
+		t.Errorf("%d jobs in time by rank, %d in order of arrival", ranked, arrival)
+	}
+}
--- /dev/null
+++ b/internal/stepper/stepper_test.go
@@ -0,0 +1,206 @@
+package stepper_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func plain(tasks int) stepper.Step {
+	return stepper.Step{Tasks: tasks, Needs: modeler.Resources{Processors: 500}}
+}
+
+func key(step, index int) stepper.TaskKey {
+	return stepper.TaskKey{StepKey: stepper.StepKey{Job: "j", Step: step}, Index: index}
+}
+
+func TestCheckNamesThePlaceOfTheFault(t *testing.T) {
+	after := func(step stepper.Step, earlier ...int) stepper.Step {
+		step.After = earlier
+		return step
+	}
+	for name, test := range map[string]struct {
+		job  stepper.Job
+		path string
+	}{
+		"no steps":          {stepper.Job{}, "$.steps"},
+		"too many steps":    {stepper.Job{Steps: make([]stepper.Step, 65)}, "$.steps"},
+		"no tasks":          {stepper.Job{Steps: []stepper.Step{plain(0)}}, "$.steps[0].count"},
+		"too many tasks":    {stepper.Job{Steps: []stepper.Step{plain(1500), plain(1500)}}, "$.steps"},
+		"after itself":      {stepper.Job{Steps: []stepper.Step{after(plain(1), 0)}}, "$.steps[0].after"},
+		"after a later one": {stepper.Job{Steps: []stepper.Step{after(plain(1), 1), plain(1)}}, "$.steps[0].after"},
+		"after a negative":  {stepper.Job{Steps: []stepper.Step{after(plain(1), -1)}}, "$.steps[0].after"},
+		"negative size":     {stepper.Job{Steps: []stepper.Step{{Tasks: 1, Needs: modeler.Resources{Processors: -1}}}}, "$.steps[0]"},
+		"long payload":      {stepper.Job{Payload: strings.Repeat("x", 4001), Steps: []stepper.Step{plain(1)}}, "$.spec"},
+		"negative times":    {stepper.Job{Steps: []stepper.Step{plain(1)}, Schedule: stepper.Schedule{Occurrences: -1}}, "$.run_count"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var bad *stepper.BadJobError
+			if err := test.job.Check(); !errors.As(err, &bad) || bad.Path != test.path {
+				t.Errorf("got %v, want a fault at %s", err, test.path)
+			}
+		})
+	}
+}
+
+func TestProgressOfSteps(t *testing.T) {
+	second := plain(1)
+	second.After = []int{0}
+	job := &stepper.Job{ID: "j", Steps: []stepper.Step{plain(2), second}}
+	p := stepper.NewProgress(job, start)
+	p.Advance(job, start)
+	occurrence, _ := p.Find(0)
+	if occurrence.StepReady(job, 1) {
+		t.Error("the second step is ready before the first has ended")
+	}
+	for index := range 2 {
+		p.Assign(key(0, index), 1, stepper.Life{Worker: "w"})
+		if !p.End(job, key(0, index), 1, stepper.Done) {
+			t.Errorf("the end of task %d is not taken", index)
+		}
+		if p.End(job, key(0, index), 1, stepper.Done) {
+			t.Errorf("the end of task %d is taken twice", index)
+		}
+	}
+	p.Settle(job, 2, start)
+	if !occurrence.StepReady(job, 1) || p.State != "" {
+		t.Errorf("second step ready %t, state %q", occurrence.StepReady(job, 1), p.State)
+	}
+	p.Assign(key(1, 0), 1, stepper.Life{Worker: "w"})
+	p.End(job, key(1, 0), 1, stepper.Done)
+	p.Settle(job, 2, start)
+	if p.State != stepper.Completed {
+		t.Errorf("state %q, want completed", p.State)
+	}
+}
+
+func TestEndings(t *testing.T) {
+	for how, failures := range map[stepper.Ending]int{
+		stepper.FailedItself: 1, stepper.Stopped: 0, stepper.Lapsed: 0, stepper.Broken: 0,
+		stepper.Alone: 0, stepper.NeverRan: 0, stepper.Lost: 0,
+	} {
+		t.Run(string(how), func(t *testing.T) {
+			job := &stepper.Job{ID: "j", Steps: []stepper.Step{plain(1)}}
+			p := stepper.NewProgress(job, start)
+			p.Advance(job, start)
+			p.Assign(key(0, 0), 3, stepper.Life{Worker: "w"})
+			if p.End(job, key(0, 0), 2, how) {
+				t.Error("the end of an earlier run is taken for that of the latest")
+			}
+			p.End(job, key(0, 0), 3, how)
+			if task := p.Task(key(0, 0)); task.Failures != failures || task.Assigned() || task.Done {
+				t.Errorf("task is %+v", *task)
+			}
+		})
+	}
+}
+
+func TestGangFailsOncePerRunAndEndsAsOne(t *testing.T) {
+	gang := plain(3)
+	gang.Gang = true
+	job := &stepper.Job{ID: "j", Steps: []stepper.Step{gang}}
+	p := stepper.NewProgress(job, start)
+	p.Advance(job, start)
+	assign := func(run int) {
+		for index := range 3 {
+			p.Assign(key(0, index), run, stepper.Life{Worker: "w"})
+		}
+	}
+	assign(1)
+	p.End(job, key(0, 1), 1, stepper.FailedItself)
+	p.End(job, key(0, 2), 1, stepper.FailedItself)
+	p.End(job, key(0, 0), 1, stepper.Broken)
+	p.Settle(job, 2, start)
+	if p.State != "" {
+		t.Errorf("two members failed in one run, and the job is %q with a limit of two", p.State)
+	}
+	assign(2)
+	p.End(job, key(0, 2), 2, stepper.Done)
+	p.Settle(job, 2, start)
+	if p.State != stepper.Completed {
+		t.Errorf("state %q after one member was done", p.State)
+	}
+}
+
+func TestOccurrencesOpenWhenTheyAreDue(t *testing.T) {
+	job := &stepper.Job{ID: "j", Steps: []stepper.Step{plain(1)}, Schedule: stepper.Schedule{Occurrences: 3, First: start, Interval: time.Second}}
+	p := stepper.NewProgress(job, start)
+	p.Advance(job, start.Add(-time.Millisecond))
+	if len(p.Open) != 0 {
+		t.Error("an occurrence opened before its time")
+	}
+	p.Advance(job, start.Add(1500*time.Millisecond))
+	if len(p.Open) != 2 {
+		t.Errorf("%d occurrences are open, want 2", len(p.Open))
+	}
+	for occurrence := range 3 {
+		p.Advance(job, start.Add(time.Minute))
+		task := stepper.TaskKey{StepKey: stepper.StepKey{Job: "j", Occurrence: occurrence}}
+		p.Assign(task, 1, stepper.Life{Worker: "w"})
+		p.End(job, task, 1, stepper.Done)
+		p.Settle(job, 1, start)
+	}
+	if p.State != stepper.Completed {
+		t.Errorf("state %q", p.State)
+	}
+}
+
+func TestLastingTasksHaveNoLimitOfFailures(t *testing.T) {
+	lasting := plain(1)
+	lasting.Lasting = true
+	job := &stepper.Job{ID: "j", Steps: []stepper.Step{lasting}}
+	p := stepper.NewProgress(job, start)
+	p.Advance(job, start)
+	for run := 1; run < 10; run++ {
+		p.Assign(key(0, 0), run, stepper.Life{Worker: "w"})
+		p.End(job, key(0, 0), run, stepper.FailedItself)
+		p.Settle(job, 2, start)
+	}
+	p.Assign(key(0, 0), 10, stepper.Life{Worker: "w"})
+	p.End(job, key(0, 0), 10, stepper.Done)
+	p.Settle(job, 2, start)
+	if p.State != "" || p.Task(key(0, 0)).Done {
+		t.Errorf("state %q, task %+v", p.State, *p.Task(key(0, 0)))
+	}
+}
+
+func TestRecordsSurviveTheStore(t *testing.T) {
+	job := &stepper.Job{ID: "j", Queue: "q", Steps: []stepper.Step{plain(2)}}
+	p := stepper.NewProgress(job, start)
+	p.Advance(job, start)
+	p.Assign(key(0, 1), 4, stepper.Life{Worker: "w", Born: 7})
+	text, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := stepper.Decode(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if task := read.Task(key(0, 1)); task.Run != 4 || task.At != (stepper.Life{Worker: "w", Born: 7}) || read.Queue != "q" {
+		t.Errorf("read back %+v", *task)
+	}
+}
+
+func FuzzParseTaskKey(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17")
+	f.Add("a.-1.0.0")
+	f.Add("....")
+	f.Fuzz(func(t *testing.T, text string) {
+		key, err := stepper.ParseTaskKey(text)
+		if err != nil {
+			return
+		}
+		again, err := stepper.ParseTaskKey(key.String())
+		if err != nil || again != key {
+			t.Errorf("%q reads as %+v and then as %+v, %v", text, key, again, err)
+		}
+	})
+}
