--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -65,7 +65,9 @@
 	director *director.Director
 	front    *platform.Front
 	callers  *http.Server
-	cleanUps []func()
+	// callersAt is the bound address.
+	callersAt netip.AddrPort
+	cleanUps  []func()
 }
 
 // ListenError tells that an address can't be listened on.
@@ -118,7 +120,7 @@
 		return nil, err
 	}
 	i.cleanUps = append(i.cleanUps, closeMesh)
-	i.director.SetMesh(mesh)
+	i.director.SetMesh(mesh, mesh.Address())
 	i.front = platform.NewFront(i.director, log)
 	if err := i.listen(counts); err != nil {
 		i.cleanUp()
@@ -129,6 +131,12 @@
 	return i, nil
 }
 
+// Callers is where callers' requests arrive.
+func (i *Instance) Callers() netip.AddrPort { return i.callersAt }
+
+// Kill ends the instance at once, as the end of its process would.
+func (i *Instance) Kill() { i.cleanUp() }
+
 func limitMemory(limit int64) {
 	debug.SetGCPercent(collectAt)
 	if limit > 0 {
@@ -157,20 +165,20 @@
 		_, _ = fmt.Fprintln(w, vars.String())
 	})
 	var err error
-	if i.callers, err = i.serve(i.settings.Callers, i.front); err != nil {
+	if i.callers, i.callersAt, err = i.serve(i.settings.Callers, i.front); err != nil {
 		return err
 	}
-	if _, err = i.serve(i.settings.Readiness, i.front.Readiness()); err != nil {
+	if _, _, err = i.serve(i.settings.Readiness, i.front.Readiness()); err != nil {
 		return err
 	}
-	_, err = i.serve(i.settings.Metrics, metrics)
+	_, _, err = i.serve(i.settings.Metrics, metrics)
 	return err
 }
 
-func (i *Instance) serve(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+func (i *Instance) serve(address netip.AddrPort, handler http.Handler) (*http.Server, netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return nil, &ListenError{Address: address, Err: err}
+		return nil, address, &ListenError{Address: address, Err: err}
 	}
 	web := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
@@ -182,7 +190,11 @@
 			i.log.Error("server ended", "address", address, "error", err)
 		}
 	}()
-	return web, nil
+	bound, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return nil, address, &ListenError{Address: address, Err: err}
+	}
+	return web, bound, nil
 }
 
 // Leave hands over what the instance owns, goes on answering until the platform sends nothing new
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -152,8 +152,10 @@
 	return d, d.stop
 }
 
-// SetMesh gives the director its mesh, before Follow is called.
-func (d *Director) SetMesh(mesh Mesh) { d.mesh = mesh }
+// SetMesh gives the director its mesh and where that listens, before Follow is called.
+func (d *Director) SetMesh(mesh Mesh, address netip.AddrPort) {
+	d.mesh, d.settings.Mesh = mesh, address
+}
 
 // Run is the name under which this process is known to others.
 func (d *Director) Run() string { return d.run }
