Filling work gives way to serving tasks; what lasts is placed first

Cause: nothing kept filling work from harming serving tasks on deployments that have both; lasting tasks waited in line.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -22,6 +22,7 @@
 	Start(ctx context.Context, to *orderer.Worker, order *orderer.Start) (orderer.Self, error)
 	Stop(ctx context.Context, to *orderer.Worker, order orderer.Stop) (orderer.Self, error)
 	Hold(ctx context.Context, to *orderer.Worker, order orderer.Hold) (orderer.Listing, error)
+	Pace(ctx context.Context, to *orderer.Worker, order orderer.Pace) error
 }
 
 // Advisors ask the placement advisor. It serves one call of each instance at a time, so calls are
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -310,3 +310,63 @@
 		wantState(t, c, "j", stepper.Completed)
 	})
 }
+
+// TestFillingWorkGivesWay: filling work beside a serving task whose tail passes its target is turned
+// down, and turned up again when the tail is well below.
+func TestFillingWorkGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) { return time.Hour, stepper.Done }
+		c, stop := w.own(1)
+		defer stop()
+		serving := step(1, 2000)
+		serving.Lasting, serving.TailTarget = true, 100*time.Millisecond
+		filling := step(1, 8000)
+		filling.Fills = true
+		submit(t, c, job("serving", "plain", serving))
+		submit(t, c, job("filling", "plain", filling))
+		time.Sleep(2 * time.Second)
+		served := stepper.TaskKey{StepKey: stepper.StepKey{Job: "serving"}}
+		filled := stepper.TaskKey{StepKey: stepper.StepKey{Job: "filling"}}
+		w.set(func() { w.gauge[served] = 150 })
+		time.Sleep(2 * time.Second)
+		w.set(func() {
+			if percent, paced := w.paced[filled]; !paced || percent != 0 {
+				t.Errorf("filling work has %d %% beside a task over its target", percent)
+			}
+			w.gauge[served] = 30
+		})
+		time.Sleep(20 * time.Second)
+		w.set(func() {
+			if w.paced[filled] < 50 {
+				t.Errorf("filling work has %d %% after twenty calm seconds", w.paced[filled])
+			}
+		})
+	})
+}
+
+// TestLastingTaskComesBack: a task that lasts is started again however it ends, before all that waits.
+func TestLastingTaskComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.run = func(start *orderer.Start, _ string) (time.Duration, stepper.Ending) {
+			if start.Task.Job == "lasting" {
+				return 500 * time.Millisecond, stepper.FailedItself
+			}
+			return time.Second, stepper.Done
+		}
+		c, stop := w.own(1)
+		defer stop()
+		lasting := step(1, 1000)
+		lasting.Lasting = true
+		submit(t, c, job("lasting", "plain", lasting))
+		submit(t, c, job("batch", "plain", step(200, 1000)))
+		time.Sleep(20 * time.Second)
+		wantState(t, c, "lasting", stepper.Running)
+		w.set(func() {
+			if runs := len(w.starts[stepper.TaskKey{StepKey: stepper.StepKey{Job: "lasting"}}]); runs < 10 {
+				t.Errorf("the lasting task began %d runs in twenty seconds", runs)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/conductor/pacing.go
@@ -0,0 +1,63 @@
+package conductor
+
+import (
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/pacer"
+)
+
+// pacedWait is how long a worker may wait for an end before it answers, where filling work runs
+// beside serving tasks: the figures of the serving tasks are half a second old at most.
+const pacedWait = 400 * time.Millisecond
+
+// mixes tells whether filling work runs beside serving tasks on a worker.
+func (w *worker) mixes() bool {
+	serves, fills := false, false
+	for _, p := range w.places {
+		serves = serves || p.step.TailTarget > 0
+		fills = fills || p.step.Fills
+	}
+	return serves && fills
+}
+
+// repace brings the share of a worker's filling work into line with the tails of its serving tasks.
+func (c *Conductor) repace(w *worker) {
+	percent := 100
+	if w.mixes() {
+		if w.share == nil {
+			w.share = pacer.New()
+		}
+		worst := 0.0
+		for _, p := range w.places {
+			if p.step.TailTarget > 0 && p.state == started {
+				worst = max(worst, pacer.Ratio(time.Duration(p.gauge)*time.Millisecond, p.step.TailTarget))
+			}
+		}
+		percent = w.share.Next(worst, c.now)
+	} else {
+		w.share = nil
+	}
+	for _, p := range w.places {
+		if p.step.Fills && p.state == started && p.percent != percent {
+			c.orderPace(p, percent)
+		}
+	}
+}
+
+func (c *Conductor) orderPace(p *place, percent int) {
+	before := p.percent
+	p.percent = percent
+	c.Log.Info("paced", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "percent", percent)
+	info := p.worker.info
+	order := orderer.Pace{Task: p.key, Run: p.run, Percent: percent, Fence: c.claim.Fence}
+	c.group.Go(func() {
+		if err := c.Workers.Pace(c.ctx, &info, order); err != nil {
+			c.post(func() {
+				// The next list has it ordered again.
+				p.percent = before
+				c.Log.Warn("not paced", "task", order.Task.String(), "run", order.Run, "error", err)
+			})
+		}
+	})
+}
--- a/internal/conductor/places.go
+++ b/internal/conductor/places.go
@@ -41,12 +41,14 @@
 	stopping string
 	stopSent bool
 	share    int
+	// gauge is the worker's latest figure of the run, percent what it may work at.
+	gauge, percent int
 }
 
 // place reserves room for a run on the worker that its record names. A worker that is not known
 // yet gets the run as soon as it joins.
 func (c *Conductor) place(j *job, key stepper.TaskKey, task *stepper.Task, state placeState) *place {
-	p := &place{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, sentAt: c.now}
+	p := &place{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, sentAt: c.now, percent: 100}
 	if j.places == nil {
 		j.places = make(map[stepper.TaskKey]*place)
 	}
@@ -154,7 +156,7 @@
 			}
 		}
 	}
-	p.share = running.Share
+	p.share, p.gauge = running.Share, running.Gauge
 	if running.Checkpoint != "" && running.Checkpoint != "0" && !p.job.progress.State.Final() {
 		c.keepCheckpoint(p, running.Checkpoint)
 	}
--- a/internal/conductor/roster.go
+++ b/internal/conductor/roster.go
@@ -7,6 +7,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/pacer"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
 
@@ -55,6 +56,8 @@
 	used        modeler.Resources
 	places      map[stepper.TaskKey]*place
 	pace        pace
+	// share is what filling work may use beside serving tasks, nil where there are not both.
+	share *pacer.Share
 	// site is the worker's place in the survey of a round, or -1.
 	site int
 }
@@ -162,6 +165,8 @@
 		// The first list of a life comes at once.
 	case w.taken > w.seen:
 		// The ends are not written yet; the worker would repeat them at once.
+	case w.mixes():
+		order.Wait = pacedWait
 	default:
 		order.Wait = holdWait
 	}
@@ -230,6 +235,7 @@
 	}
 	c.takeEnds(w, listing.Ended)
 	c.takeRunning(w, listing, sentAt)
+	c.repace(w)
 	if !w.known {
 		w.known = true
 		c.dirty = true
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -35,6 +35,9 @@
 	calls  []string
 	book   *ruler.Book
 	starts map[stepper.TaskKey][]int
+	// paced is the share last ordered, gauge the figure that running tasks show.
+	paced map[stepper.TaskKey]int
+	gauge map[stepper.TaskKey]int
 	// run decides how long a run takes and how it ends.
 	run func(start *orderer.Start, worker string) (time.Duration, stepper.Ending)
 }
@@ -70,7 +73,7 @@
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{
 		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{},
-		starts: make(map[stepper.TaskKey][]int),
+		starts: make(map[stepper.TaskKey][]int), paced: make(map[stepper.TaskKey]int), gauge: make(map[stepper.TaskKey]int),
 		run: func(*orderer.Start, string) (time.Duration, stepper.Ending) {
 			return time.Second, stepper.Done
 		},
@@ -310,6 +313,14 @@
 	return worker.self(), nil
 }
 
+// Pace notes the order.
+func (w *world) Pace(_ context.Context, _ *orderer.Worker, order orderer.Pace) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paced[order.Task] = order.Percent
+	return nil
+}
+
 // Hold extends the lease and lists.
 func (w *world) Hold(ctx context.Context, to *orderer.Worker, order orderer.Hold) (orderer.Listing, error) {
 	time.Sleep(2 * time.Millisecond)
@@ -342,7 +353,7 @@
 	}
 	listing := orderer.Listing{Self: worker.self(), Ended: slices.Clone(worker.ended)}
 	for task, run := range worker.running {
-		listing.Running = append(listing.Running, orderer.Running{Task: task, Run: run.number})
+		listing.Running = append(listing.Running, orderer.Running{Task: task, Run: run.number, Gauge: w.gauge[task]})
 	}
 	return listing, nil
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -87,6 +87,14 @@
 	Wait time.Duration
 }
 
+// Pace orders how much a run may work, in per cent.
+type Pace struct {
+	Task    stepper.TaskKey
+	Run     int
+	Percent int
+	Fence   int64
+}
+
 // Running is a run in a worker's list.
 type Running struct {
 	Task       stepper.TaskKey
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -31,9 +31,10 @@
 // Use is how much a job is still worth to its caller.
 type Use int
 
-// The uses, the best first.
+// The uses, the best first. What lasts has users of its own from moment to moment.
 const (
-	InTime Use = iota
+	Serving Use = iota
+	InTime
 	Late
 	TooLate
 )
@@ -53,8 +54,9 @@
 func Of(ask Ask, now time.Time) Rank {
 	objective := time.Duration(ask.Stretch*float64(ask.Chain)) + ask.Target
 	ends := ask.AcceptedAt.Add(objective)
-	rank := Rank{Priority: ask.Priority, Ends: ends}
+	rank := Rank{Use: InTime, Priority: ask.Priority, Ends: ends}
 	if ask.Lasting {
+		rank.Use = Serving
 		return rank
 	}
 	if now.Add(ask.Left).After(ends) {
