--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -24,6 +24,7 @@
 	for _, e := range []entry{
 		{"serve", "run an entry instance", "Runs an entry instance until SIGTERM, then hands its partitions over and finishes open answers.", &serveCommand{}},
 		{"attend", "run an entry instance on the users' platform", "Runs an entry instance on the users' platform until SIGTERM. The platform writes its settings.", &attendCommand{}},
+		{"explain", "tell the story of one request", "Tells from the logs of all instances what was decided about a request, in the order of time, and what it came to.", &explainCommand{}},
 		{"stand-in", "run the platform's stand-in", "Runs a small stand-in of the platform (table service, object store, instance list, workers) for trials and tests.", &standInCommand{}},
 		{"ticket", "check, submit and look at change tickets", "Change tickets carry the whole new state of what they touch.", &ticketCommand{}},
 		{"job", "submit and follow jobs", "Batch, gang and standing-service jobs, as a caller.", &jobCommand{}},
--- a/internal/director/calls.go
+++ b/internal/director/calls.go
@@ -74,9 +74,12 @@
 func (d *Director) route(ctx context.Context, name string, call *messenger.Call) (answer, error) {
 	call.Partition = name
 	var doubt error
-	for {
+	for try := 1; ; try++ {
 		reply, err := d.attempt(ctx, name, call)
 		var refused *conductor.RefusedError
+		if call.GetKind() != messenger.CallKind_CALL_KIND_STATUS || try > 1 {
+			d.Log.Info("routed", "job", call.GetKey(), "kind", call.GetKind().String(), "cell", name, "to", d.holder(name), "try", try, "error", err)
+		}
 		switch {
 		case err == nil:
 			return reply, nil
@@ -113,6 +116,15 @@
 
 func (e *notOwnerError) Error() string { return "the peer does not own cell " + e.Cell }
 
+func (d *Director) holder(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.cells[name]; c != nil {
+		return c.ownership.Holder
+	}
+	return ""
+}
+
 func (d *Director) changed(name string) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
