Room is kept for a gang once all workers with room were asked about

Cause: a gang of four tasks waited 24 s: its tickets lapsed before all of its good workers had room at once, and others took the room meanwhile. Change: unexplored workers first; then the room of the good ones is kept from work longer than a second, and held while new tickets come.

--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -130,7 +130,11 @@
 
 // seek asks the advisor about a step if an instance is free for it. It reports whether it did.
 func (c *Conductor) seek(s *step, queue *ruler.Queue, sites []packer.Site) bool {
-	named := c.nominees(s, queue, sites)
+	return c.askAbout(s, queue, c.nominees(s, queue, sites))
+}
+
+// askAbout asks the advisor about a step and some workers.
+func (c *Conductor) askAbout(s *step, queue *ruler.Queue, named []string) bool {
 	if len(named) == 0 {
 		return false
 	}
--- a/internal/conductor/places.go
+++ b/internal/conductor/places.go
@@ -61,12 +61,21 @@
 	p.worker = w
 	w.places[key] = p
 	w.used = w.used.Plus(p.step.Reserved())
-	if w.site >= 0 && w.site < len(c.sites) {
-		c.sites[w.site].Free = w.free()
-	}
+	c.takeSite(w, p.step)
 	return p
 }
 
+// takeSite takes the room of a task out of the survey of this round.
+func (c *Conductor) takeSite(w *worker, step *stepper.Step) {
+	if w.site < 0 || w.site >= len(c.sites) {
+		return
+	}
+	site := &c.sites[w.site]
+	if needs := step.Reserved(); needs.Fits(site.Free) {
+		site.Free = site.Free.Minus(needs)
+	}
+}
+
 // release gives back the room of a run that is over.
 func (c *Conductor) release(p *place) {
 	if p.job.places[p.key] != p {
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/packer"
 	"dotterelpost.example/dotterelpost/internal/ranker"
+	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
 
@@ -185,9 +187,10 @@
 // until the next call.
 func (c *Conductor) sitesFor(s *step) []packer.Site {
 	needs := s.def.Reserved()
+	short := c.duration(s.job, s.key.Step) <= shortWork
 	c.chosen = c.chosen[:0]
 	for _, site := range c.sites {
-		if !needs.Fits(site.Free) {
+		if !needs.Fits(site.Free) || site.Held && !short {
 			continue
 		}
 		w := c.workers[site.Worker]
@@ -229,6 +232,9 @@
 		c.assign(s, c.sitesFor(s))
 		return
 	}
+	if s.def.Gang && c.tryKnown(s, queue) {
+		return
+	}
 	held := c.holdsTickets(s)
 	mayAsk := !s.asking && c.now.After(s.askAfter) && (c.freeQuick != "" || c.freeLong != "")
 	if !held && !mayAsk {
@@ -243,6 +249,85 @@
 	}
 }
 
+// shortWork is how long a task may take that uses room kept for a gang: it is over before the gang has
+// all of its places.
+const shortWork = time.Second
+
+// tryKnown deals with a gang whose good workers are known from earlier advice: it is placed if their
+// room suffices and tickets hold, and otherwise the room is kept for it while new tickets come or
+// more room comes free. It reports false if the good workers could never hold the gang, or others with
+// room have yet to be asked about.
+func (c *Conductor) tryKnown(s *step, queue *ruler.Queue) bool {
+	var known []packer.Site
+	most, ticketed := 0, true
+	for i := range c.sites {
+		site := c.sites[i]
+		good, found := s.good[site.Worker]
+		if !found || good.born != c.workers[site.Worker].info.Born || !c.workers[site.Worker].info.HasLabel(s.def.Label) {
+			continue
+		}
+		most += packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
+		known = append(known, site)
+	}
+	if most < len(s.tasks) {
+		return false
+	}
+	room := slices.Clone(known)
+	places := packer.Pack(room, packer.Ask{Step: s.def, Tasks: len(s.tasks), Together: true})
+	if len(places) == 0 {
+		if c.unexplored(s) {
+			return false
+		}
+		c.keepRoom(s, known)
+		return true
+	}
+	var named []string
+	for _, place := range places {
+		id := known[place].Worker
+		ticketed = ticketed && c.now.Before(s.good[id].until)
+		if !slices.Contains(named, id) {
+			named = append(named, id)
+		}
+	}
+	if ticketed {
+		return c.assign(s, c.ticketed(s, known))
+	}
+	if !s.asking && c.now.After(s.askAfter) {
+		c.askAbout(s, queue, named)
+	}
+	for _, place := range places {
+		c.takeSite(c.workers[known[place].Worker], s.def)
+	}
+	return true
+}
+
+// unexplored tells whether some worker with room has not been asked about.
+func (c *Conductor) unexplored(s *step) bool {
+	needs := s.def.Reserved()
+	for _, site := range c.sites {
+		if !s.isGood(site.Worker) && s.rejected[site.Worker] != c.workers[site.Worker].info.Born && needs.Fits(site.Free) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepRoom holds the good workers with the most room for a gang, as many as it needs when they are
+// empty.
+func (c *Conductor) keepRoom(s *step, known []packer.Site) {
+	slices.SortStableFunc(known, func(a, b packer.Site) int {
+		return cmp.Compare(b.Free.Processors, a.Free.Processors)
+	})
+	needed := len(s.tasks)
+	for _, site := range known {
+		if needed <= 0 {
+			return
+		}
+		needed -= packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
+		c.sites[c.workers[site.Worker].site].Held = true
+	}
+}
+
 // holdsTickets tells whether any ticket of a step still holds.
 func (c *Conductor) holdsTickets(s *step) bool {
 	for _, good := range s.good {
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -25,6 +25,8 @@
 	Free     modeler.Resources
 	// Present is how many tasks of the step are there.
 	Present int
+	// Held keeps the worker's room for a gang that waits: only short work may use it.
+	Held bool
 	// Slowness is how long work takes there against the usual, 1 for a sound worker.
 	Slowness float64
 }
