Rounds are bounded by their own length; the owner's row says how the owner is reached

Cause: (1) with two hundred steps waiting, rounds took most of the owner's 0.4 core and acceptance rose from 27 to 157 ms; (2) after all instances were killed while some parts of the store were down, nobody could read how others are reached, and the cell changed its owner every 1.25 s. Ruled out for (2): the owner's own reach of the store. Change: the next round comes eight round lengths later at the earliest; steps larger than any free room are passed over; the owner's row names its mesh address, and a peer that is heard is dialled back (tests).

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -113,7 +113,7 @@
 	})
 	i.cleanUps = []func(){closeStore, closeWorkers, closeAdvisor, stop}
 	mesh, closeMesh, err := mesher.New(mesher.Settings{
-		Instance: i.director.Run(), Region: settings.Region, Listen: settings.Mesh, NearBeat: beatEvery, FarBeat: beatEvery,
+		Instance: i.director.Run(), Region: settings.Region, Listen: settings.Mesh, NearBeat: beatEvery, FarBeat: beatEvery, DialBack: true,
 	}, mesher.Dependencies{Clock: clock, Log: log, Handler: i.director, Beat: i.director.Beat, Heard: i.director.Heard, Gone: i.director.Gone})
 	if err != nil {
 		i.cleanUp()
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	ownership, err := claimer.Read(row)
-//	if claimer.Due(view) { ownership, err = claimer.Claim(ctx, table, cell, me, ownership) }
+//	if claimer.Due(view) { ownership, err = claimer.Claim(ctx, table, me, ownership) }
 //
 // There is no lease on ownership. Whoever has not heard of an owner for a while may replace it at
 // once: the store refuses the writes of the old one, and workers refuse its orders as soon as they
@@ -14,6 +14,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -33,6 +34,10 @@
 	Cell string
 	// Holder is the run of an instance that owns the cell, empty if nobody does.
 	Holder string
+	// Region and Mesh are how the holder is reached: its own row may be out of reach when this one is
+	// not. The address is not valid if nobody holds the cell.
+	Region string
+	Mesh   netip.AddrPort
 	// Fence grows with every owner; 0 means that the cell never had one.
 	Fence int64
 	// Version is that of the row.
@@ -41,8 +46,17 @@
 
 // row is the value of the owner's row.
 type row struct {
-	Holder string `json:"holder"`
-	Fence  int64  `json:"fence"`
+	Holder string         `json:"holder"`
+	Fence  int64          `json:"fence"`
+	Region string         `json:"region,omitempty"`
+	Mesh   netip.AddrPort `json:"mesh,omitzero"`
+}
+
+// Holder is an instance that claims a cell.
+type Holder struct {
+	Run    string
+	Region string
+	Mesh   netip.AddrPort
 }
 
 // OwnersTable is the table of the owners' rows. Each stands in the part of its cell, with all that
@@ -62,8 +76,12 @@
 	if err := json.Unmarshal(stored.Value, &value); err != nil {
 		return ownership, errors.Wrap(err, "decode "+stored.Key)
 	}
-	ownership.Holder, ownership.Fence = value.Holder, value.Fence
-	return ownership, nil
+	return ownership.with(value), nil
+}
+
+func (o Ownership) with(value row) Ownership {
+	o.Holder, o.Fence, o.Region, o.Mesh = value.Holder, value.Fence, value.Region, value.Mesh
+	return o
 }
 
 // LostError tells that another instance was faster. Now says who owns the cell.
@@ -75,8 +93,8 @@
 
 // Claim makes an instance the owner in place of the known one. The error is a *LostError if the row
 // has changed, and anything else if it is not known what became of the claim; the row tells later.
-func Claim(ctx context.Context, table Table, me string, known Ownership) (Ownership, error) {
-	return put(ctx, table, known, row{Holder: me, Fence: known.Fence + 1})
+func Claim(ctx context.Context, table Table, me Holder, known Ownership) (Ownership, error) {
+	return put(ctx, table, known, row{Holder: me.Run, Fence: known.Fence + 1, Region: me.Region, Mesh: me.Mesh})
 }
 
 // Release leaves a cell without owner. Its fence stays, so that the next one is higher.
@@ -98,7 +116,7 @@
 		return known, err
 	}
 	if outcome.Committed {
-		return Ownership{Cell: known.Cell, Holder: value.Holder, Fence: value.Fence, Version: outcome.Version}, nil
+		return Ownership{Cell: known.Cell, Version: outcome.Version}.with(value), nil
 	}
 	for _, conflict := range outcome.Conflicts {
 		if now, err := Parse(known.Cell, conflict); err == nil {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -34,19 +35,19 @@
 func TestOneOfTwoClaimsWinsAndFencesGrow(t *testing.T) {
 	rows := &table{}
 	vacant := claimer.Ownership{Cell: "c"}
-	first, err := claimer.Claim(t.Context(), rows, "a", vacant)
+	first, err := claimer.Claim(t.Context(), rows, claimer.Holder{Run: "a"}, vacant)
 	if err != nil || first.Fence != 1 {
 		t.Fatalf("claimed %+v, %v", first, err)
 	}
 	var lost *claimer.LostError
-	if _, err := claimer.Claim(t.Context(), rows, "b", vacant); !errors.As(err, &lost) || lost.Now.Holder != "a" {
+	if _, err := claimer.Claim(t.Context(), rows, claimer.Holder{Run: "b"}, vacant); !errors.As(err, &lost) || lost.Now.Holder != "a" {
 		t.Errorf("the second claim ended with %v", err)
 	}
 	released, err := claimer.Release(t.Context(), rows, first)
 	if err != nil || released.Holder != "" || released.Fence != 1 {
 		t.Errorf("released %+v, %v", released, err)
 	}
-	second, err := claimer.Claim(t.Context(), rows, "b", released)
+	second, err := claimer.Claim(t.Context(), rows, claimer.Holder{Run: "b", Region: "r", Mesh: netip.MustParseAddrPort("10.0.0.1:7")}, released)
 	if err != nil || second.Fence != 2 {
 		t.Errorf("claimed %+v, %v", second, err)
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/orderer"
 	"dotterelpost.example/dotterelpost/internal/packer"
 	"dotterelpost.example/dotterelpost/internal/ruler"
@@ -149,6 +150,8 @@
 	random    *rand.Rand
 	// sites are the usable workers during a round, chosen those that one step may use.
 	sites, chosen []packer.Site
+	// mostFree is the most free processors of a site at the beginning of the round.
+	mostFree modeler.Processors
 	// freeQuick and freeLong are the instances that the next call of the advisor goes through.
 	freeQuick, freeLong string
 }
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -98,8 +98,14 @@
 	}
 }
 
-// roundEvery is the least time between two rounds. What changes meanwhile is decided together.
-const roundEvery = 10 * time.Millisecond
+const (
+	// roundEvery is the least time between two rounds. What changes meanwhile is decided together.
+	roundEvery = 10 * time.Millisecond
+	// roundShare bounds the processor time of rounds: after one that took long, the next comes no
+	// sooner than so many times as long after it. A long line makes rounds long, and an owner that
+	// does nothing else neither accepts jobs nor takes in ends.
+	roundShare = 8
+)
 
 // round places what can be placed, in the order of its rank, and asks for advice about what will be
 // placed next.
@@ -118,9 +124,15 @@
 	}
 	c.survey()
 	for _, s := range c.ranked() {
-		c.tryStep(s)
+		if s.def.Reserved().Processors <= c.mostFree {
+			c.tryStep(s)
+		}
 	}
 	c.sites = c.sites[:0]
+	ended := c.Clock.Now()
+	if next := ended.Add(roundShare * ended.Sub(c.now)); next.After(c.nextRound) {
+		c.nextRound = next
+	}
 }
 
 // survey lists the workers that may get new work, for one round.
@@ -135,8 +147,10 @@
 		}
 	}
 	slices.SortFunc(c.sites, func(a, b packer.Site) int { return strings.Compare(a.Worker, b.Worker) })
+	c.mostFree = 0
 	for i := range c.sites {
 		c.workers[c.sites[i].Worker].site = i
+		c.mostFree = max(c.mostFree, c.sites[i].Free.Processors)
 	}
 	c.freeQuick, c.freeLong = c.instances()
 }
@@ -232,7 +246,7 @@
 		c.assign(s, c.sitesFor(s))
 		return
 	}
-	if s.def.Gang && c.tryKnown(s, queue) {
+	if s.def.Gang && len(s.good) > 0 && c.tryKnown(s, queue) {
 		return
 	}
 	held := c.holdsTickets(s)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -33,6 +33,7 @@
 	Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error)
 	Live() map[string]*messenger.Heartbeat
 	SetPeers(instances []modeler.Instance)
+	Meet(instance modeler.Instance)
 }
 
 // Advisor asks the placement advisor from this instance.
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -116,6 +116,9 @@
 	close(c.changed)
 	c.changed = make(chan struct{})
 	d.Log.Info("owner known", "cell", c.name, "owner", c.ownership.Holder, "fence", c.ownership.Fence, "version", c.ownership.Version)
+	if c.ownership.Mesh.IsValid() && c.ownership.Holder != d.run {
+		d.mesh.Meet(modeler.Instance{Name: c.ownership.Holder, Region: c.ownership.Region, Mesh: c.ownership.Mesh})
+	}
 	if c.conductor != nil && (c.ownership.Holder != d.run || c.conductor.Claim().Fence != c.ownership.Fence) {
 		d.group.Go(c.stop)
 		c.conductor, c.stop = nil, nil
@@ -328,7 +331,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
 	defer cancel()
 	d.Log.Info("claiming", "cell", c.name, "owner", known.Holder, "fence", known.Fence, "version", known.Version)
-	ownership, err := claimer.Claim(ctx, d.store, d.run, known)
+	ownership, err := claimer.Claim(ctx, d.store, claimer.Holder{Run: d.run, Region: d.settings.Region, Mesh: d.settings.Mesh}, known)
 	var lost *claimer.LostError
 	if err != nil && !errors.As(err, &lost) {
 		// The row tells what became of the claim.
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -93,6 +93,9 @@
 	l.mu.Unlock()
 	settings := l.mesh.settings
 	hello := &messenger.Hello{Instance: settings.Instance, Region: settings.Region, Token: settings.Token, Peer: settings.Peer.String()}
+	if settings.DialBack {
+		hello.Mesh = l.mesh.bound.String()
+	}
 	return closed, l.send(&messenger.Frame{Kind: &messenger.Frame_Hello{Hello: hello}})
 }
 
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -64,6 +64,9 @@
 	Token    string
 	// Peer is where this instance serves the Peer service.
 	Peer netip.AddrPort
+	// DialBack has peers that are heard before they are listed dialled at the address that they
+	// give.
+	DialBack bool
 	// NearBeat and FarBeat are the times between heartbeats to peers of the same region and of
 	// other regions. Zero takes the defaults.
 	NearBeat, FarBeat time.Duration
@@ -237,6 +240,19 @@
 	}
 }
 
+// Meet dials a peer that may not be listed yet.
+func (m *Mesh) Meet(instance modeler.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.meet(instance)
+}
+
+func (m *Mesh) meet(instance modeler.Instance) {
+	if m.links[instance.Name] == nil && instance.Name != m.settings.Instance && m.ctx.Err() == nil {
+		m.links[instance.Name] = newLink(m, instance)
+	}
+}
+
 // Live returns the peers whose heartbeats still come, by name.
 func (m *Mesh) Live() map[string]*messenger.Heartbeat {
 	m.mu.Lock()
@@ -273,6 +289,7 @@
 	m.mu.Lock()
 	_, known := m.peers[beat.GetInstance()]
 	m.peers[beat.GetInstance()] = Peer{Beat: beat, Heard: m.Clock.Now(), Address: address}
+	m.dialBack(hello, beat)
 	m.mu.Unlock()
 	if !known {
 		m.Log.Info("peer heard", "peer", beat.GetInstance(), "region", beat.GetRegion())
@@ -280,6 +297,17 @@
 	m.Heard(beat)
 }
 
+// dialBack dials a peer that was heard and is not listed yet: its row may be long in coming when the
+// store is in trouble. The caller holds the mutex.
+func (m *Mesh) dialBack(hello *messenger.Hello, beat *messenger.Heartbeat) {
+	if !m.settings.DialBack {
+		return
+	}
+	if address, err := netip.ParseAddrPort(hello.GetMesh()); err == nil {
+		m.meet(modeler.Instance{Name: beat.GetInstance(), Region: beat.GetRegion(), Mesh: address})
+	}
+}
+
 // Call hands a call to a peer and waits for its reply.
 func (m *Mesh) Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error) {
 	m.mu.Lock()
--- a/internal/mesher/mesh_test.go
+++ b/internal/mesher/mesh_test.go
@@ -197,3 +197,30 @@
 		defer conn.Close()
 	}
 }
+
+// TestPeerThatIsNotListedIsDialledBack: only one of two instances knows of the other, and both hear
+// each other.
+func TestPeerThatIsNotListedIsDialledBack(t *testing.T) {
+	var meshes []*mesher.Mesh
+	heard := make(chan string, 1000)
+	for _, name := range []string{"a", "b"} {
+		mesh, stop, err := mesher.New(mesher.Settings{
+			Instance: name, Region: "north", Listen: netip.MustParseAddrPort("127.0.0.1:0"), DialBack: true,
+		}, mesher.Dependencies{
+			Clock:   clockwork.NewRealClock(),
+			Log:     slog.New(slog.DiscardHandler),
+			Handler: echo{},
+			Beat:    func() *messenger.Heartbeat { return &messenger.Heartbeat{Instance: name, Region: "north"} },
+			Heard:   func(beat *messenger.Heartbeat) { heard <- beat.GetInstance() },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		meshes = append(meshes, mesh)
+	}
+	meshes[0].SetPeers([]modeler.Instance{{Name: "b", Region: "north", Mesh: meshes[1].Address()}})
+	for got := map[string]bool{}; !got["a"] || !got["b"]; {
+		got[<-heard] = true
+	}
+}
