A call is refused at once when nobody can own its cell before the store answers

Cause: with the owner killed while the store was down, requests were held to their callers' deadline.

--- a/internal/director/calls.go
+++ b/internal/director/calls.go
@@ -90,6 +90,10 @@
 			return reply, err
 		case !neverSent(err):
 			doubt = err
+		case doubt == nil && d.hopeless(err):
+			// Nobody can take the cell over before the store answers, so the caller had better know
+			// at once that nothing was accepted.
+			return reply, &NoOwnerError{Cell: name}
 		}
 		select {
 		case <-ctx.Done():
@@ -103,6 +107,13 @@
 	}
 }
 
+// hopeless tells whether a call that was not sent will find no owner for a while: there is none, and the
+// store that decides who is does not answer.
+func (d *Director) hopeless(err error) bool {
+	var notOwner *notOwnerError
+	return !errors.As(err, &notOwner) && d.store.Troubled()
+}
+
 // neverSent tells whether a failed attempt can't have had an effect.
 func neverSent(err error) bool {
 	var noOwner *NoOwnerError
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -115,6 +115,12 @@
 // DirectSilence is how long the store has not answered this instance itself.
 func (r *Relayer) DirectSilence() time.Duration { return r.since(&r.directAt) }
 
+// Troubled tells that the last call to the store failed and none has had an answer for a while.
+func (r *Relayer) Troubled() bool { return r.refusedAt.Load() != 0 && r.Silence() > troubledAfter }
+
+// troubledAfter is from which silence on failed calls mean trouble.
+const troubledAfter = 400 * time.Millisecond
+
 // Silence is how long the store has not answered, directly or through a peer.
 func (r *Relayer) Silence() time.Duration { return r.since(&r.anyAt) }
 
