--- a/internal/attendant/attendant_test.go
+++ b/internal/attendant/attendant_test.go
@@ -27,7 +27,7 @@
 const twoSteps = `{"spec":"x","steps":[{"count":3,"cpu":500,"mem_mb":64,"estimate_ms":20},{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":20,"after":[0]}]}`
 
 func newPlatform(t *testing.T) *standin.Platform {
-	p := standin.New(standin.Settings{Workers: 4, Processors: 8000, Work: 20 * time.Millisecond})
+	p := standin.New(standin.Settings{Workers: 4, Processors: 8000, Work: 20 * time.Millisecond, Clock: clockwork.NewRealClock()})
 	t.Cleanup(p.Close)
 	p.PutConfiguration(configuration)
 	return p
--- a/internal/commander/attend.go
+++ b/internal/commander/attend.go
@@ -13,7 +13,7 @@
 
 type attendCommand struct {
 	unused
-	Settings string `long:"settings" description:"settings file that the platform wrote; by default the one that DOTTERELPOST_NODE_FILE names"`
+	Settings string `long:"settings" description:"settings file that the platform wrote; by default the one that its environment variable names"`
 	LogLevel string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"lowest level that is logged"`
 }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -38,14 +38,14 @@
 				second := step(5, 1000)
 				second.After = []int{0}
 				submit(t, c, job("j", queue, step(4, 1000), second))
-				time.Sleep(600 * time.Millisecond)
+				pass(600 * time.Millisecond)
 				wantState(t, c, "j", stepper.Running)
 				w.set(func() {
 					if len(w.starts) != 4 {
 						t.Errorf("%d tasks started before the first step ended", len(w.starts))
 					}
 				})
-				time.Sleep(2 * time.Second)
+				pass(2 * time.Second)
 				wantState(t, c, "j", stepper.Completed)
 				w.set(func() {
 					for task, runs := range w.starts {
@@ -76,13 +76,13 @@
 		defer stop()
 		submit(t, c, job("first", "plain", step(3, 1000)))
 		for i := range 12 {
-			time.Sleep(11 * time.Millisecond)
+			pass(11 * time.Millisecond)
 			w.set(func() { w.workers["w0"].silentStart = i%2 == 0; w.workers["w1"].silentStart = i%2 == 1 })
 			if i < 6 {
 				submit(t, c, job("later"+string(rune('a'+i)), "plain", step(1, 1000)))
 			}
 		}
-		time.Sleep(5 * time.Second)
+		pass(5 * time.Second)
 		wantState(t, c, "first", stepper.Completed)
 	})
 }
@@ -97,13 +97,13 @@
 		gang := step(4, 1000)
 		gang.Gang = true
 		submit(t, c, job("gang", "plain", gang))
-		time.Sleep(500 * time.Millisecond)
+		pass(500 * time.Millisecond)
 		w.set(func() {
 			if len(w.starts) != 6 {
 				t.Errorf("%d tasks started; the gang has room for two of its four tasks and must wait", len(w.starts))
 			}
 		})
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		wantState(t, c, "gang", stepper.Completed)
 	})
 }
@@ -117,7 +117,7 @@
 		c, stop := w.own(1)
 		defer stop()
 		submit(t, c, job("j", "plain", step(1, 1000)))
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		wantState(t, c, "j", stepper.Failed)
 		w.set(func() {
 			if runs := w.starts[stepper.TaskKey{StepKey: stepper.StepKey{Job: "j"}}]; len(runs) != 2 {
@@ -133,11 +133,11 @@
 		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) { return 3 * time.Second, stepper.Done }
 		first, stopFirst := w.own(1)
 		submit(t, first, job("j", "plain", step(6, 1000)))
-		time.Sleep(time.Second)
+		pass(time.Second)
 		stopFirst()
 		second, stop := w.own(2)
 		defer stop()
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		wantState(t, second, "j", stepper.Completed)
 	})
 }
@@ -150,14 +150,14 @@
 		w.run = func(*orderer.Start, string) (time.Duration, stepper.Ending) { return time.Hour, stepper.Done }
 		first, stopFirst := w.own(1)
 		submit(t, first, job("j", "plain", step(8, 1000)))
-		time.Sleep(time.Second)
+		pass(time.Second)
 		stopFirst()
 		w.set(func() { w.workers["w0"].cut = true })
 		_, stop := w.own(2)
 		defer stop()
-		time.Sleep(30 * time.Second)
+		pass(30 * time.Second)
 		w.set(func() { w.workers["w1"].running = make(map[stepper.TaskKey]*fakeRun) })
-		time.Sleep(5 * time.Second)
+		pass(5 * time.Second)
 		// The auditor has complained if a task had been started twice at once.
 	})
 }
@@ -169,9 +169,9 @@
 		c, stop := w.own(1)
 		defer stop()
 		submit(t, c, job("j", "plain", step(3, 1000)))
-		time.Sleep(200 * time.Millisecond)
+		pass(200 * time.Millisecond)
 		w.set(func() { w.workers["w0"].delay = 0; w.workers["w1"].delay = 0 })
-		time.Sleep(8 * time.Second)
+		pass(8 * time.Second)
 		wantState(t, c, "j", stepper.Completed)
 	})
 }
@@ -187,7 +187,7 @@
 		// A start that never reaches its worker is no beginning either.
 		w.set(func() { w.workers["w0"].cut = true })
 		submit(t, c, job("c", "plain", step(1, 1000)))
-		time.Sleep(time.Second)
+		pass(time.Second)
 		if count, err := c.Pending(t.Context(), "advised"); err != nil || count != 2 {
 			t.Errorf("pending %d, %v; want 2", count, err)
 		}
@@ -205,14 +205,14 @@
 		c, stop := w.own(1)
 		defer stop()
 		submit(t, c, job("before", "plain", step(1, 1000)))
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		w.set(func() { w.stuck = make(chan struct{}) })
 		inFlight := make(chan error, 1)
 		go func() {
 			_, err := c.Submit(context.Background(), job("inflight", "plain", step(1, 1000)))
 			inFlight <- err
 		}()
-		time.Sleep(50 * time.Millisecond)
+		pass(50 * time.Millisecond)
 		began := time.Now()
 		_, err := c.Submit(t.Context(), job("refused", "plain", step(1, 1000)))
 		var refused *conductor.RefusedError
@@ -226,7 +226,7 @@
 		if err := <-inFlight; err != nil {
 			t.Errorf("the job whose rows were sent: %v", err)
 		}
-		time.Sleep(5 * time.Second)
+		pass(5 * time.Second)
 		wantState(t, c, "inflight", stepper.Completed)
 		w.set(func() {
 			if len(w.starts[stepper.TaskKey{StepKey: stepper.StepKey{Job: "refused"}}]) > 0 {
@@ -243,11 +243,11 @@
 		c, stop := w.own(1)
 		defer stop()
 		submit(t, c, job("j", "plain", step(3, 1000), step(9, 1000)))
-		time.Sleep(300 * time.Millisecond)
+		pass(300 * time.Millisecond)
 		if err := c.Cancel(t.Context(), "j"); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(300 * time.Millisecond)
+		pass(300 * time.Millisecond)
 		wantState(t, c, "j", stepper.Cancelled)
 		w.set(func() {
 			for _, worker := range w.workers {
@@ -276,7 +276,7 @@
 		if !errors.As(err, &notOwner) {
 			t.Errorf("the old owner answered %v", err)
 		}
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		wantState(t, second, "a", stepper.Completed)
 	})
 }
@@ -289,9 +289,9 @@
 		c, stop := w.own(1)
 		defer stop()
 		submit(t, c, job("j", "plain", step(8, 1000)))
-		time.Sleep(300 * time.Millisecond)
+		pass(300 * time.Millisecond)
 		w.set(func() { w.workers["w0"].kill() })
-		time.Sleep(testLease + 5*time.Second)
+		pass(testLease + 5*time.Second)
 		wantState(t, c, "j", stepper.Completed)
 	})
 }
@@ -304,9 +304,9 @@
 		c, stop := w.own(1)
 		defer stop()
 		submit(t, c, job("j", "plain", step(8, 1000)))
-		time.Sleep(300 * time.Millisecond)
+		pass(300 * time.Millisecond)
 		w.set(func() { w.workers["w0"].kill(); w.workers["w0"].replaced = true })
-		time.Sleep(4 * time.Second)
+		pass(4 * time.Second)
 		wantState(t, c, "j", stepper.Completed)
 	})
 }
@@ -325,18 +325,18 @@
 		filling.Fills = true
 		submit(t, c, job("serving", "plain", serving))
 		submit(t, c, job("filling", "plain", filling))
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		served := stepper.TaskKey{StepKey: stepper.StepKey{Job: "serving"}}
 		filled := stepper.TaskKey{StepKey: stepper.StepKey{Job: "filling"}}
 		w.set(func() { w.gauge[served] = 150 })
-		time.Sleep(2 * time.Second)
+		pass(2 * time.Second)
 		w.set(func() {
 			if percent, paced := w.paced[filled]; !paced || percent != 0 {
 				t.Errorf("filling work has %d %% beside a task over its target", percent)
 			}
 			w.gauge[served] = 30
 		})
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		w.set(func() {
 			if w.paced[filled] < 50 {
 				t.Errorf("filling work has %d %% after twenty calm seconds", w.paced[filled])
@@ -361,7 +361,7 @@
 		lasting.Lasting = true
 		submit(t, c, job("lasting", "plain", lasting))
 		submit(t, c, job("batch", "plain", step(200, 1000)))
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		wantState(t, c, "lasting", stepper.Running)
 		w.set(func() {
 			if runs := len(w.starts[stepper.TaskKey{StepKey: stepper.StepKey{Job: "lasting"}}]); runs < 10 {
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -68,6 +68,9 @@
 	delay       time.Duration
 }
 
+// pass lets virtual time go by.
+func pass(duration time.Duration) { <-time.After(duration) }
+
 const testLease = 5 * time.Second
 
 func newWorld(t *testing.T, workers int) *world {
@@ -110,7 +113,7 @@
 			return connector.Outcome{}, &connector.UnreachableError{Err: ctx.Err()}
 		}
 	}
-	time.Sleep(10 * time.Millisecond)
+	pass(10 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, condition := range transaction.Preconditions {
@@ -152,7 +155,7 @@
 
 // Advise answers with tickets for the good workers.
 func (w *world) Advise(_ context.Context, instance string, step stepper.StepKey, workers []string) (orderer.Advice, error) {
-	time.Sleep(time.Duration(5+len(workers)) * time.Millisecond)
+	pass(time.Duration(5+len(workers)) * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls = append(w.calls, instance)
@@ -178,12 +181,12 @@
 
 // Start carries out a start.
 func (w *world) Start(_ context.Context, to *orderer.Worker, order *orderer.Start) (orderer.Self, error) {
-	time.Sleep(2 * time.Millisecond)
+	pass(2 * time.Millisecond)
 	w.mu.Lock()
 	worker, err := w.find(to)
 	if err != nil {
 		w.mu.Unlock()
-		time.Sleep(900 * time.Millisecond)
+		pass(900 * time.Millisecond)
 		return orderer.Self{}, err
 	}
 	defer w.mu.Unlock()
@@ -295,7 +298,7 @@
 
 // Stop ends a run, or refuses it for good.
 func (w *world) Stop(_ context.Context, to *orderer.Worker, order orderer.Stop) (orderer.Self, error) {
-	time.Sleep(2 * time.Millisecond)
+	pass(2 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	worker, err := w.find(to)
@@ -323,7 +326,7 @@
 
 // Hold extends the lease and lists.
 func (w *world) Hold(ctx context.Context, to *orderer.Worker, order orderer.Hold) (orderer.Listing, error) {
-	time.Sleep(2 * time.Millisecond)
+	pass(2 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	worker, err := w.find(to)
--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,108 @@
+package relayer_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/relayer"
+)
+
+// store answers with an error, or commits.
+type store struct {
+	err     error
+	commits int
+}
+
+func (s *store) Transact(context.Context, connector.Transaction) (connector.Outcome, error) {
+	if s.err != nil {
+		return connector.Outcome{}, s.err
+	}
+	s.commits++
+	return connector.Outcome{Committed: true, Version: 7}, nil
+}
+
+func (s *store) Read(context.Context, ...string) (map[string]connector.Row, error) {
+	return map[string]connector.Row{"t/p/k": {Key: "t/p/k", Version: 3}}, s.err
+}
+
+func (s *store) Snapshot(context.Context, string, string) (connector.Changes, error) {
+	return connector.Changes{Version: 9}, s.err
+}
+
+func (s *store) Watch(context.Context, string, int64, time.Duration) (connector.Changes, error) {
+	return connector.Changes{Version: 9}, s.err
+}
+
+// pair is an instance that the store may turn away, and its peers.
+func pair(own *store, clock clockwork.Clock, peers map[string]*store, order ...string) *relayer.Relayer {
+	log := slog.New(slog.DiscardHandler)
+	serving := make(map[string]*relayer.Relayer)
+	for name, peer := range peers {
+		serving[name] = relayer.New(relayer.Dependencies{Store: peer, Clock: clock, Log: log, Peers: func() []string { return nil }})
+	}
+	return relayer.New(relayer.Dependencies{
+		Store: own, Clock: clock, Log: log,
+		Call: func(ctx context.Context, peer string, ask []byte) ([]byte, error) {
+			return serving[peer].Serve(ctx, ask)
+		},
+		Peers: func() []string { return order },
+	})
+}
+
+var turnedAway = &connector.RefusedError{Status: 503}
+
+func TestCallThatTheStoreTurnsAwayGoesThroughAPeer(t *testing.T) {
+	peer := &store{}
+	r := pair(&store{err: turnedAway}, clockwork.NewFakeClock(), map[string]*store{"a": peer}, "a")
+	outcome, err := r.Transact(t.Context(), connector.Transaction{ID: "x"})
+	if err != nil || !outcome.Committed || outcome.Version != 7 || peer.commits != 1 {
+		t.Errorf("got %+v, %v, %d commits", outcome, err, peer.commits)
+	}
+	if rows, err := r.Read(t.Context(), "t/p/k"); err != nil || rows["t/p/k"].Version != 3 {
+		t.Errorf("read %+v, %v", rows, err)
+	}
+}
+
+// TestTransactionInDoubtIsNotSentAgain: whether to send it again is decided by whoever knows how to
+// find out what became of it.
+func TestTransactionInDoubtIsNotSentAgain(t *testing.T) {
+	peer := &store{}
+	r := pair(&store{err: &connector.UnreachableError{}}, clockwork.NewFakeClock(), map[string]*store{"a": peer}, "a")
+	var doubt *connector.UnreachableError
+	if _, err := r.Transact(t.Context(), connector.Transaction{ID: "x"}); !errors.As(err, &doubt) || peer.commits != 0 {
+		t.Errorf("got %v, %d commits by the peer", err, peer.commits)
+	}
+}
+
+func TestPeerThatFailsIsPassedOver(t *testing.T) {
+	cut, served := &store{err: &connector.UnreachableError{}}, &store{}
+	clock := clockwork.NewFakeClock()
+	r := pair(&store{err: turnedAway}, clock, map[string]*store{"a": cut, "b": served}, "a", "b")
+	if _, err := r.Transact(t.Context(), connector.Transaction{ID: "x"}); err == nil {
+		t.Error("the first call went through a peer that the store does not answer")
+	}
+	if outcome, err := r.Transact(t.Context(), connector.Transaction{ID: "x"}); err != nil || !outcome.Committed || served.commits != 1 {
+		t.Errorf("got %+v, %v", outcome, err)
+	}
+}
+
+func TestTroubleIsSaidSoOnlyWhileNobodyIsAnswered(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	own := &store{err: turnedAway}
+	r := pair(own, clock, nil)
+	clock.Advance(time.Second)
+	if _, err := r.Read(t.Context(), "t/p/k"); err == nil || !r.Troubled() || r.Silence() != time.Second {
+		t.Errorf("%v, troubled %t, silent for %s", err, r.Troubled(), r.Silence())
+	}
+	own.err = nil
+	clock.Advance(time.Second)
+	if _, err := r.Read(t.Context(), "t/p/k"); err != nil || r.Troubled() || r.DirectSilence() != 0 {
+		t.Errorf("%v, troubled %t", err, r.Troubled())
+	}
+}
--- a/internal/scribe/scribe_test.go
+++ b/internal/scribe/scribe_test.go
@@ -61,7 +61,7 @@
 				t.Fatal(err)
 			}
 		}
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		for range 5000 {
 			if _, err := log.Write(line); err != nil {
 				t.Fatal(err)
--- a/internal/stepper/job.go
+++ b/internal/stepper/job.go
@@ -89,15 +89,15 @@
 func (j *Job) Check() error {
 	switch {
 	case len(j.Payload) > maxPayload:
-		return &BadJobError{Path: "$.spec", Reason: fmt.Sprintf("%d bytes are over the limit of %d", len(j.Payload), maxPayload)}
+		return &BadJobError{Path: "$.payload", Reason: fmt.Sprintf("%d bytes are over the limit of %d", len(j.Payload), maxPayload)}
 	case len(j.Steps) == 0:
 		return &BadJobError{Path: "$.steps", Reason: "a job has at least one step"}
 	case len(j.Steps) > maxSteps:
 		return &BadJobError{Path: "$.steps", Reason: fmt.Sprintf("%d steps are over the limit of %d", len(j.Steps), maxSteps)}
 	case j.Schedule.Occurrences < 0 || j.Schedule.Occurrences > maxOccurrences:
-		return &BadJobError{Path: "$.run_count", Reason: fmt.Sprintf("must be between 0 and %d", maxOccurrences)}
+		return &BadJobError{Path: "$.schedule.occurrences", Reason: fmt.Sprintf("must be between 0 and %d", maxOccurrences)}
 	case j.Schedule.Interval < 0:
-		return &BadJobError{Path: "$.interval_ms", Reason: "must not be negative"}
+		return &BadJobError{Path: "$.schedule.interval", Reason: "must not be negative"}
 	}
 	total := 0
 	for i := range j.Steps {
@@ -116,7 +116,7 @@
 func (s *Step) check(number, steps int) error {
 	path := fmt.Sprintf("$.steps[%d]", number)
 	if s.Tasks < 1 || s.Tasks > maxTasks {
-		return &BadJobError{Path: path + ".count", Reason: fmt.Sprintf("must be between 1 and %d", maxTasks)}
+		return &BadJobError{Path: path + ".tasks", Reason: fmt.Sprintf("must be between 1 and %d", maxTasks)}
 	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= number || earlier >= steps {
--- a/internal/stepper/stepper_test.go
+++ b/internal/stepper/stepper_test.go
@@ -32,14 +32,14 @@
 	}{
 		"no steps":          {stepper.Job{}, "$.steps"},
 		"too many steps":    {stepper.Job{Steps: make([]stepper.Step, 65)}, "$.steps"},
-		"no tasks":          {stepper.Job{Steps: []stepper.Step{plain(0)}}, "$.steps[0].count"},
+		"no tasks":          {stepper.Job{Steps: []stepper.Step{plain(0)}}, "$.steps[0].tasks"},
 		"too many tasks":    {stepper.Job{Steps: []stepper.Step{plain(1500), plain(1500)}}, "$.steps"},
 		"after itself":      {stepper.Job{Steps: []stepper.Step{after(plain(1), 0)}}, "$.steps[0].after"},
 		"after a later one": {stepper.Job{Steps: []stepper.Step{after(plain(1), 1), plain(1)}}, "$.steps[0].after"},
 		"after a negative":  {stepper.Job{Steps: []stepper.Step{after(plain(1), -1)}}, "$.steps[0].after"},
 		"negative size":     {stepper.Job{Steps: []stepper.Step{{Tasks: 1, Needs: modeler.Resources{Processors: -1}}}}, "$.steps[0]"},
-		"long payload":      {stepper.Job{Payload: strings.Repeat("x", 4001), Steps: []stepper.Step{plain(1)}}, "$.spec"},
-		"negative times":    {stepper.Job{Steps: []stepper.Step{plain(1)}, Schedule: stepper.Schedule{Occurrences: -1}}, "$.run_count"},
+		"long payload":      {stepper.Job{Payload: strings.Repeat("x", 4001), Steps: []stepper.Step{plain(1)}}, "$.payload"},
+		"negative times":    {stepper.Job{Steps: []stepper.Step{plain(1)}, Schedule: stepper.Schedule{Occurrences: -1}}, "$.schedule.occurrences"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var bad *stepper.BadJobError
