--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -134,6 +134,8 @@
 	Leaving bool
 	// Cut tells that the store does not answer it.
 	Cut bool
+	// Slow tells that its machine is several times slower than it was.
+	Slow bool
 	// RoundTrip is how long the store takes to answer it, 0 if that is not known.
 	RoundTrip time.Duration
 }
@@ -149,20 +151,32 @@
 
 // Farther tells whether an owner should give a cell to a candidate that is nearer to the store.
 func (c *Candidate) Farther(other Candidate) bool {
-	return other.RoundTrip > 0 && other.RoundTrip < slow && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
+	return !other.Slow && other.RoundTrip > 0 && other.RoundTrip < slow && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
 }
 
-// Order sorts candidates, the one that should claim first at the front. Those nearest to the store go
+// Steadier tells whether an owner on a slow machine should give a cell to a candidate.
+func (c *Candidate) Steadier(other Candidate) bool {
+	return c.Slow && !other.Slow && !other.Cut && !other.Leaving
+}
+
+// Order sorts candidates, the one that should claim first at the front. Slow machines come last. Those nearest to the store go
 // first, and among them whoever started last: in a rolling restart it is the one that will not be
 // stopped soon.
 func Order(candidates []Candidate) []Candidate {
 	ordered := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Leaving || c.Cut })
 	slices.SortFunc(ordered, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.distance(), b.distance()), b.Started.Compare(a.Started), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(rankSlow(a)-rankSlow(b), cmp.Compare(a.distance(), b.distance()), b.Started.Compare(a.Started), cmp.Compare(a.Name, b.Name))
 	})
 	return ordered
 }
 
+func rankSlow(c Candidate) int {
+	if c.Slow {
+		return 1
+	}
+	return 0
+}
+
 const (
 	// SuspectAfter is how long an owner may be silent before it is replaced: five heartbeats.
 	SuspectAfter = 1250 * time.Millisecond
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -63,6 +63,7 @@
 		{Name: "far-young", Started: at.Add(time.Hour), RoundTrip: 70 * ms},
 		{Name: "near-old", Started: at, RoundTrip: 8 * ms},
 		{Name: "near-young", Started: at.Add(time.Minute), RoundTrip: 12 * ms},
+		{Name: "slow", Started: at.Add(2 * time.Hour), RoundTrip: ms, Slow: true},
 		{Name: "leaving", Started: at.Add(2 * time.Hour), RoundTrip: ms, Leaving: true},
 		{Name: "cut", Started: at.Add(2 * time.Hour), RoundTrip: ms, Cut: true},
 	}
@@ -70,7 +71,7 @@
 	for _, candidate := range claimer.Order(candidates) {
 		names = append(names, candidate.Name)
 	}
-	if got := fmt.Sprint(names); got != "[near-young near-old far-young]" {
+	if got := fmt.Sprint(names); got != "[near-young near-old far-young slow]" {
 		t.Errorf("order %s", got)
 	}
 	if delay, found := claimer.Delay(candidates, "far-young"); !found || delay != 2*claimer.TurnDelay {
@@ -79,6 +80,9 @@
 	if _, found := claimer.Delay(candidates, "leaving"); found {
 		t.Error("a leaving instance is a candidate")
 	}
+	if !candidates[3].Steadier(candidates[0]) || candidates[0].Steadier(candidates[1]) {
+		t.Error("only the slow one should give a cell up for another reason")
+	}
 	if !candidates[0].Farther(candidates[1]) || candidates[1].Farther(candidates[0]) || candidates[2].Farther(candidates[1]) {
 		t.Error("only the far one should give a cell up")
 	}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -23,6 +23,7 @@
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/pulser"
 	"dotterelpost.example/dotterelpost/internal/relayer"
 	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
@@ -84,6 +85,7 @@
 	group     sync.WaitGroup
 	leaving   atomic.Bool
 	store     *relayer.Relayer
+	pulse     *pulser.Pulse
 
 	mu    sync.Mutex
 	cells map[string]*cell
@@ -147,6 +149,7 @@
 		heard:        make(map[string]time.Time),
 		gone:         make(map[string]time.Time),
 	}
+	d.pulse = pulser.New(d.Clock)
 	d.store = relayer.New(relayer.Dependencies{
 		Store: dependencies.Store, Clock: d.Clock, Log: d.Log, Call: d.callStore, Peers: d.servedPeers,
 	})
@@ -188,6 +191,7 @@
 		Leaving:            d.leaving.Load(),
 		Configuration:      d.book.Version(),
 		StoreSilenceMillis: d.store.DirectSilence().Milliseconds(),
+		Slow:               d.pulse.Slow(),
 		StoreLost:          d.store.Silence() > storeLost,
 
 		StoreRoundTripMillis: d.store.RoundTrip().Milliseconds(),
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -245,6 +245,7 @@
 			return
 		case <-ticker.Chan():
 		}
+		d.pulse.Beat()
 		if d.leaving.Load() {
 			continue
 		}
@@ -256,7 +257,7 @@
 				d.group.Go(func() { d.claim(c, known) })
 			} else if d.givesUp(c) {
 				c.claiming = true
-				d.group.Go(func() { d.moveNearer(c) })
+				d.group.Go(func() { d.giveAway(c) })
 			}
 		}
 		d.mu.Unlock()
@@ -276,14 +277,22 @@
 	return candidate && d.Clock.Since(silentFrom) >= delay
 }
 
-// givesUp tells whether this instance owns a cell that a nearer one should have. The caller holds the
+// givesUp tells whether this instance owns a cell that a nearer or a steadier one should have. The caller holds the
 // mutex.
 func (d *Director) givesUp(c *cell) bool {
-	if c.conductor == nil || c.claiming || d.Clock.Since(c.since) < settledAfter {
-		c.fartherSince = time.Time{}
+	if c.conductor == nil || c.claiming {
 		return false
 	}
 	candidates := d.candidates()
+	for _, other := range candidates[1:] {
+		if candidates[0].Steadier(other) && d.Clock.Since(c.since) > slowAfter {
+			return true
+		}
+	}
+	if d.Clock.Since(c.since) < settledAfter {
+		c.fartherSince = time.Time{}
+		return false
+	}
 	farther := false
 	for _, other := range candidates[1:] {
 		farther = farther || candidates[0].Farther(other) && d.Clock.Since(other.Started) > settledAfter
@@ -298,27 +307,30 @@
 	return d.Clock.Since(c.fartherSince) > settledAfter
 }
 
-// moveNearer leaves a cell to an instance nearer to the store.
-func (d *Director) moveNearer(c *cell) {
+// giveAway leaves a cell to an instance nearer to the store, or on a sound machine.
+func (d *Director) giveAway(c *cell) {
 	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
 	defer cancel()
-	d.Log.Info("cell given to a nearer instance", "cell", c.name, "round-trip-ms", d.store.RoundTrip().Milliseconds())
+	d.Log.Info("cell given away", "cell", c.name, "slow", d.pulse.Slow(), "round-trip-ms", d.store.RoundTrip().Milliseconds())
 	d.leaveCell(ctx, c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.claiming = false
 }
 
+// slowAfter is how long an owner keeps a cell at least although its machine is slow.
+const slowAfter = time.Second
+
 // settledAfter is how long an owner keeps a cell at least, and how long a candidate has to have run.
 const settledAfter = 3 * time.Second
 
 // candidates are the instances that could claim a cell. The caller holds the mutex.
 func (d *Director) candidates() []claimer.Candidate {
-	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.Silence() > storeLost, RoundTrip: d.store.RoundTrip()}}
+	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.Silence() > storeLost, RoundTrip: d.store.RoundTrip(), Slow: d.pulse.Slow()}}
 	for run, beat := range d.mesh.Live() {
 		if d.alive(run) {
 			candidates = append(candidates, claimer.Candidate{
-				Name: run, Started: startOf(run), Leaving: beat.GetLeaving(),
+				Name: run, Started: startOf(run), Leaving: beat.GetLeaving(), Slow: beat.GetSlow(),
 				Cut:       time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost,
 				RoundTrip: time.Duration(beat.GetStoreRoundTripMillis()) * time.Millisecond,
 			})
--- /dev/null
+++ b/internal/pulser/pulser.go
@@ -0,0 +1,78 @@
+// Package pulser tells whether this machine has become slow, by timing a small fixed piece of work.
+//
+// # Usage
+//
+//	pulse := pulser.New(clock)
+//	pulse.Beat()
+//	if pulse.Slow() { … }
+//
+// The load that it answers: a machine that turns several times slower for some seconds. An owner there
+// falls behind by more with every second, although it is heard and the store answers it.
+package pulser
+
+import (
+	"crypto/sha256"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// workBytes is hashed in each beat: some tens of microseconds on a sound machine.
+	workBytes = 32 << 10
+	// kept is how many beats count. The shortest of them is taken: a beat that was interrupted says
+	// nothing about the machine.
+	kept = 6
+	// slowFactor is how many times longer than the shortest beat ever the work takes on a machine
+	// that counts as slow. Measured times of a sound one vary by less than half of it.
+	slowFactor = 3
+)
+
+// Pulse measures one machine. It is safe for concurrent use.
+type Pulse struct {
+	clock clockwork.Clock
+	work  []byte
+
+	mu     sync.Mutex
+	best   time.Duration
+	recent []time.Duration
+	next   int
+}
+
+// New returns a pulse without a beat.
+func New(clock clockwork.Clock) *Pulse {
+	return &Pulse{clock: clock, work: make([]byte, workBytes)}
+}
+
+// Beat does the work once and notes how long it took.
+func (p *Pulse) Beat() {
+	began := p.clock.Now()
+	sum := sha256.Sum256(p.work)
+	took := p.clock.Since(began)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The result goes into the next beat, so that the work can't be left out.
+	copy(p.work, sum[:])
+	p.note(took)
+}
+
+func (p *Pulse) note(took time.Duration) {
+	if p.best == 0 || took < p.best {
+		p.best = took
+	}
+	if len(p.recent) < kept {
+		p.recent = append(p.recent, took)
+		return
+	}
+	p.recent[p.next] = took
+	p.next = (p.next + 1) % kept
+}
+
+// Slow tells whether the last beats all took several times as long as the shortest one ever.
+func (p *Pulse) Slow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.recent) == kept && slices.Min(p.recent) > slowFactor*p.best
+}
