An owner that reaches the store only through a peer gives its cell away

Change: after 2.5 s without a direct answer the cell goes to an instance that the store serves; relaying bridges the time until then.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -132,7 +132,7 @@
 	// Started is when its process started.
 	Started time.Time
 	Leaving bool
-	// Cut tells that the store does not answer it.
+	// Cut tells that the store does not answer it directly.
 	Cut bool
 	// Slow tells that its machine is several times slower than it was.
 	Slow bool
@@ -154,9 +154,10 @@
 	return !other.Slow && other.RoundTrip > 0 && other.RoundTrip < slow && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
 }
 
-// Steadier tells whether an owner on a slow machine should give a cell to a candidate.
+// Steadier tells whether an owner on a slow machine, or one that reaches the store only through a peer,
+// should give a cell to a candidate.
 func (c *Candidate) Steadier(other Candidate) bool {
-	return c.Slow && !other.Slow && !other.Cut && !other.Leaving
+	return (c.Slow || c.Cut) && !other.Slow && !other.Cut && !other.Leaving
 }
 
 // Order sorts candidates, the one that should claim first at the front. Slow machines come last. Those nearest to the store go
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -311,14 +311,15 @@
 func (d *Director) giveAway(c *cell) {
 	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
 	defer cancel()
-	d.Log.Info("cell given away", "cell", c.name, "slow", d.pulse.Slow(), "round-trip-ms", d.store.RoundTrip().Milliseconds())
+	d.Log.Info("cell given away", "cell", c.name, "slow", d.pulse.Slow(), "store-silent-ms", d.store.DirectSilence().Milliseconds(), "round-trip-ms", d.store.RoundTrip().Milliseconds())
 	d.leaveCell(ctx, c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.claiming = false
 }
 
-// slowAfter is how long an owner keeps a cell at least although its machine is slow.
+// slowAfter is how long an owner keeps a cell at least although its machine is slow or
+// the store does not answer it directly.
 const slowAfter = time.Second
 
 // settledAfter is how long an owner keeps a cell at least, and how long a candidate has to have run.
@@ -326,7 +327,7 @@
 
 // candidates are the instances that could claim a cell. The caller holds the mutex.
 func (d *Director) candidates() []claimer.Candidate {
-	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.Silence() > storeLost, RoundTrip: d.store.RoundTrip(), Slow: d.pulse.Slow()}}
+	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.DirectSilence() > storeLost, RoundTrip: d.store.RoundTrip(), Slow: d.pulse.Slow()}}
 	for run, beat := range d.mesh.Live() {
 		if d.alive(run) {
 			candidates = append(candidates, claimer.Candidate{
