--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -80,7 +80,7 @@
 	Confirmed func() bool
 	// Deposed is called once when somebody else owns the cell.
 	Deposed func()
-	// Changed is called with the number of open jobs and other counts, for metrics.
+	// Counts are the metrics, shared by all conductors of a process.
 	Counts *Counts
 }
 
--- a/internal/conductor/learn.go
+++ b/internal/conductor/learn.go
@@ -29,10 +29,8 @@
 	// ratio is how long runs take there against what they take elsewhere.
 	ratio float64
 	// failing is a running share of runs that failed by themselves.
-	failing    float64
-	setAside   time.Time
-	refusals   int
-	lastRefuse time.Time
+	failing  float64
+	setAside time.Time
 }
 
 func (p *pace) slowness() float64 {
@@ -45,14 +43,6 @@
 
 func (p *pace) quarantined(now time.Time) bool { return now.Before(p.setAside) }
 
-func (p *pace) refused(now time.Time) {
-	if now.Sub(p.lastRefuse) > quarantine {
-		p.refusals = 0
-	}
-	p.refusals++
-	p.lastRefuse = now
-}
-
 // learn takes in how a run went.
 func (c *Conductor) learn(p *place, how stepper.Ending) {
 	w := p.worker
--- a/internal/conductor/places.go
+++ b/internal/conductor/places.go
@@ -40,7 +40,6 @@
 	// stopping tells that the run is to end, and why.
 	stopping string
 	stopSent bool
-	share    int
 	// gauge is the worker's latest figure of the run, percent what it may work at.
 	gauge, percent int
 }
@@ -165,7 +164,7 @@
 			}
 		}
 	}
-	p.share, p.gauge = running.Share, running.Gauge
+	p.gauge = running.Gauge
 	if running.Checkpoint != "" && running.Checkpoint != "0" && !p.job.progress.State.Final() {
 		c.keepCheckpoint(p, running.Checkpoint)
 	}
@@ -272,7 +271,6 @@
 		c.dropTicket(p.key.StepKey, w)
 	case orderer.Unhealthy, orderer.NoRoom, orderer.Malformed:
 		w.avoidUntil = c.now.Add(avoidFor)
-		w.pace.refused(c.now)
 	case orderer.OtherLife:
 		w.known = false
 	case orderer.OldRun, orderer.Late:
--- a/internal/conductor/roster.go
+++ b/internal/conductor/roster.go
@@ -224,15 +224,11 @@
 		c.Log.Info("worker regained", "worker", w.info.Worker)
 	}
 	w.failures = 0
-	lifeBefore := w.info.Born
 	if !c.readClock(w, listing.Self) {
 		w.holdDue = c.now.Add(firstRetry)
 		return
 	}
 	w.heard = c.now
-	if w.info.Born != lifeBefore && lifeBefore != 0 && !sentAt.Before(w.clockAt) {
-		w.known = false
-	}
 	c.takeEnds(w, listing.Ended)
 	c.takeRunning(w, listing, sentAt)
 	c.repace(w)
--- a/internal/ranker/ranker_test.go
+++ b/internal/ranker/ranker_test.go
@@ -36,9 +36,9 @@
 // jobs end within their objective.
 func replay(less func(a, b ranker.Ask, at time.Time) bool) int {
 	var waiting []ranker.Ask
-	at, inTime := now, 0
+	inTime := 0
 	for tick := range 400 {
-		at = now.Add(time.Duration(tick) * 100 * time.Millisecond)
+		at := now.Add(time.Duration(tick) * 100 * time.Millisecond)
 		if tick < 200 {
 			waiting = append(waiting, ranker.Ask{AcceptedAt: at, Stretch: 1.5, Target: 600 * time.Millisecond, Chain: 100 * time.Millisecond, Left: 100 * time.Millisecond})
 			if tick%2 == 0 {
