An instance that hears nobody waits before it claims

Cause: found while a test failed once: an owner cut from the mesh and not from the store took the cell back from its successor every 1.25 s. Change: whoever hears nobody, although others are listed, waits six seconds longer.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -90,6 +90,8 @@
 	mu    sync.Mutex
 	cells map[string]*cell
 	heard map[string]time.Time
+	// listed is how many other instances have a row.
+	listed int
 	// gone are the runs whose process has ended, and when that was noticed.
 	gone map[string]time.Time
 }
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -22,6 +22,9 @@
 	watchWait = time.Second
 	// readAnew is after how much time a followed table is read anew.
 	readAnew = 6 * time.Second
+	// alonePatience is how much longer an instance waits that hears no other: the usual cuts heal
+	// within it.
+	alonePatience = 6 * time.Second
 	// claimTimeout bounds one claim.
 	claimTimeout = 2 * time.Second
 )
@@ -231,6 +234,9 @@
 				instances = append(instances, modeler.Instance{Name: peer.Run, Region: peer.Region, AvailabilityZone: peer.AvailabilityZone, Mesh: peer.Mesh})
 			}
 		}
+		d.mu.Lock()
+		d.listed = len(instances)
+		d.mu.Unlock()
 		d.mesh.SetPeers(instances)
 	}
 }
@@ -272,6 +278,11 @@
 	silentFrom := c.since
 	if c.ownership.Holder != "" && !d.ended(c.ownership.Holder) {
 		silentFrom = d.lastHeld(c).Add(claimer.SuspectAfter)
+		if d.listed > 0 && len(d.mesh.Live()) == 0 {
+			// Whoever hears nobody may be cut off itself, and would take the cell from an owner that
+			// all others hear.
+			silentFrom = silentFrom.Add(alonePatience)
+		}
 	}
 	delay, candidate := claimer.Delay(d.candidates(), d.run)
 	return candidate && d.Clock.Since(silentFrom) >= delay
