Jobs of a dropped queue keep its last rules

Cause: read, not seen: once a queue that needs advice is dropped, its jobs' starts were sent without tickets and refused for ever. The test fails without it.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -143,6 +143,8 @@
 	journal journal
 	advice  advice
 	learned map[string]*learned
+	// queues are the rules of each queue as they were last, by name.
+	queues map[string]*ruler.Queue
 	// dirty tells that a round may find something to do; nextRound is when it may at the earliest.
 	dirty     bool
 	nextRound time.Time
@@ -173,6 +175,7 @@
 		hungry:       make(map[stepper.StepKey]*step),
 		workers:      make(map[string]*worker),
 		learned:      make(map[string]*learned),
+		queues:       make(map[string]*ruler.Queue),
 	}
 	c.now = c.claimedAt
 	c.random = rand.New(rand.NewPCG(uint64(claim.Fence), uint64(c.claimedAt.UnixNano())))
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -10,6 +10,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/conductor"
 	"dotterelpost.example/dotterelpost/internal/orderer"
+	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
 
@@ -370,3 +371,21 @@
 		})
 	})
 }
+
+// TestJobsOfADroppedQueueStillAskTheAdvisor: workers refuse their starts without a ticket, whatever the
+// rules say of the queue by now.
+func TestJobsOfADroppedQueueStillAskTheAdvisor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.ticketed = true
+		c, stop := w.own(1)
+		defer stop()
+		second := step(2, 1000)
+		second.After = []int{0}
+		submit(t, c, job("j", "advised", step(2, 1000), second))
+		pass(500 * time.Millisecond)
+		w.book.Apply(&ruler.Rules{Version: 2})
+		pass(4 * time.Second)
+		wantState(t, c, "j", stepper.Completed)
+	})
+}
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -255,13 +255,17 @@
 	return count, err
 }
 
-// queueOf returns the rules of a job's queue. A queue that was dropped keeps working for the jobs
-// that it took: then the rules are nil and defaults apply.
+// queueOf returns the rules of a job's queue. A queue that was dropped keeps its last rules for the jobs
+// that it took; if they are not known here, nil is returned and defaults apply.
 func (c *Conductor) queueOf(j *job) *ruler.Queue {
+	name := j.progress.Queue
 	if rules := c.Book.Rules(); rules != nil {
-		return rules.Queue(j.progress.Queue)
+		if queue := rules.Queue(name); queue != nil {
+			c.queues[name] = queue
+			return queue
+		}
 	}
-	return nil
+	return c.queues[name]
 }
 
 // droppedQueueFailures is the limit of failures for jobs whose queue was dropped.
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -38,6 +38,8 @@
 	// paced is the share last ordered, gauge the figure that running tasks show.
 	paced map[stepper.TaskKey]int
 	gauge map[stepper.TaskKey]int
+	// ticketed makes workers refuse starts without a ticket.
+	ticketed bool
 	// run decides how long a run takes and how it ends.
 	run func(start *orderer.Start, worker string) (time.Duration, stepper.Ending)
 }
@@ -230,6 +232,9 @@
 	if run := f.running[order.Task]; run != nil && run.number == order.Run {
 		return nil
 	}
+	if f.world.ticketed && order.Ticket == "" {
+		return refuse(orderer.NoTicket)
+	}
 	if order.Run <= f.refused[order.Task] {
 		return refuse(orderer.OldRun)
 	}
