A jump of the time of day is no silent store

Cause: read, not seen: the relayer kept the times of the store's answers as time of day; a jump of three seconds made an owner say that it had lost the store, and others replace it. Change: steady time since the start. The test fails without it (a silence of 3.1 s instead of 0.1 s).

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -49,8 +49,11 @@
 // Relayer is a store that may be reached through a peer.
 type Relayer struct {
 	Dependencies
-	// refusedAt is when the store last turned this instance away or did not answer, in Unix
-	// nanoseconds; directAt is when it last answered directly, anyAt when it last answered at all.
+	// began is the origin of the times below. They are kept as time since then, by the steady clock:
+	// the time of day may jump, and a jump must not look like a silent store.
+	began time.Time
+	// refusedAt is when the store last turned this instance away or did not answer, or notRefused;
+	// directAt is when it last answered directly, anyAt when it last answered at all.
 	refusedAt, directAt, anyAt atomic.Int64
 	relaying                   atomic.Bool
 
@@ -106,9 +109,8 @@
 // New returns a store.
 func New(dependencies Dependencies) *Relayer {
 	r := &Relayer{Dependencies: dependencies, failed: make(map[string]time.Time)}
-	now := dependencies.Clock.Now().UnixNano()
-	r.directAt.Store(now)
-	r.anyAt.Store(now)
+	r.began = dependencies.Clock.Now()
+	r.refusedAt.Store(notRefused)
 	return r
 }
 
@@ -116,7 +118,7 @@
 func (r *Relayer) DirectSilence() time.Duration { return r.since(&r.directAt) }
 
 // Troubled tells that the last call to the store failed and none has had an answer for a while.
-func (r *Relayer) Troubled() bool { return r.refusedAt.Load() != 0 && r.Silence() > troubledAfter }
+func (r *Relayer) Troubled() bool { return r.refusedAt.Load() != notRefused && r.Silence() > troubledAfter }
 
 // troubledAfter is from which silence on failed calls mean trouble.
 const troubledAfter = 400 * time.Millisecond
@@ -124,8 +126,14 @@
 // Silence is how long the store has not answered, directly or through a peer.
 func (r *Relayer) Silence() time.Duration { return r.since(&r.anyAt) }
 
+// notRefused stands for a refusal long before the start.
+const notRefused = -int64(time.Hour)
+
+// elapsed is the steady time since the start, in nanoseconds.
+func (r *Relayer) elapsed() int64 { return int64(r.Clock.Since(r.began)) }
+
 func (r *Relayer) since(at *atomic.Int64) time.Duration {
-	return r.Clock.Since(time.Unix(0, at.Load()))
+	return time.Duration(r.elapsed() - at.Load())
 }
 
 // ask is a call to the store; one of its fields is set.
@@ -208,7 +216,7 @@
 		r.answered()
 		return answer, err
 	}
-	r.refusedAt.Store(r.Clock.Now().UnixNano())
+	r.refusedAt.Store(r.elapsed())
 	if !nothingDone(err) && a.Transact != nil {
 		return answer, err
 	}
@@ -219,10 +227,10 @@
 }
 
 func (r *Relayer) answered() {
-	now := r.Clock.Now().UnixNano()
+	now := r.elapsed()
 	r.directAt.Store(now)
 	r.anyAt.Store(now)
-	r.refusedAt.Store(0)
+	r.refusedAt.Store(notRefused)
 	if r.relaying.CompareAndSwap(true, false) {
 		r.Log.Info("store reached directly again")
 	}
@@ -264,7 +272,7 @@
 	if err := answer.failure(peer, a); err != nil {
 		return answer, true, err
 	}
-	r.anyAt.Store(r.Clock.Now().UnixNano())
+	r.anyAt.Store(r.elapsed())
 	return answer, true, nil
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -106,3 +106,36 @@
 		t.Errorf("%v, troubled %t", err, r.Troubled())
 	}
 }
+
+// jumpingClock has a time of day that jumps and a steady clock that does not, as a real one has: times
+// that it gave out are compared by the steady clock, all others by the time of day.
+type jumpingClock struct {
+	clockwork.Clock
+	steady, jump time.Duration
+	given        map[time.Time]time.Duration
+}
+
+func (c *jumpingClock) Now() time.Time {
+	now := time.Unix(1000, 0).Add(c.steady + c.jump)
+	c.given[now] = c.steady
+	return now
+}
+
+func (c *jumpingClock) Since(t time.Time) time.Duration {
+	if at, given := c.given[t]; given {
+		return c.steady - at
+	}
+	return time.Unix(1000, 0).Add(c.steady + c.jump).Sub(t)
+}
+
+func TestJumpOfTheTimeOfDayIsNoSilence(t *testing.T) {
+	clock := &jumpingClock{Clock: clockwork.NewRealClock(), given: make(map[time.Time]time.Duration)}
+	r := pair(&store{}, clock, nil)
+	if _, err := r.Read(t.Context(), "t/p/k"); err != nil {
+		t.Fatal(err)
+	}
+	clock.steady, clock.jump = 100*time.Millisecond, 3*time.Second
+	if r.Silence() != 100*time.Millisecond || r.DirectSilence() != 100*time.Millisecond {
+		t.Errorf("silent for %s and %s after a jump, want 100 ms", r.Silence(), r.DirectSilence())
+	}
+}
