--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -118,7 +118,9 @@
 func (r *Relayer) DirectSilence() time.Duration { return r.since(&r.directAt) }
 
 // Troubled tells that the last call to the store failed and none has had an answer for a while.
-func (r *Relayer) Troubled() bool { return r.refusedAt.Load() != notRefused && r.Silence() > troubledAfter }
+func (r *Relayer) Troubled() bool {
+	return r.refusedAt.Load() != notRefused && r.Silence() > troubledAfter
+}
 
 // troubledAfter is from which silence on failed calls mean trouble.
 const troubledAfter = 400 * time.Millisecond
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -116,7 +116,8 @@
 }
 
 func (c *jumpingClock) Now() time.Time {
-	now := time.Unix(1000, 0).Add(c.steady + c.jump)
+	// The zone tells the times that it gave out from those that were put together anew.
+	now := time.Unix(1000, 0).Add(c.steady + c.jump).UTC()
 	c.given[now] = c.steady
 	return now
 }
