--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -134,6 +134,9 @@
 	Leaving bool
 	// Cut tells that the store does not answer it directly.
 	Cut bool
+	// Served tells that the store has answered it directly a moment ago. One that is neither cut nor
+	// served is in doubt.
+	Served bool
 	// Slow tells that its machine is several times slower than it was.
 	Slow bool
 	// RoundTrip is how long the store takes to answer it, 0 if that is not known.
@@ -155,9 +158,9 @@
 }
 
 // Steadier tells whether an owner on a slow machine, or one that reaches the store only through a peer,
-// should give a cell to a candidate.
+// should give a cell to a candidate. While the store is down nobody could take it.
 func (c *Candidate) Steadier(other Candidate) bool {
-	return (c.Slow || c.Cut) && !other.Slow && !other.Cut && !other.Leaving
+	return (c.Slow || c.Cut) && other.Served && !other.Slow && !other.Cut && !other.Leaving
 }
 
 // Order sorts candidates, the one that should claim first at the front. Slow machines come last. Those nearest to the store go
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -60,7 +60,7 @@
 	at := time.Unix(1_000_000, 0)
 	ms := time.Millisecond
 	candidates := []claimer.Candidate{
-		{Name: "far-young", Started: at.Add(time.Hour), RoundTrip: 70 * ms},
+		{Name: "far-young", Started: at.Add(time.Hour), RoundTrip: 70 * ms, Served: true},
 		{Name: "near-old", Started: at, RoundTrip: 8 * ms},
 		{Name: "near-young", Started: at.Add(time.Minute), RoundTrip: 12 * ms},
 		{Name: "slow", Started: at.Add(2 * time.Hour), RoundTrip: ms, Slow: true},
@@ -83,6 +83,9 @@
 	if !candidates[3].Steadier(candidates[0]) || !candidates[5].Steadier(candidates[0]) || candidates[0].Steadier(candidates[1]) {
 		t.Error("only the slow one and the cut one should give a cell up for another reason")
 	}
+	if candidates[3].Steadier(candidates[1]) || candidates[5].Steadier(candidates[1]) {
+		t.Error("a cell should not go to an instance that the store may not serve")
+	}
 	if !candidates[0].Farther(candidates[1]) || candidates[1].Farther(candidates[0]) || candidates[2].Farther(candidates[1]) {
 		t.Error("only the far one should give a cell up")
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -415,3 +415,25 @@
 		}
 	})
 }
+
+// TestOwnerKeepsItsCellWhileTheStoreIsDown: giving a cell away helps only if the store serves somebody
+// else. The silences that heartbeats tell of are a little older than the own one, and an owner once
+// left its cell to an instance that was no better off.
+func TestOwnerKeepsItsCellWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCity()
+		owner, _, stop := trio(t, c)
+		defer endAll(stop)
+		before := c.owner(t)
+		c.set(func() { c.down = true })
+		pass(5 * time.Second)
+		c.set(func() { c.down = false })
+		pass(3 * time.Second)
+		if now := c.owner(t); now.Fence != before.Fence || now.Holder != owner.Run() {
+			t.Errorf("held by %q under fence %d, before the outage by %q under %d", now.Holder, now.Fence, before.Holder, before.Fence)
+		}
+		if err := submit(t, owner, "j"); err != nil {
+			t.Errorf("after the outage: %v", err)
+		}
+	})
+}
