An owner cut from the store keeps its cell and works through a peer, as before

Ruled out: 700 ms and 1.5 s of hysteresis, which only made it rarer. Change: only a slow machine is a reason to give a cell to a steadier instance, and only to one that the store serves.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -157,10 +157,10 @@
 	return !other.Slow && other.RoundTrip > 0 && other.RoundTrip < slow && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
 }
 
-// Steadier tells whether an owner on a slow machine, or one that reaches the store only through a peer,
-// should give a cell to a candidate. While the store is down nobody could take it.
+// Steadier tells whether an owner on a slow machine should give a cell to a candidate. While the store
+// is down nobody could take it.
 func (c *Candidate) Steadier(other Candidate) bool {
-	return (c.Slow || c.Cut) && other.Served && !other.Slow && !other.Cut && !other.Leaving
+	return c.Slow && other.Served && !other.Slow && !other.Cut && !other.Leaving
 }
 
 // Order sorts candidates, the one that should claim first at the front. Slow machines come last. Those nearest to the store go
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -329,8 +329,7 @@
 	c.claiming = false
 }
 
-// slowAfter is how long an owner keeps a cell at least although its machine is slow or
-// the store does not answer it directly.
+// slowAfter is how long an owner keeps a cell at least although its machine is slow.
 const slowAfter = time.Second
 
 // settledAfter is how long an owner keeps a cell at least, and how long a candidate has to have run.
