One table for the two ways to lose a worker

Cause: two tests of the conductor stood twice but for a flag and a bound. Change: a table with the same states and the same bounds (a lease and five seconds; four seconds).

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -282,34 +282,30 @@
 	})
 }
 
-// TestTasksOfADeadWorkerStartElsewhere: a worker that never answers again holds its tasks for a lease
-// and no longer. Every order that extended the lease in vain once put that off.
-func TestTasksOfADeadWorkerStartElsewhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		c, stop := w.own(1)
-		defer stop()
-		submit(t, c, job("j", "plain", step(8, 1000)))
-		pass(300 * time.Millisecond)
-		w.set(func() { w.workers["w0"].kill() })
-		pass(testLease + 5*time.Second)
-		wantState(t, c, "j", stepper.Completed)
-	})
-}
-
-// TestReplacedWorkerHasLostItsTasks: once another worker answers at the address, the one before is
-// over, and nothing has to wait for its lease.
-func TestReplacedWorkerHasLostItsTasks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		c, stop := w.own(1)
-		defer stop()
-		submit(t, c, job("j", "plain", step(8, 1000)))
-		pass(300 * time.Millisecond)
-		w.set(func() { w.workers["w0"].kill(); w.workers["w0"].replaced = true })
-		pass(4 * time.Second)
-		wantState(t, c, "j", stepper.Completed)
-	})
+// TestTasksOfALostWorkerStartElsewhere: a worker that never answers again holds its tasks for a lease and
+// no longer; every order that extended the lease in vain once put that off. Once another worker answers
+// at the address, the one before is over, and nothing has to wait for its lease.
+func TestTasksOfALostWorkerStartElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		replaced bool
+		within   time.Duration
+	}{
+		"dead":     {within: testLease + 5*time.Second},
+		"replaced": {replaced: true, within: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2)
+				c, stop := w.own(1)
+				defer stop()
+				submit(t, c, job("j", "plain", step(8, 1000)))
+				pass(300 * time.Millisecond)
+				w.set(func() { w.workers["w0"].kill(); w.workers["w0"].replaced = test.replaced })
+				pass(test.within)
+				wantState(t, c, "j", stepper.Completed)
+			})
+		})
+	}
 }
 
 // TestFillingWorkGivesWay: filling work beside a serving task whose tail passes its target is turned
