Owners sit on large machines

Change: heartbeats say what a machine has; candidates for a cell are sorted by it, in powers of two, before the way to the store, and an owner on a smaller machine gives its cell away as one farther from the store does.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -96,6 +96,7 @@
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
 		Mesh:             settings.Mesh,
+		Processors:       settings.Processors,
 		Conductor: conductor.Settings{
 			Lease:        min(lease, settings.LongestLease*9/10),
 			LongestLease: settings.LongestLease,
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -14,6 +14,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/bits"
 	"net/netip"
 	"slices"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
 // Table is what the package needs of the store.
@@ -141,8 +143,14 @@
 	Slow bool
 	// RoundTrip is how long the store takes to answer it, 0 if that is not known.
 	RoundTrip time.Duration
+	// Processors is what its machine has, 0 if that is not known.
+	Processors modeler.Processors
 }
 
+// size sorts machines by their processors, in powers of two: smaller differences matter less than the
+// way to the store.
+func (c *Candidate) size() int { return bits.Len(uint(max(0, c.Processors))) }
+
 // near is the difference of round trips that does not matter: within a region they differ by less,
 // between regions by more. An owner waits for the store three times for each quick job.
 const near = 25 * time.Millisecond
@@ -152,9 +160,16 @@
 
 func (c *Candidate) distance() int { return int(c.RoundTrip / near) }
 
-// Farther tells whether an owner should give a cell to a candidate that is nearer to the store.
-func (c *Candidate) Farther(other Candidate) bool {
-	return !other.Slow && other.RoundTrip > 0 && other.RoundTrip < slow && !other.Cut && !other.Leaving && c.RoundTrip > other.RoundTrip+near
+// Worse tells whether an owner should give a cell to a candidate: its machine is larger, or as large and
+// nearer to the store.
+func (c *Candidate) Worse(other Candidate) bool {
+	if other.Slow || other.Cut || other.Leaving || other.RoundTrip <= 0 || other.RoundTrip >= slow {
+		return false
+	}
+	if other.size() != c.size() {
+		return other.size() > c.size()
+	}
+	return c.RoundTrip > other.RoundTrip+near
 }
 
 // Steadier tells whether an owner on a slow machine should give a cell to a candidate. While the store
@@ -163,13 +178,13 @@
 	return c.Slow && other.Served && !other.Slow && !other.Cut && !other.Leaving
 }
 
-// Order sorts candidates, the one that should claim first at the front. Slow machines come last. Those nearest to the store go
-// first, and among them whoever started last: in a rolling restart it is the one that will not be
-// stopped soon.
+// Order sorts candidates, the one that should claim first at the front. Slow machines come last. Large
+// machines go first, then those near to the store, and among them whoever started last: in a rolling
+// restart it is the one that will not be stopped soon.
 func Order(candidates []Candidate) []Candidate {
 	ordered := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Leaving || c.Cut })
 	slices.SortFunc(ordered, func(a, b Candidate) int {
-		return cmp.Or(rankSlow(a)-rankSlow(b), cmp.Compare(a.distance(), b.distance()), b.Started.Compare(a.Started), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(rankSlow(a)-rankSlow(b), b.size()-a.size(), cmp.Compare(a.distance(), b.distance()), b.Started.Compare(a.Started), cmp.Compare(a.Name, b.Name))
 	})
 	return ordered
 }
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -86,7 +86,21 @@
 	if candidates[3].Steadier(candidates[1]) {
 		t.Error("a cell should not go to an instance that the store may not serve")
 	}
-	if !candidates[0].Farther(candidates[1]) || candidates[1].Farther(candidates[0]) || candidates[2].Farther(candidates[1]) {
+	if !candidates[0].Worse(candidates[1]) || candidates[1].Worse(candidates[0]) || candidates[2].Worse(candidates[1]) {
 		t.Error("only the far one should give a cell up")
 	}
 }
+
+// TestLargeMachinesGoFirst: deciding for many workers takes more processor time than a small machine has.
+func TestLargeMachinesGoFirst(t *testing.T) {
+	ms := time.Millisecond
+	small := claimer.Candidate{Name: "small", RoundTrip: 8 * ms, Processors: 192}
+	large := claimer.Candidate{Name: "large", RoundTrip: 70 * ms, Processors: 800}
+	alike := claimer.Candidate{Name: "alike", RoundTrip: 8 * ms, Processors: 900}
+	if order := claimer.Order([]claimer.Candidate{small, large, alike}); order[0].Name != "alike" || order[1].Name != "large" {
+		t.Errorf("order %s, %s, %s", order[0].Name, order[1].Name, order[2].Name)
+	}
+	if !small.Worse(large) || large.Worse(small) || !large.Worse(alike) || alike.Worse(large) {
+		t.Error("a small machine should give a cell to a large one, and a far one to a near one of its size")
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -58,6 +58,8 @@
 	Region           string
 	AvailabilityZone string
 	Mesh             netip.AddrPort
+	// Processors is what the machine has.
+	Processors modeler.Processors
 	Conductor        conductor.Settings
 }
 
@@ -106,8 +108,8 @@
 	// since is when the present holder was first seen here, heldAt when it last said itself that it
 	// holds the cell.
 	since, heldAt time.Time
-	// fartherSince is since when a nearer instance could hold the cell, or zero.
-	fartherSince time.Time
+	// worseSince is since when a better instance could hold the cell, or zero.
+	worseSince time.Time
 	conductor    *conductor.Conductor
 	stop         func()
 	claiming     bool
@@ -200,6 +202,7 @@
 		StoreLost:          d.store.Silence() > storeLost,
 
 		StoreRoundTripMillis: d.store.RoundTrip().Milliseconds(),
+		Processors:           int64(d.settings.Processors),
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -288,8 +288,8 @@
 	return candidate && d.Clock.Since(silentFrom) >= delay
 }
 
-// givesUp tells whether this instance owns a cell that a nearer or a steadier one should have. The caller holds the
-// mutex.
+// givesUp tells whether this instance owns a cell that one on a larger, nearer or steadier machine
+// should have. The caller holds the mutex.
 func (d *Director) givesUp(c *cell) bool {
 	if c.conductor == nil || c.claiming {
 		return false
@@ -301,24 +301,24 @@
 		}
 	}
 	if d.Clock.Since(c.since) < settledAfter {
-		c.fartherSince = time.Time{}
+		c.worseSince = time.Time{}
 		return false
 	}
-	farther := false
+	worse := false
 	for _, other := range candidates[1:] {
-		farther = farther || candidates[0].Farther(other) && d.Clock.Since(other.Started) > settledAfter
+		worse = worse || candidates[0].Worse(other) && d.Clock.Since(other.Started) > settledAfter
 	}
-	if !farther {
-		c.fartherSince = time.Time{}
+	if !worse {
+		c.worseSince = time.Time{}
 		return false
 	}
-	if c.fartherSince.IsZero() {
-		c.fartherSince = d.Clock.Now()
+	if c.worseSince.IsZero() {
+		c.worseSince = d.Clock.Now()
 	}
-	return d.Clock.Since(c.fartherSince) > settledAfter
+	return d.Clock.Since(c.worseSince) > settledAfter
 }
 
-// giveAway leaves a cell to an instance nearer to the store, or on a sound machine.
+// giveAway leaves a cell to an instance on a larger, nearer or sound machine.
 func (d *Director) giveAway(c *cell) {
 	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
 	defer cancel()
@@ -337,14 +337,15 @@
 
 // candidates are the instances that could claim a cell. The caller holds the mutex.
 func (d *Director) candidates() []claimer.Candidate {
-	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.DirectSilence() > storeLost, RoundTrip: d.store.RoundTrip(), Slow: d.pulse.Slow()}}
+	candidates := []claimer.Candidate{{Name: d.run, Started: d.startedAt, Cut: d.store.DirectSilence() > storeLost, RoundTrip: d.store.RoundTrip(), Slow: d.pulse.Slow(), Processors: d.settings.Processors}}
 	for run, beat := range d.mesh.Live() {
 		if d.alive(run) {
 			candidates = append(candidates, claimer.Candidate{
 				Name: run, Started: startOf(run), Leaving: beat.GetLeaving(), Slow: beat.GetSlow(),
 				Cut:       time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost,
 				Served:    time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond < storeServed,
-				RoundTrip: time.Duration(beat.GetStoreRoundTripMillis()) * time.Millisecond,
+				RoundTrip:  time.Duration(beat.GetStoreRoundTripMillis()) * time.Millisecond,
+				Processors: modeler.Processors(beat.GetProcessors()),
 			})
 		}
 	}
--- a/internal/modeler/resources.go
+++ b/internal/modeler/resources.go
@@ -14,6 +14,11 @@
 
 const millisPerProcessor = 1000
 
+// ProcessorsOf returns an amount that is given in whole processors.
+func ProcessorsOf(amount float64) Processors {
+	return Processors(math.Round(amount * millisPerProcessor))
+}
+
 // MarshalJSON writes the amount in processors.
 func (p Processors) MarshalJSON() ([]byte, error) {
 	return json.Marshal(float64(p) / millisPerProcessor)
