Nominees come from a list that is sorted once a round

Cause: on the grown sites a round looked at all 350 workers for each step that waited and sorted them for each question, with map look-ups in the comparison. Rounds took so long that tickets of the advisor lapsed between them, so everything was asked about and hardly anything placed.

Change: package nominator sorts the workers once a round and keeps them sorted as steps ask; what has been asked for counts against a worker's room until the answer is there, so that steps that ask together name different workers. Steps look only at workers that they have tickets for.

--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -1,13 +1,14 @@
 package conductor
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/nominator"
 	"dotterelpost.example/dotterelpost/internal/orderer"
-	"dotterelpost.example/dotterelpost/internal/packer"
 	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
@@ -29,12 +30,8 @@
 	overheadWeight = 0.2
 	// quickInstances are kept free of long calls, where there are more instances.
 	quickInstances = 2
-	// mostNamed is how many workers one call may name.
-	mostNamed = 100
 	// firstShare is the share of workers that is taken to be good before any call was answered.
 	firstShare = 0.4
-	// spareFactor is how many more good workers are sought than the tasks need.
-	spareFactor = 1.6
 	// callAgain is the pause after a call that failed.
 	callAgain = 100 * time.Millisecond
 )
@@ -42,12 +39,15 @@
 // advice is what is known of the advisor.
 type advice struct {
 	lines map[string]*line
+	// near are the lines of the instances that can ask now, the nearest to the advisor first.
+	near []*line
 	// share is the share of named workers that were good, for each queue.
 	share map[string]float64
 }
 
 // line is the queue of one instance's calls at the advisor, which serves them in turn.
 type line struct {
+	instance string
 	// clearAt is when the calls so far are served.
 	clearAt time.Time
 	queued  int
@@ -61,7 +61,7 @@
 
 func (a *advice) line(instance string) *line {
 	if a.lines[instance] == nil {
-		a.lines[instance] = &line{}
+		a.lines[instance] = &line{instance: instance}
 	}
 	return a.lines[instance]
 }
@@ -101,38 +101,38 @@
 	}
 }
 
+// sortLines takes in which instances can ask now.
+func (a *advice) sortLines(instances []string) {
+	a.near = a.near[:0]
+	for _, instance := range instances {
+		a.near = append(a.near, a.line(instance))
+	}
+	slices.SortFunc(a.near, func(x, y *line) int {
+		return cmp.Or(cmp.Compare(x.overhead, y.overhead), cmp.Compare(x.instance, y.instance))
+	})
+}
+
 // instances chooses an instance for a quick call and one for a long call; an empty name means that
 // none should take one now. The instances nearest to the advisor are kept for the quick calls, where
 // there are others.
-func (c *Conductor) instances() (quick, long string) {
-	names := c.Advisors.Instances()
-	sort.Strings(names)
-	sort.SliceStable(names, func(i, j int) bool {
-		return c.advice.line(names[i]).overhead < c.advice.line(names[j]).overhead
-	})
-	var quickAt, longAt time.Time
-	for i, name := range names {
-		l := c.advice.line(name)
-		waits := max(0, l.clearAt.Sub(c.now))
-		servedAt := c.now.Add(waits + l.overhead)
+func (a *advice) instances(now time.Time) (quick, long string) {
+	var quickAt, longAt time.Duration
+	for i, l := range a.near {
+		waits := max(0, l.clearAt.Sub(now))
+		served := waits + l.overhead
 		if l.queued >= mostQueued {
 			continue
 		}
-		if waits <= quickQueue && (quick == "" || servedAt.Before(quickAt)) {
-			quick, quickAt = name, servedAt
+		if waits <= quickQueue && (quick == "" || served < quickAt) {
+			quick, quickAt = l.instance, served
 		}
-		if waits <= longQueue && i >= min(quickInstances, len(names)-1) && (long == "" || servedAt.Before(longAt)) {
-			long, longAt = name, servedAt
+		if waits <= longQueue && i >= min(quickInstances, len(a.near)-1) && (long == "" || served < longAt) {
+			long, longAt = l.instance, served
 		}
 	}
 	return quick, long
 }
 
-// seek asks the advisor about a step if an instance is free for it. It reports whether it did.
-func (c *Conductor) seek(s *step, queue *ruler.Queue, sites []packer.Site) bool {
-	return c.askAbout(s, queue, c.nominees(s, queue, sites))
-}
-
 // askAbout asks the advisor about a step and some workers.
 func (c *Conductor) askAbout(s *step, queue *ruler.Queue, named []string) bool {
 	if len(named) == 0 {
@@ -151,10 +151,15 @@
 	l.clearAt = maxTime(l.clearAt, c.now).Add(cost)
 	l.queued++
 	served := l.clearAt
-	c.freeQuick, c.freeLong = c.instances()
+	c.freeQuick, c.freeLong = c.advice.instances(c.now)
 	key, born := s.key, make(map[string]int64, len(named))
+	needs := s.def.Reserved().Processors
+	asked := make([]*worker, 0, len(named))
 	for _, id := range named {
-		born[id] = c.workers[id].info.Born
+		w := c.workers[id]
+		born[id] = w.info.Born
+		w.asked += needs
+		asked = append(asked, w)
 	}
 	sentAt := c.now
 	queueName := queue.Name
@@ -163,6 +168,9 @@
 		answer, err := c.Advisors.Advise(c.ctx, instance, key, named)
 		c.post(func() {
 			l.queued--
+			for _, w := range asked {
+				w.asked -= needs
+			}
 			l.learn(c.now.Sub(served), err)
 			c.advised(s, queueName, answer, err, born, sentAt, min(valid, max(answer.Valid, valid/2)))
 		})
@@ -186,55 +194,28 @@
 	return b
 }
 
-// nominees chooses the workers to name: each costs time, and only a share of them is good. Workers
-// known to be good are named alone if they have the room.
-func (c *Conductor) nominees(s *step, queue *ruler.Queue, sites []packer.Site) []string {
-	needs := s.def.Reserved()
-	room := make([]packer.Site, 0, len(sites))
-	for _, site := range sites {
-		if s.rejected[site.Worker] == c.workers[site.Worker].info.Born && s.rejected[site.Worker] != 0 {
-			continue
-		}
-		if packer.Count(site.Free, needs, s.def.MostPerWorker) > 0 {
-			room = append(room, site)
-		}
-	}
-	sort.SliceStable(room, func(i, j int) bool {
-		a, b := &room[i], &room[j]
-		aGood, bGood := s.isGood(a.Worker), s.isGood(b.Worker)
-		if aGood != bGood {
-			return aGood
-		}
-		if s.def.DataRack != "" && (a.Rack == s.def.DataRack) != (b.Rack == s.def.DataRack) {
-			return a.Rack == s.def.DataRack
-		}
-		if a.Slowness+0.4 < b.Slowness || b.Slowness+0.4 < a.Slowness {
-			return a.Slowness < b.Slowness
-		}
-		return a.Free.Processors > b.Free.Processors
-	})
+// nominees chooses the workers to name: each costs time, and only a share of them is good. Workers on
+// which a task of the step has failed are named only if there are no others.
+func (c *Conductor) nominees(s *step, queue *ruler.Queue) []string {
 	share := c.advice.share[queue.Name]
 	if share == 0 {
 		share = firstShare
 	}
-	wanted := float64(s.missing())
-	if !s.def.Gang {
-		// Tasks that work alone can start one by one as room comes free.
-		wanted = min(wanted, 16)
+	short := c.isShort(s)
+	barred := func(site int) bool {
+		return c.isRejected(s, &c.sites[site]) || !c.mayTake(s, &c.sites[site], short)
 	}
-	wanted *= spareFactor
-	var named []string
-	for i := range room {
-		if wanted <= 0 || len(named) >= mostNamed {
-			break
-		}
-		count := float64(packer.Count(room[i].Free, needs, s.def.MostPerWorker))
-		if s.isGood(room[i].Worker) {
-			wanted -= count
-		} else {
-			wanted -= count * share
-		}
-		named = append(named, room[i].Worker)
+	ask := nominator.Ask{Step: s.def, Tasks: s.missing(), Share: share, Good: c.goodSites(s, false), Skip: func(site int) bool {
+		return barred(site) || s.failedOn[c.sites[site].Worker]
+	}}
+	sites := c.list.Nominate(ask)
+	if len(sites) == 0 {
+		ask.Skip = barred
+		sites = c.list.Nominate(ask)
+	}
+	named := make([]string, len(sites))
+	for i, site := range sites {
+		named[i] = c.sites[site].Worker
 	}
 	return named
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -12,6 +12,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/nominator"
 	"dotterelpost.example/dotterelpost/internal/orderer"
 	"dotterelpost.example/dotterelpost/internal/packer"
 	"dotterelpost.example/dotterelpost/internal/ruler"
@@ -152,6 +153,9 @@
 	random    *rand.Rand
 	// sites are the usable workers during a round, chosen those that one step may use.
 	sites, chosen []packer.Site
+	// every are the indexes of all sites, list those that may be named to the advisor.
+	every []int
+	list  *nominator.List
 	// mostFree is the most free processors of a site at the beginning of the round.
 	mostFree modeler.Processors
 	// freeQuick and freeLong are the instances that the next call of the advisor goes through.
--- a/internal/conductor/roster.go
+++ b/internal/conductor/roster.go
@@ -58,6 +58,8 @@
 	pace        pace
 	// share is what filling work may use beside serving tasks, nil where there are not both.
 	share *pacer.Share
+	// asked is what steps have asked the advisor for on the worker that have no answer yet.
+	asked modeler.Processors
 	// site is the worker's place in the survey of a round, or -1.
 	site int
 }
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/nominator"
 	"dotterelpost.example/dotterelpost/internal/packer"
 	"dotterelpost.example/dotterelpost/internal/ranker"
 	"dotterelpost.example/dotterelpost/internal/ruler"
@@ -148,11 +150,15 @@
 	}
 	slices.SortFunc(c.sites, func(a, b packer.Site) int { return strings.Compare(a.Worker, b.Worker) })
 	c.mostFree = 0
+	asked := make([]modeler.Processors, len(c.sites))
 	for i := range c.sites {
-		c.workers[c.sites[i].Worker].site = i
+		w := c.workers[c.sites[i].Worker]
+		w.site, asked[i] = i, w.asked
 		c.mostFree = max(c.mostFree, c.sites[i].Free.Processors)
 	}
-	c.freeQuick, c.freeLong = c.instances()
+	c.list = nominator.New(c.sites, asked)
+	c.advice.sortLines(c.Advisors.Instances())
+	c.freeQuick, c.freeLong = c.advice.instances(c.now)
 }
 
 // ranked returns the steps to place, the one that goes first at the front.
@@ -197,22 +203,34 @@
 // lastPriority is that of jobs whose queue was dropped.
 const lastPriority = 9
 
-// sitesFor returns the workers that may take a task of a step and have room for one. The result holds
-// until the next call.
-func (c *Conductor) sitesFor(s *step) []packer.Site {
-	needs := s.def.Reserved()
-	short := c.duration(s.job, s.key.Step) <= shortWork
+// mayTake tells whether a step may go to a worker of the survey, its room aside.
+func (c *Conductor) mayTake(s *step, site *packer.Site, short bool) bool {
+	return (short || !site.Held) && c.workers[site.Worker].info.HasLabel(s.def.Label)
+}
+
+// isShort tells whether a step's tasks may use room that is kept for a gang.
+func (c *Conductor) isShort(s *step) bool { return c.duration(s.job, s.key.Step) <= shortWork }
+
+// everySite lists all sites of the survey.
+func (c *Conductor) everySite() []int {
+	for len(c.every) < len(c.sites) {
+		c.every = append(c.every, len(c.every))
+	}
+	return c.every[:len(c.sites)]
+}
+
+// sitesFor returns those of some sites that may take a task of a step and have room for one. The result
+// holds until the next call.
+func (c *Conductor) sitesFor(s *step, among []int) []packer.Site {
+	needs, short := s.def.Reserved(), c.isShort(s)
 	c.chosen = c.chosen[:0]
-	for _, site := range c.sites {
-		if !needs.Fits(site.Free) || site.Held && !short {
-			continue
-		}
-		w := c.workers[site.Worker]
-		if !w.info.HasLabel(s.def.Label) {
+	for _, i := range among {
+		site := c.sites[i]
+		if !needs.Fits(site.Free) || !c.mayTake(s, &site, short) {
 			continue
 		}
 		if s.def.MostPerWorker > 0 {
-			if site.Present = c.present(w, s); site.Present >= s.def.MostPerWorker {
+			if site.Present = c.present(c.workers[site.Worker], s); site.Present >= s.def.MostPerWorker {
 				continue
 			}
 		}
@@ -243,24 +261,37 @@
 func (c *Conductor) tryStep(s *step) {
 	queue := c.queueOf(s.job)
 	if queue == nil || queue.Advice == nil {
-		c.assign(s, c.sitesFor(s))
+		c.assign(s, c.sitesFor(s, c.everySite()))
 		return
 	}
 	if s.def.Gang && len(s.good) > 0 && c.tryKnown(s, queue) {
 		return
 	}
-	held := c.holdsTickets(s)
-	mayAsk := !s.asking && c.now.After(s.askAfter) && (c.freeQuick != "" || c.freeLong != "")
-	if !held && !mayAsk {
+	if len(s.good) > 0 && c.assign(s, c.sitesFor(s, c.goodSites(s, true))) {
 		return
 	}
-	sites := c.sitesFor(s)
-	if held && c.assign(s, c.ticketed(s, sites)) {
-		return
+	if c.mayAsk(s) && c.hasRoom(s) {
+		c.askAbout(s, queue, c.nominees(s, queue))
 	}
-	if mayAsk && c.hasRoom(s, sites) {
-		c.seek(s, queue, sites)
+}
+
+func (c *Conductor) mayAsk(s *step) bool {
+	return !s.asking && c.now.After(s.askAfter) && (c.freeQuick != "" || c.freeLong != "")
+}
+
+// goodSites returns the sites that the advisor allowed a step, in the life that they live, and with
+// ticketed set only those whose ticket still holds.
+func (c *Conductor) goodSites(s *step, ticketed bool) []int {
+	var sites []int
+	for id, good := range s.good {
+		w := c.workers[id]
+		if w == nil || w.site < 0 || w.info.Born != good.born || ticketed && !c.now.Before(good.until) {
+			continue
+		}
+		sites = append(sites, w.site)
 	}
+	slices.Sort(sites)
+	return sites
 }
 
 // shortWork is how long a task may take that uses room kept for a gang: it is over before the gang has
@@ -274,10 +305,9 @@
 func (c *Conductor) tryKnown(s *step, queue *ruler.Queue) bool {
 	var known []packer.Site
 	most, ticketed := 0, true
-	for i := range c.sites {
+	for _, i := range c.goodSites(s, false) {
 		site := c.sites[i]
-		good, found := s.good[site.Worker]
-		if !found || good.born != c.workers[site.Worker].info.Born || !c.workers[site.Worker].info.HasLabel(s.def.Label) {
+		if !c.workers[site.Worker].info.HasLabel(s.def.Label) {
 			continue
 		}
 		most += packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
@@ -304,9 +334,9 @@
 		}
 	}
 	if ticketed {
-		return c.assign(s, c.ticketed(s, known))
+		return c.assign(s, c.sitesFor(s, c.goodSites(s, true)))
 	}
-	if !s.asking && c.now.After(s.askAfter) {
+	if c.mayAsk(s) {
 		c.askAbout(s, queue, named)
 	}
 	for _, place := range places {
@@ -318,8 +348,9 @@
 // unexplored tells whether some worker with room has not been asked about.
 func (c *Conductor) unexplored(s *step) bool {
 	needs := s.def.Reserved()
-	for _, site := range c.sites {
-		if !s.isGood(site.Worker) && s.rejected[site.Worker] != c.workers[site.Worker].info.Born && needs.Fits(site.Free) {
+	for i := range c.sites {
+		site := &c.sites[i]
+		if needs.Fits(site.Free) && !s.isGood(site.Worker) && !c.isRejected(s, site) {
 			return true
 		}
 	}
@@ -342,42 +373,30 @@
 	}
 }
 
-// holdsTickets tells whether any ticket of a step still holds.
-func (c *Conductor) holdsTickets(s *step) bool {
-	for _, good := range s.good {
-		if c.now.Before(good.until) {
+// hasRoom tells whether the workers that may be good have room for a gang, so that asking is worth the
+// time. Other tasks can start one by one.
+func (c *Conductor) hasRoom(s *step) bool {
+	if !s.def.Gang {
+		return true
+	}
+	missing := len(s.tasks)
+	for i := range c.sites {
+		site := &c.sites[i]
+		if missing <= 0 {
 			return true
 		}
-	}
-	return false
-}
-
-// ticketed returns the sites for which the step has a ticket.
-func (c *Conductor) ticketed(s *step, sites []packer.Site) []packer.Site {
-	var allowed []packer.Site
-	for _, site := range sites {
-		good, found := s.good[site.Worker]
-		if found && good.born == c.workers[site.Worker].info.Born && c.now.Before(good.until) {
-			allowed = append(allowed, site)
+		if c.isRejected(s, site) {
+			continue
 		}
+		missing -= packer.Count(site.Free, s.def.Reserved(), s.def.MostPerWorker)
 	}
-	return allowed
+	return missing <= 0
 }
 
-// hasRoom tells whether the workers that may be good have room for the step, so that asking is worth
-// the time.
-func (c *Conductor) hasRoom(s *step, sites []packer.Site) bool {
-	room := 0
-	for _, site := range sites {
-		if s.rejected[site.Worker] != 0 && s.rejected[site.Worker] == c.workers[site.Worker].info.Born {
-			continue
-		}
-		room += packer.Count(site.Free, s.def.Reserved(), s.def.MostPerWorker)
-	}
-	if s.def.Gang {
-		return room >= len(s.tasks)
-	}
-	return room > 0
+// isRejected tells whether the advisor does not allow a step on a site, in the life that it lives.
+func (c *Conductor) isRejected(s *step, site *packer.Site) bool {
+	born, rejected := s.rejected[site.Worker]
+	return rejected && born == c.workers[site.Worker].info.Born
 }
 
 // assign places tasks of a step and has the record written. It reports whether nothing is left to
--- /dev/null
+++ b/internal/nominator/nominator.go
@@ -0,0 +1,148 @@
+// Package nominator chooses which workers to name to the placement advisor. It is pure: no I/O, no
+// clock.
+//
+// # Usage
+//
+//	list := nominator.New(sites, asked)
+//	named := list.Nominate(nominator.Ask{Step: step, Tasks: 4, Share: 0.7})
+//
+// The load that it answers: more than a hundred steps a second ask about some hundreds of workers, of
+// which only a share is good for each step. Steps that ask at the same time would all name the workers
+// with the most room, and most of them would find it taken when their tickets come. So what has been
+// asked for counts against a worker's room until the answer is there, and a step is given as many
+// names as it needs, from a list that is sorted once a round.
+package nominator
+
+import (
+	"cmp"
+	"slices"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/packer"
+	"dotterelpost.example/dotterelpost/internal/stepper"
+)
+
+const (
+	// MostNamed is how many workers one call may name.
+	MostNamed = 100
+	// spareFactor is how many more places are sought than the tasks need.
+	spareFactor = 1.6
+	// mostSought bounds the tasks of a step that is no gang: they can start one by one as room comes
+	// free.
+	mostSought = 16
+	// slownessStep is by how much the pace of two workers must differ to matter more than their room.
+	slownessStep = 0.4
+)
+
+// List is the workers that may be named during one round, the best first.
+type List struct {
+	sites []packer.Site
+	order []int
+	asked []modeler.Processors
+}
+
+// New returns the list of some sites, asked being what steps have asked for that have no answer yet.
+func New(sites []packer.Site, asked []modeler.Processors) *List {
+	l := &List{sites: sites, order: make([]int, len(sites)), asked: asked}
+	for i := range l.order {
+		l.order[i] = i
+	}
+	slices.SortFunc(l.order, l.compare)
+	return l
+}
+
+// compare is negative if a site should be named before another one.
+func (l *List) compare(a, b int) int {
+	return cmp.Or(
+		cmp.Compare(bucket(&l.sites[a]), bucket(&l.sites[b])),
+		cmp.Compare(l.room(b), l.room(a)),
+		cmp.Compare(l.sites[a].Worker, l.sites[b].Worker),
+	)
+}
+
+// ask counts what is asked of a site against its room, and moves it to its place in the order.
+func (l *List) ask(site int, processors modeler.Processors) {
+	if at := slices.Index(l.order, site); at >= 0 {
+		l.order = slices.Delete(l.order, at, at+1)
+	}
+	l.asked[site] += processors
+	at, _ := slices.BinarySearchFunc(l.order, site, l.compare)
+	l.order = slices.Insert(l.order, at, site)
+}
+
+func bucket(site *packer.Site) int { return int((site.Slowness - 1) / slownessStep) }
+
+// room is what is left of a site when all that was asked for there has started.
+func (l *List) room(site int) modeler.Processors { return l.sites[site].Free.Processors - l.asked[site] }
+
+// Ask is what a step needs.
+type Ask struct {
+	Step *stepper.Step
+	// Tasks is how many have no place.
+	Tasks int
+	// Share is the share of named workers that will be good.
+	Share float64
+	// Good are sites known to be good: they are named first.
+	Good []int
+	// Skip tells of a site that it may not be named.
+	Skip func(site int) bool
+}
+
+// Nominate returns the sites to name. What they were asked for counts from now on.
+func (l *List) Nominate(ask Ask) []int {
+	n := nomination{list: l, ask: &ask, needs: ask.Step.Reserved(), wanted: float64(ask.Tasks)}
+	if !ask.Step.Gang {
+		n.wanted = min(n.wanted, mostSought)
+	}
+	n.wanted *= spareFactor
+	for _, site := range ask.Good {
+		n.take(site, 1, 0)
+	}
+	if ask.Step.DataRack != "" {
+		n.walk(ask.Step.DataRack, true)
+	}
+	n.walk("", true)
+	n.walk("", false)
+	for _, site := range n.named {
+		l.ask(site, n.needs.Processors)
+	}
+	return n.named
+}
+
+type nomination struct {
+	list   *List
+	ask    *Ask
+	needs  modeler.Resources
+	wanted float64
+	named  []int
+}
+
+// walk names sites in order, of one rack if that is given, and with asked set only those that have
+// room beside what was asked for.
+func (n *nomination) walk(rack string, asked bool) {
+	for _, site := range n.list.order {
+		if n.wanted <= 0 || len(n.named) >= MostNamed {
+			return
+		}
+		if rack != "" && n.list.sites[site].Rack != rack || slices.Contains(n.named, site) || n.ask.Skip != nil && n.ask.Skip(site) {
+			continue
+		}
+		if asked {
+			n.take(site, n.ask.Share, n.list.asked[site])
+		} else {
+			n.take(site, n.ask.Share, 0)
+		}
+	}
+}
+
+// take names a site if it has room, which is good with a probability.
+func (n *nomination) take(site int, good float64, asked modeler.Processors) {
+	free := n.list.sites[site].Free
+	free.Processors -= asked
+	count := packer.Count(free, n.needs, n.ask.Step.MostPerWorker)
+	if count == 0 || n.wanted <= 0 {
+		return
+	}
+	n.wanted -= float64(count) * good
+	n.named = append(n.named, site)
+}
