Gangs use the tickets that they have

Cause: a gang whose good workers were known asked for tickets for those that fitted best at that moment, and took them only if they were still the best ones when the answer came.

Change: what has tickets is tried first; while advice is on the way a gang stays with the workers that it asked about.

The test fails in most runs of the old code, not in all, and in none of 20 of the new.

--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -235,6 +235,7 @@
 		}
 		return
 	}
+	c.Log.Info("advised", "job", s.key.Job, "step", s.key.Step, "named", len(born), "good", len(answer.Tickets), "took-ms", c.now.Sub(sentAt).Milliseconds())
 	for _, ticket := range answer.Tickets {
 		life, named := born[ticket.Worker]
 		if !named {
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -109,6 +110,37 @@
 	})
 }
 
+// TestGangUsesTheTicketsThatItHas: room changes all the time under a stream of small tasks, and with it
+// the workers where the gang would fit best. The gang goes where its tickets hold.
+func TestGangUsesTheTicketsThatItHas(t *testing.T) {
+	for range 12 {
+		gangUnderAStream(t)
+	}
+}
+
+func gangUnderAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 40)
+		w.decides = 600 * time.Millisecond
+		w.run = func(start *orderer.Start, _ string) (time.Duration, stepper.Ending) {
+			if start.Task.Job == "gang" && start.Run == 1 {
+				return 2 * time.Second, stepper.FailedItself
+			}
+			return time.Duration(200+start.Task.Index%7*150) * time.Millisecond, stepper.Done
+		}
+		c, stop := w.own(1)
+		defer stop()
+		gang := step(20, 1000)
+		gang.Gang, gang.MostPerWorker = true, 1
+		submit(t, c, job("gang", "advised", gang))
+		for i := range 110 {
+			submit(t, c, job(fmt.Sprintf("small-%d", i), "plain", step(4+i%5, 1000)))
+			pass(40 * time.Millisecond)
+		}
+		wantState(t, c, "gang", stepper.Completed)
+	})
+}
+
 func TestFailuresCountAndEndTheJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -27,6 +27,8 @@
 	askAfter time.Time
 	since    time.Time
 	tasks    []stepper.Task
+	// named are the workers that the advisor was last asked about for a gang whose good ones are known.
+	named []string
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
 }
@@ -303,46 +305,68 @@
 // more room comes free. It reports false if the good workers could never hold the gang, or others with
 // room have yet to be asked about.
 func (c *Conductor) tryKnown(s *step, queue *ruler.Queue) bool {
-	var known []packer.Site
-	most, ticketed := 0, true
-	for _, i := range c.goodSites(s, false) {
-		site := c.sites[i]
-		if !c.workers[site.Worker].info.HasLabel(s.def.Label) {
-			continue
-		}
-		most += packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
-		known = append(known, site)
+	if c.assign(s, c.sitesFor(s, c.goodSites(s, true))) {
+		return true
 	}
-	if most < len(s.tasks) {
+	known := c.goodSites(s, false)
+	if !c.couldHold(s, known) {
 		return false
 	}
-	room := slices.Clone(known)
-	places := packer.Pack(room, packer.Ask{Step: s.def, Tasks: len(s.tasks), Together: true})
-	if len(places) == 0 {
+	chosen := c.together(s, known)
+	if len(chosen) == 0 {
 		if c.unexplored(s) {
 			return false
 		}
 		c.keepRoom(s, known)
 		return true
 	}
-	var named []string
-	for _, place := range places {
-		id := known[place].Worker
-		ticketed = ticketed && c.now.Before(s.good[id].until)
-		if !slices.Contains(named, id) {
-			named = append(named, id)
+	if c.mayAsk(s) {
+		s.named = nil
+		for _, site := range chosen {
+			if id := c.sites[site].Worker; !slices.Contains(s.named, id) {
+				s.named = append(s.named, id)
+			}
 		}
+		c.askAbout(s, queue, s.named)
 	}
-	if ticketed {
-		return c.assign(s, c.sitesFor(s, c.goodSites(s, true)))
+	for _, site := range chosen {
+		c.takeSite(c.workers[c.sites[site].Worker], s.def)
 	}
-	if c.mayAsk(s) {
-		c.askAbout(s, queue, named)
+	return true
+}
+
+// couldHold tells whether some sites could take a gang if nothing else ran there.
+func (c *Conductor) couldHold(s *step, sites []int) bool {
+	most := 0
+	for _, i := range sites {
+		if site := &c.sites[i]; c.workers[site.Worker].info.HasLabel(s.def.Label) {
+			most += packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
+		}
+	}
+	return most >= len(s.tasks)
+}
+
+// together returns a site for each task of a gang, or none. While its advice is on the way it stays with
+// the workers that were asked about: room changes all the time, and tickets for other workers than those
+// that fit best by now are no use.
+func (c *Conductor) together(s *step, known []int) []int {
+	var named []int
+	for _, site := range known {
+		if slices.Contains(s.named, c.sites[site].Worker) {
+			named = append(named, site)
+		}
 	}
-	for _, place := range places {
-		c.takeSite(c.workers[known[place].Worker], s.def)
+	for _, among := range [][]int{named, known} {
+		sites := slices.Clone(c.sitesFor(s, among))
+		places := packer.Pack(sites, packer.Ask{Step: s.def, Tasks: len(s.tasks), Together: true})
+		for i := range places {
+			places[i] = c.workers[sites[places[i]].Worker].site
+		}
+		if len(places) > 0 {
+			return places
+		}
 	}
-	return true
+	return nil
 }
 
 // unexplored tells whether some worker with room has not been asked about.
@@ -359,17 +383,17 @@
 
 // keepRoom holds the good workers with the most room for a gang, as many as it needs when they are
 // empty.
-func (c *Conductor) keepRoom(s *step, known []packer.Site) {
-	slices.SortStableFunc(known, func(a, b packer.Site) int {
-		return cmp.Compare(b.Free.Processors, a.Free.Processors)
+func (c *Conductor) keepRoom(s *step, known []int) {
+	slices.SortStableFunc(known, func(a, b int) int {
+		return cmp.Compare(c.sites[b].Free.Processors, c.sites[a].Free.Processors)
 	})
 	needed := len(s.tasks)
 	for _, site := range known {
 		if needed <= 0 {
 			return
 		}
-		needed -= packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
-		c.sites[c.workers[site.Worker].site].Held = true
+		needed -= packer.Count(c.sites[site].Capacity, s.def.Reserved(), s.def.MostPerWorker)
+		c.sites[site].Held = true
 	}
 }
 
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -33,6 +33,8 @@
 	// good tells which workers the advisor allows; nil allows all.
 	good   func(step stepper.StepKey, worker string) bool
 	calls  []string
+	// decides is added to how long the advisor takes.
+	decides time.Duration
 	book   *ruler.Book
 	starts map[stepper.TaskKey][]int
 	// paced is the share last ordered, gauge the figure that running tasks show.
@@ -157,7 +159,7 @@
 
 // Advise answers with tickets for the good workers.
 func (w *world) Advise(_ context.Context, instance string, step stepper.StepKey, workers []string) (orderer.Advice, error) {
-	pass(time.Duration(5+len(workers)) * time.Millisecond)
+	pass(w.decides + time.Duration(5+len(workers))*time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls = append(w.calls, instance)
