Steps keep the room that they ask about; instances for quick calls by their load

Change: a step that can be in time keeps its room while its advice is on the way, a gang while tickets hold too; questions whose tickets came to nothing come ever more rarely; a long call has to be worth its fixed time; instances are kept free of long calls as the quick calls of the last second need them.

--- a/internal/conductor/advice.go
+++ b/internal/conductor/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -28,8 +29,10 @@
 	// overheadWeight is the weight of the latest call in what is known of an instance's way to the
 	// advisor.
 	overheadWeight = 0.2
-	// quickInstances are kept free of long calls, where there are more instances.
+	// quickInstances are kept free of long calls at least, where there are more instances, and spareLoad
+	// times as many as the quick calls of the last second kept busy.
 	quickInstances = 2
+	spareLoad      = 1.5
 	// firstShare is the share of workers that is taken to be good before any call was answered.
 	firstShare = 0.4
 	// callAgain is the pause after a call that failed.
@@ -41,6 +44,10 @@
 	lines map[string]*line
 	// near are the lines of the instances that can ask now, the nearest to the advisor first.
 	near []*line
+	// quickWork is the advisor's work for quick calls, fading within a second; it was counted at
+	// quickAt.
+	quickWork time.Duration
+	quickAt   time.Time
 	// share is the share of named workers that were good, for each queue.
 	share map[string]float64
 }
@@ -112,11 +119,25 @@
 	})
 }
 
+// countQuick counts the work of a quick call.
+func (a *advice) countQuick(cost time.Duration, now time.Time) {
+	faded := math.Exp(-now.Sub(a.quickAt).Seconds())
+	a.quickWork, a.quickAt = time.Duration(faded*float64(a.quickWork))+cost, now
+}
+
+// reserved is how many instances take quick calls only.
+func (a *advice) reserved(now time.Time) int {
+	load := math.Exp(-now.Sub(a.quickAt).Seconds()) * a.quickWork.Seconds()
+	wanted := 1 + int(math.Ceil(spareLoad*load))
+	return min(max(quickInstances, min(wanted, len(a.near)/2)), len(a.near)-1)
+}
+
 // instances chooses an instance for a quick call and one for a long call; an empty name means that
 // none should take one now. The instances nearest to the advisor are kept for the quick calls, where
 // there are others.
 func (a *advice) instances(now time.Time) (quick, long string) {
 	var quickAt, longAt time.Duration
+	reserved := a.reserved(now)
 	for i, l := range a.near {
 		waits := max(0, l.clearAt.Sub(now))
 		served := waits + l.overhead
@@ -126,7 +147,7 @@
 		if waits <= quickQueue && (quick == "" || served < quickAt) {
 			quick, quickAt = l.instance, served
 		}
-		if waits <= longQueue && i >= min(quickInstances, len(a.near)-1) && (long == "" || served < longAt) {
+		if waits <= longQueue && i >= reserved && (long == "" || served < longAt) {
 			long, longAt = l.instance, served
 		}
 	}
@@ -146,7 +167,10 @@
 	if instance == "" {
 		return false
 	}
-	s.asking = true
+	if cost < longCall {
+		c.advice.countQuick(cost, c.now)
+	}
+	s.asking, s.askedAt = true, c.now
 	l := c.advice.line(instance)
 	l.clearAt = maxTime(l.clearAt, c.now).Add(cost)
 	l.queued++
@@ -194,9 +218,17 @@
 	return b
 }
 
+// leastSought is for how many tasks, if so many are missing, a call must be expected to find room: each
+// call costs the advisor a fixed time. After patientFor the step asks for fewer too.
+const (
+	leastSought = 4
+	patientFor  = time.Second
+)
+
 // nominees chooses the workers to name: each costs time, and only a share of them is good. Workers on
-// which a task of the step has failed are named only if there are no others.
-func (c *Conductor) nominees(s *step, queue *ruler.Queue) []string {
+// which a task of the step has failed are named only if there are no others. enough tells whether the
+// question is worth its time.
+func (c *Conductor) nominees(s *step, queue *ruler.Queue) (named []string, enough bool) {
 	share := c.advice.share[queue.Name]
 	if share == 0 {
 		share = firstShare
@@ -208,16 +240,17 @@
 	ask := nominator.Ask{Step: s.def, Tasks: s.missing(), Share: share, Good: c.goodSites(s, false), Skip: func(site int) bool {
 		return barred(site) || s.failedOn[c.sites[site].Worker]
 	}}
-	sites := c.list.Nominate(ask)
+	sites, places := c.list.Nominate(ask)
 	if len(sites) == 0 {
 		ask.Skip = barred
-		sites = c.list.Nominate(ask)
+		sites, places = c.list.Nominate(ask)
 	}
-	named := make([]string, len(sites))
+	named = make([]string, len(sites))
 	for i, site := range sites {
 		named[i] = c.sites[site].Worker
 	}
-	return named
+	long := queue.Advice.Cost(len(named)) >= longCall
+	return named, !long || places >= float64(min(ask.Tasks, leastSought)) || c.now.Sub(s.askedAt) > patientFor
 }
 
 // shareWeight is the weight of the latest answer in the learned share of good workers.
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -25,10 +26,16 @@
 	rejected map[string]int64
 	asking   bool
 	askAfter time.Time
+	askedAt  time.Time
 	since    time.Time
 	tasks    []stepper.Task
 	// named are the workers that the advisor was last asked about for a gang whose good ones are known.
 	named []string
+	// kept is the room that the step keeps on workers, in tasks, while its advice is on the way, and for a
+	// gang while tickets hold; taken is what was taken out of this round's survey for it.
+	kept, taken map[string]int
+	// unused counts the questions in a row whose tickets came to nothing.
+	unused int
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
 }
@@ -128,9 +135,11 @@
 	}
 	c.survey()
 	for _, s := range c.ranked() {
+		c.giveBack(s)
 		if s.def.Reserved().Processors <= c.mostFree {
 			c.tryStep(s)
 		}
+		c.take(s)
 	}
 	c.sites = c.sites[:0]
 	ended := c.Clock.Now()
@@ -158,6 +167,7 @@
 		w.site, asked[i] = i, w.asked
 		c.mostFree = max(c.mostFree, c.sites[i].Free.Processors)
 	}
+	c.keepRooms()
 	c.list = nominator.New(c.sites, asked)
 	c.advice.sortLines(c.Advisors.Instances())
 	c.freeQuick, c.freeLong = c.advice.instances(c.now)
@@ -273,7 +283,21 @@
 		return
 	}
 	if c.mayAsk(s) && c.hasRoom(s) {
-		c.askAbout(s, queue, c.nominees(s, queue))
+		if named, enough := c.nominees(s, queue); enough && c.askAbout(s, queue, named) {
+			c.keepNamed(s, queue, named)
+		}
+	}
+}
+
+// keepNamed keeps room for one task on each worker that a short call named: its answer comes within
+// a fraction of the time that the tasks take.
+func (c *Conductor) keepNamed(s *step, queue *ruler.Queue, named []string) {
+	if s.def.Gang || queue.Advice.Cost(len(named)) >= longCall {
+		return
+	}
+	s.kept = make(map[string]int, len(named))
+	for _, id := range named {
+		s.kept[id] = 1
 	}
 }
 
@@ -320,19 +344,88 @@
 		c.keepRoom(s, known)
 		return true
 	}
+	s.kept = make(map[string]int)
+	for _, site := range chosen {
+		s.kept[c.sites[site].Worker]++
+	}
 	if c.mayAsk(s) {
-		s.named = nil
-		for _, site := range chosen {
-			if id := c.sites[site].Worker; !slices.Contains(s.named, id) {
-				s.named = append(s.named, id)
-			}
+		c.askAgain(s, queue)
+	}
+	return true
+}
+
+// askAgain asks for tickets for the workers that a gang is to go to.
+func (c *Conductor) askAgain(s *step, queue *ruler.Queue) {
+	s.named = slices.Sorted(maps.Keys(s.kept))
+	if !c.askAbout(s, queue, s.named) {
+		return
+	}
+	// Tickets that come to nothing cost the advisor as much as others.
+	s.askAfter = c.now.Add(min(unusedPause<<min(s.unused, 8), longestPause))
+	s.unused++
+}
+
+const (
+	// unusedPause is the least time between two questions of a gang about workers known to be good; it
+	// doubles each time that the tickets came to nothing, up to longestPause, which is three times the
+	// longest call.
+	unusedPause  = 300 * time.Millisecond
+	longestPause = 2500 * time.Millisecond
+)
+
+// keepRooms takes the room that is kept out of a new survey.
+func (c *Conductor) keepRooms() {
+	for _, s := range c.hungry {
+		s.taken = nil
+		if !c.keeps(s) {
+			s.kept = nil
 		}
-		c.askAbout(s, queue, s.named)
+		c.take(s)
 	}
-	for _, site := range chosen {
-		c.takeSite(c.workers[c.sites[site].Worker], s.def)
+}
+
+// keeps tells whether a step goes on keeping room: one that can still be in time, while its advice is on
+// the way. A gang keeps it while tickets hold, because the rest of its room comes free one by one.
+func (c *Conductor) keeps(s *step) bool {
+	if s.kept == nil || c.rank(s).Use > ranker.InTime {
+		return false
 	}
-	return true
+	return s.asking || s.def.Gang && c.holdsTickets(s)
+}
+
+// take takes the room that a step keeps out of the survey. Whatever came to lack room meanwhile is not
+// kept.
+func (c *Conductor) take(s *step) {
+	if s.kept == nil {
+		return
+	}
+	s.taken = make(map[string]int, len(s.kept))
+	for id, count := range s.kept {
+		if w := c.workers[id]; w != nil && w.site >= 0 {
+			site := &c.sites[w.site]
+			s.taken[id] = min(count, packer.Count(site.Free, s.def.Reserved(), 0))
+			site.Free = site.Free.Minus(s.def.Reserved().Times(s.taken[id]))
+		}
+	}
+}
+
+// giveBack puts the room that a gang keeps back into the survey: it is its turn.
+func (c *Conductor) giveBack(s *step) {
+	for id, count := range s.taken {
+		site := &c.sites[c.workers[id].site]
+		site.Free = site.Free.Plus(s.def.Reserved().Times(count))
+	}
+	s.taken = nil
+}
+
+// holdsTickets tells whether any ticket of a step still holds.
+func (c *Conductor) holdsTickets(s *step) bool {
+	for _, good := range s.good {
+		if c.now.Before(good.until) {
+			return true
+		}
+	}
+	return false
 }
 
 // couldHold tells whether some sites could take a gang if nothing else ran there.
@@ -434,6 +527,7 @@
 	if len(places) == 0 {
 		return false
 	}
+	s.kept, s.unused = nil, 0
 	run := 0
 	for i := range s.tasks {
 		run = max(run, s.tasks[i].Run)
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -31,12 +31,12 @@
 
 	workers map[string]*fakeWorker
 	// good tells which workers the advisor allows; nil allows all.
-	good   func(step stepper.StepKey, worker string) bool
-	calls  []string
+	good  func(step stepper.StepKey, worker string) bool
+	calls []string
 	// decides is added to how long the advisor takes.
 	decides time.Duration
-	book   *ruler.Book
-	starts map[stepper.TaskKey][]int
+	book    *ruler.Book
+	starts  map[stepper.TaskKey][]int
 	// paced is the share last ordered, gauge the figure that running tasks show.
 	paced map[stepper.TaskKey]int
 	gauge map[stepper.TaskKey]int
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -60,7 +60,7 @@
 	Mesh             netip.AddrPort
 	// Processors is what the machine has.
 	Processors modeler.Processors
-	Conductor        conductor.Settings
+	Conductor  conductor.Settings
 }
 
 // Dependencies of a director.
@@ -110,9 +110,9 @@
 	since, heldAt time.Time
 	// worseSince is since when a better instance could hold the cell, or zero.
 	worseSince time.Time
-	conductor    *conductor.Conductor
-	stop         func()
-	claiming     bool
+	conductor  *conductor.Conductor
+	stop       func()
+	claiming   bool
 	// changed is closed and made anew whenever the owner changes.
 	changed chan struct{}
 }
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -342,8 +342,8 @@
 		if d.alive(run) {
 			candidates = append(candidates, claimer.Candidate{
 				Name: run, Started: startOf(run), Leaving: beat.GetLeaving(), Slow: beat.GetSlow(),
-				Cut:       time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost,
-				Served:    time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond < storeServed,
+				Cut:        time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond > storeLost,
+				Served:     time.Duration(beat.GetStoreSilenceMillis())*time.Millisecond < storeServed,
 				RoundTrip:  time.Duration(beat.GetStoreRoundTripMillis()) * time.Millisecond,
 				Processors: modeler.Processors(beat.GetProcessors()),
 			})
--- a/internal/modeler/resources.go
+++ b/internal/modeler/resources.go
@@ -58,6 +58,14 @@
 	Accelerators int64             `json:"accelerators,omitempty"`
 }
 
+// Times returns an amount so many times.
+func (r Resources) Times(count int) Resources {
+	r.Processors *= Processors(count)
+	r.Memory *= datasize.ByteSize(count)
+	r.Accelerators *= int64(count)
+	return r
+}
+
 // Plus returns the sum of both.
 func (r Resources) Plus(other Resources) Resources {
 	r.Processors += other.Processors
--- a/internal/nominator/nominator.go
+++ b/internal/nominator/nominator.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	list := nominator.New(sites, asked)
-//	named := list.Nominate(nominator.Ask{Step: step, Tasks: 4, Share: 0.7})
+//	named, places := list.Nominate(nominator.Ask{Step: step, Tasks: 4, Share: 0.7})
 //
 // The load that it answers: more than a hundred steps a second ask about some hundreds of workers, of
 // which only a share is good for each step. Steps that ask at the same time would all name the workers
@@ -73,7 +73,9 @@
 func bucket(site *packer.Site) int { return int((site.Slowness - 1) / slownessStep) }
 
 // room is what is left of a site when all that was asked for there has started.
-func (l *List) room(site int) modeler.Processors { return l.sites[site].Free.Processors - l.asked[site] }
+func (l *List) room(site int) modeler.Processors {
+	return l.sites[site].Free.Processors - l.asked[site]
+}
 
 // Ask is what a step needs.
 type Ask struct {
@@ -88,13 +90,15 @@
 	Skip func(site int) bool
 }
 
-// Nominate returns the sites to name. What they were asked for counts from now on.
-func (l *List) Nominate(ask Ask) []int {
+// Nominate returns the sites to name, and how many tasks may be expected to find a place there. What they
+// are asked for counts from now on.
+func (l *List) Nominate(ask Ask) (named []int, places float64) {
 	n := nomination{list: l, ask: &ask, needs: ask.Step.Reserved(), wanted: float64(ask.Tasks)}
 	if !ask.Step.Gang {
 		n.wanted = min(n.wanted, mostSought)
 	}
 	n.wanted *= spareFactor
+	sought := n.wanted
 	for _, site := range ask.Good {
 		n.take(site, 1, 0)
 	}
@@ -106,7 +110,7 @@
 	for _, site := range n.named {
 		l.ask(site, n.needs.Processors)
 	}
-	return n.named
+	return n.named, sought - n.wanted
 }
 
 type nomination struct {
