--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -90,6 +90,9 @@
 		{Name: "advised", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second, Advice: &ruler.Advice{
 			Decide: 5 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond,
 		}},
+		{Name: "patient", Service: "cell", MaxFailures: 2, Stretch: 20, Target: time.Second, Advice: &ruler.Advice{
+			Decide: 5 * time.Millisecond, PerWorker: time.Millisecond, Valid: 1500 * time.Millisecond,
+		}},
 	}})
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
