Final jobs take nobody's place; calls of the advisor in a package of their own

Cause: the bound on a cell's jobs counted those whose final state is only kept to be asked for. At the grown sites' 140 jobs a second, kept for 130 s, an owner would have turned callers away after 140 s. The test fails on the old count.

Change: only jobs that are not final count; the bound is a setting of the conductor. No decision changes, but that a step is not nominated for while no line is free.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -47,6 +47,8 @@
 	handOver = 2 * time.Second
 	// leaveMargin is left of the grace at the end.
 	leaveMargin = time.Second
+	// mostOpen bounds the jobs of a cell that are not final; each takes a few kilobytes.
+	mostOpen = 20000
 	// closeTimeout bounds the closing of connections, whose peers may be unreachable.
 	closeTimeout = 300 * time.Millisecond
 	// headerTimeout bounds how long a caller may take for the header of a request.
@@ -101,6 +103,7 @@
 			Lease:        min(lease, settings.LongestLease*9/10),
 			LongestLease: settings.LongestLease,
 			KeepStates:   settings.KeepStates,
+			MostOpen:     mostOpen,
 		},
 	}, director.Dependencies{
 		Clock: clock, Log: log, Store: store, Workers: workers, Advisor: advisor, Counts: counts,
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -65,6 +65,8 @@
 	LongestLease time.Duration
 	// KeepStates is how long final states are kept.
 	KeepStates time.Duration
+	// MostOpen is how many jobs may be open at once.
+	MostOpen int
 }
 
 // Dependencies of a conductor.
@@ -138,6 +140,8 @@
 	// waiting are the calls that came before the rows were read.
 	waiting []func()
 	jobs    map[string]*job
+	// open counts the jobs that are not final.
+	open int
 	// hungry are the steps with tasks to place.
 	hungry  map[stepper.StepKey]*step
 	workers map[string]*worker
@@ -158,8 +162,6 @@
 	list  *nominator.List
 	// mostFree is the most free processors of a site at the beginning of the round.
 	mostFree modeler.Processors
-	// freeQuick and freeLong are the instances that the next call of the advisor goes through.
-	freeQuick, freeLong string
 }
 
 // Start returns the conductor of a claimed cell, which at first reads the cell's rows, and the
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -236,6 +236,30 @@
 
 // TestStalledStoreRefusesAtOnce: what arrives while the store does not answer is told so soon, and
 // what is told so never runs.
+// TestFinalJobsTakeNobodysPlace: final states are kept for minutes, and as many jobs end in that time as
+// may be open at once.
+func TestFinalJobsTakeNobodysPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		w.mostOpen = 4
+		c, stop := w.own(1)
+		for round := range 3 {
+			for i := range 4 {
+				submit(t, c, job(fmt.Sprintf("job-%d-%d", round, i), "plain", step(1, 1000)))
+			}
+			var refused *conductor.RefusedError
+			if _, err := c.Submit(t.Context(), job("one-more", "plain", step(1, 1000))); !errors.As(err, &refused) {
+				t.Errorf("round %d: a fifth open job got %v, want a refusal", round, err)
+			}
+			pass(2 * time.Second)
+		}
+		stop()
+		successor, stop := w.own(2)
+		defer stop()
+		submit(t, successor, job("after", "plain", step(1, 1000)))
+	})
+}
+
 func TestStalledStoreRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -149,6 +149,7 @@
 		arrived:    c.now,
 	}
 	c.jobs[j.id] = j
+	c.open++
 	c.touch(j, func() {
 		j.stored = true
 		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "steps", len(definition.Steps), "tasks", tasks(definition),
@@ -187,6 +188,7 @@
 		j.dirty = false
 		c.forgetSteps(j)
 		delete(c.jobs, j.id)
+		c.open--
 		c.refused(j.definition, refusal)
 		j.tell(refusal)
 	}
@@ -288,6 +290,7 @@
 	if j.progress.State.Final() {
 		if !j.settling {
 			j.settling = true
+			c.open--
 			c.touch(j, func() { c.show(j) })
 		}
 		for _, p := range j.places {
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -197,7 +197,6 @@
 		}
 		texts[definition.ID] = definition
 	}
-	open := 0
 	for _, row := range progress {
 		id := row.Key[len(progressKey(c.claim.Cell, "")):]
 		p, err := stepper.Decode(row.Value)
@@ -213,7 +212,7 @@
 		j.forgotten = j.definition == nil
 		c.jobs[id] = j
 		if !p.State.Final() {
-			open++
+			c.open++
 		}
 	}
 	c.recovered = true
@@ -221,7 +220,7 @@
 		c.adoptPlaces(j)
 		c.refresh(j)
 	}
-	c.Log.Info("cell taken over", "cell", c.claim.Cell, "fence", c.claim.Fence, "jobs", len(c.jobs), "open", open,
+	c.Log.Info("cell taken over", "cell", c.claim.Cell, "fence", c.claim.Fence, "jobs", len(c.jobs), "open", c.open,
 		"took-ms", c.now.Sub(c.claimedAt).Milliseconds())
 	waiting := c.waiting
 	c.waiting = nil
--- /dev/null
+++ b/internal/conductor/rooms.go
@@ -0,0 +1,99 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/consulter"
+	"dotterelpost.example/dotterelpost/internal/packer"
+	"dotterelpost.example/dotterelpost/internal/ranker"
+	"dotterelpost.example/dotterelpost/internal/ruler"
+)
+
+// keepNamed keeps room for one task on each worker that a short call named: its answer comes within
+// a fraction of the time that the tasks take.
+func (c *Conductor) keepNamed(s *step, queue *ruler.Queue, named []string) {
+	if s.def.Gang || consulter.IsLong(queue.Advice.Cost(len(named))) {
+		return
+	}
+	s.kept = make(map[string]int, len(named))
+	for _, id := range named {
+		s.kept[id] = 1
+	}
+}
+
+// keepRooms takes the room that is kept out of a new survey.
+func (c *Conductor) keepRooms() {
+	for _, s := range c.hungry {
+		s.taken = nil
+		if !c.keeps(s) {
+			s.kept = nil
+		}
+		c.take(s)
+	}
+}
+
+// keeps tells whether a step goes on keeping room: one that can still be in time, while its advice is on
+// the way. A gang keeps it while tickets hold, because the rest of its room comes free one by one.
+func (c *Conductor) keeps(s *step) bool {
+	if s.kept == nil || c.rank(s).Use > ranker.InTime {
+		return false
+	}
+	return s.asking || s.def.Gang && c.holdsTickets(s)
+}
+
+// take takes the room that a step keeps out of the survey. Whatever came to lack room meanwhile is not
+// kept.
+func (c *Conductor) take(s *step) {
+	if s.kept == nil {
+		return
+	}
+	s.taken = make(map[string]int, len(s.kept))
+	for id, count := range s.kept {
+		if w := c.workers[id]; w != nil && w.site >= 0 {
+			site := &c.sites[w.site]
+			s.taken[id] = min(count, packer.Count(site.Free, s.def.Reserved(), 0))
+			site.Free = site.Free.Minus(s.def.Reserved().Times(s.taken[id]))
+		}
+	}
+}
+
+// giveBack puts the room that a gang keeps back into the survey: it is its turn.
+func (c *Conductor) giveBack(s *step) {
+	for id, count := range s.taken {
+		site := &c.sites[c.workers[id].site]
+		site.Free = site.Free.Plus(s.def.Reserved().Times(count))
+	}
+	s.taken = nil
+}
+
+// holdsTickets tells whether any ticket of a step still holds.
+func (c *Conductor) holdsTickets(s *step) bool {
+	for _, good := range s.good {
+		if c.now.Before(good.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// shortWork is how long a task may take that uses room kept for a gang: it is over before the gang has
+// all of its places.
+const shortWork = time.Second
+
+// keepRoom holds the good workers with the most room for a gang, as many as it needs when they are
+// empty.
+func (c *Conductor) keepRoom(s *step, known []int) {
+	slices.SortStableFunc(known, func(a, b int) int {
+		return cmp.Compare(c.sites[b].Free.Processors, c.sites[a].Free.Processors)
+	})
+	needed := len(s.tasks)
+	for _, site := range known {
+		if needed <= 0 {
+			return
+		}
+		needed -= packer.Count(c.sites[site].Capacity, s.def.Reserved(), s.def.MostPerWorker)
+		c.sites[site].Held = true
+	}
+}
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -1,8 +1,6 @@
 package conductor
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -169,8 +167,7 @@
 	}
 	c.keepRooms()
 	c.list = nominator.New(c.sites, asked)
-	c.advice.sortLines(c.Advisors.Instances())
-	c.freeQuick, c.freeLong = c.advice.instances(c.now)
+	c.advice.lines.Sort(c.Advisors.Instances())
 }
 
 // ranked returns the steps to place, the one that goes first at the front.
@@ -282,27 +279,16 @@
 	if len(s.good) > 0 && c.assign(s, c.sitesFor(s, c.goodSites(s, true))) {
 		return
 	}
-	if c.mayAsk(s) && c.hasRoom(s) {
+	if c.mayAsk(s, queue) && c.hasRoom(s) {
 		if named, enough := c.nominees(s, queue); enough && c.askAbout(s, queue, named) {
 			c.keepNamed(s, queue, named)
 		}
 	}
 }
 
-// keepNamed keeps room for one task on each worker that a short call named: its answer comes within
-// a fraction of the time that the tasks take.
-func (c *Conductor) keepNamed(s *step, queue *ruler.Queue, named []string) {
-	if s.def.Gang || queue.Advice.Cost(len(named)) >= longCall {
-		return
-	}
-	s.kept = make(map[string]int, len(named))
-	for _, id := range named {
-		s.kept[id] = 1
-	}
-}
-
-func (c *Conductor) mayAsk(s *step) bool {
-	return !s.asking && c.now.After(s.askAfter) && (c.freeQuick != "" || c.freeLong != "")
+// mayAsk tells whether the advisor can be asked about a step now.
+func (c *Conductor) mayAsk(s *step, queue *ruler.Queue) bool {
+	return !s.asking && c.now.After(s.askAfter) && c.advice.lines.Choose(queue.Advice.Cost(1), c.now) != ""
 }
 
 // goodSites returns the sites that the advisor allowed a step, in the life that they live, and with
@@ -320,196 +306,6 @@
 	return sites
 }
 
-// shortWork is how long a task may take that uses room kept for a gang: it is over before the gang has
-// all of its places.
-const shortWork = time.Second
-
-// tryKnown deals with a gang whose good workers are known from earlier advice: it is placed if their
-// room suffices and tickets hold, and otherwise the room is kept for it while new tickets come or
-// more room comes free. It reports false if the good workers could never hold the gang, or others with
-// room have yet to be asked about.
-func (c *Conductor) tryKnown(s *step, queue *ruler.Queue) bool {
-	if c.assign(s, c.sitesFor(s, c.goodSites(s, true))) {
-		return true
-	}
-	known := c.goodSites(s, false)
-	if !c.couldHold(s, known) {
-		return false
-	}
-	chosen := c.together(s, known)
-	if len(chosen) == 0 {
-		if c.unexplored(s) {
-			return false
-		}
-		c.keepRoom(s, known)
-		return true
-	}
-	s.kept = make(map[string]int)
-	for _, site := range chosen {
-		s.kept[c.sites[site].Worker]++
-	}
-	if c.mayAsk(s) {
-		c.askAgain(s, queue)
-	}
-	return true
-}
-
-// askAgain asks for tickets for the workers that a gang is to go to.
-func (c *Conductor) askAgain(s *step, queue *ruler.Queue) {
-	s.named = slices.Sorted(maps.Keys(s.kept))
-	if !c.askAbout(s, queue, s.named) {
-		return
-	}
-	// Tickets that come to nothing cost the advisor as much as others.
-	s.askAfter = c.now.Add(min(unusedPause<<min(s.unused, 8), longestPause))
-	s.unused++
-}
-
-const (
-	// unusedPause is the least time between two questions of a gang about workers known to be good; it
-	// doubles each time that the tickets came to nothing, up to longestPause, which is three times the
-	// longest call.
-	unusedPause  = 300 * time.Millisecond
-	longestPause = 2500 * time.Millisecond
-)
-
-// keepRooms takes the room that is kept out of a new survey.
-func (c *Conductor) keepRooms() {
-	for _, s := range c.hungry {
-		s.taken = nil
-		if !c.keeps(s) {
-			s.kept = nil
-		}
-		c.take(s)
-	}
-}
-
-// keeps tells whether a step goes on keeping room: one that can still be in time, while its advice is on
-// the way. A gang keeps it while tickets hold, because the rest of its room comes free one by one.
-func (c *Conductor) keeps(s *step) bool {
-	if s.kept == nil || c.rank(s).Use > ranker.InTime {
-		return false
-	}
-	return s.asking || s.def.Gang && c.holdsTickets(s)
-}
-
-// take takes the room that a step keeps out of the survey. Whatever came to lack room meanwhile is not
-// kept.
-func (c *Conductor) take(s *step) {
-	if s.kept == nil {
-		return
-	}
-	s.taken = make(map[string]int, len(s.kept))
-	for id, count := range s.kept {
-		if w := c.workers[id]; w != nil && w.site >= 0 {
-			site := &c.sites[w.site]
-			s.taken[id] = min(count, packer.Count(site.Free, s.def.Reserved(), 0))
-			site.Free = site.Free.Minus(s.def.Reserved().Times(s.taken[id]))
-		}
-	}
-}
-
-// giveBack puts the room that a gang keeps back into the survey: it is its turn.
-func (c *Conductor) giveBack(s *step) {
-	for id, count := range s.taken {
-		site := &c.sites[c.workers[id].site]
-		site.Free = site.Free.Plus(s.def.Reserved().Times(count))
-	}
-	s.taken = nil
-}
-
-// holdsTickets tells whether any ticket of a step still holds.
-func (c *Conductor) holdsTickets(s *step) bool {
-	for _, good := range s.good {
-		if c.now.Before(good.until) {
-			return true
-		}
-	}
-	return false
-}
-
-// couldHold tells whether some sites could take a gang if nothing else ran there.
-func (c *Conductor) couldHold(s *step, sites []int) bool {
-	most := 0
-	for _, i := range sites {
-		if site := &c.sites[i]; c.workers[site.Worker].info.HasLabel(s.def.Label) {
-			most += packer.Count(site.Capacity, s.def.Reserved(), s.def.MostPerWorker)
-		}
-	}
-	return most >= len(s.tasks)
-}
-
-// together returns a site for each task of a gang, or none. While its advice is on the way it stays with
-// the workers that were asked about: room changes all the time, and tickets for other workers than those
-// that fit best by now are no use.
-func (c *Conductor) together(s *step, known []int) []int {
-	var named []int
-	for _, site := range known {
-		if slices.Contains(s.named, c.sites[site].Worker) {
-			named = append(named, site)
-		}
-	}
-	for _, among := range [][]int{named, known} {
-		sites := slices.Clone(c.sitesFor(s, among))
-		places := packer.Pack(sites, packer.Ask{Step: s.def, Tasks: len(s.tasks), Together: true})
-		for i := range places {
-			places[i] = c.workers[sites[places[i]].Worker].site
-		}
-		if len(places) > 0 {
-			return places
-		}
-	}
-	return nil
-}
-
-// unexplored tells whether some worker with room has not been asked about.
-func (c *Conductor) unexplored(s *step) bool {
-	needs := s.def.Reserved()
-	for i := range c.sites {
-		site := &c.sites[i]
-		if needs.Fits(site.Free) && !s.isGood(site.Worker) && !c.isRejected(s, site) {
-			return true
-		}
-	}
-	return false
-}
-
-// keepRoom holds the good workers with the most room for a gang, as many as it needs when they are
-// empty.
-func (c *Conductor) keepRoom(s *step, known []int) {
-	slices.SortStableFunc(known, func(a, b int) int {
-		return cmp.Compare(c.sites[b].Free.Processors, c.sites[a].Free.Processors)
-	})
-	needed := len(s.tasks)
-	for _, site := range known {
-		if needed <= 0 {
-			return
-		}
-		needed -= packer.Count(c.sites[site].Capacity, s.def.Reserved(), s.def.MostPerWorker)
-		c.sites[site].Held = true
-	}
-}
-
-// hasRoom tells whether the workers that may be good have room for a gang, so that asking is worth the
-// time. Other tasks can start one by one.
-func (c *Conductor) hasRoom(s *step) bool {
-	if !s.def.Gang {
-		return true
-	}
-	missing := len(s.tasks)
-	for i := range c.sites {
-		site := &c.sites[i]
-		if missing <= 0 {
-			return true
-		}
-		if c.isRejected(s, site) {
-			continue
-		}
-		missing -= packer.Count(site.Free, s.def.Reserved(), s.def.MostPerWorker)
-	}
-	return missing <= 0
-}
-
 // isRejected tells whether the advisor does not allow a step on a site, in the life that it lives.
 func (c *Conductor) isRejected(s *step, site *packer.Site) bool {
 	born, rejected := s.rejected[site.Worker]
@@ -564,11 +360,8 @@
 
 // admit decides whether a job is accepted.
 func (c *Conductor) admit(definition *stepper.Job) *RefusedError {
-	if len(c.jobs) >= mostJobs {
+	if c.open >= c.settings.MostOpen {
 		return &RefusedError{Reason: "too many jobs are open", RetryAfter: time.Second}
 	}
 	return c.storeRefusal()
 }
-
-// mostJobs bounds the memory of a cell: a job takes a few kilobytes.
-const mostJobs = 20000
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -33,6 +33,8 @@
 	// good tells which workers the advisor allows; nil allows all.
 	good  func(step stepper.StepKey, worker string) bool
 	calls []string
+	// mostOpen is how many jobs may be open.
+	mostOpen int
 	// decides is added to how long the advisor takes.
 	decides time.Duration
 	book    *ruler.Book
@@ -79,7 +81,7 @@
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{
-		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{},
+		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{}, mostOpen: 1000,
 		starts: make(map[stepper.TaskKey][]int), paced: make(map[stepper.TaskKey]int), gauge: make(map[stepper.TaskKey]int),
 		run: func(*orderer.Start, string) (time.Duration, stepper.Ending) {
 			return time.Second, stepper.Done
@@ -383,7 +385,7 @@
 	}
 	w.mu.Unlock()
 	c, stop := conductor.Start(conductor.Claim{Cell: "cell", Fence: fence, Row: "owners/cell/owner", Version: version, First: fence == 1},
-		conductor.Settings{Lease: testLease, LongestLease: 2 * testLease, KeepStates: time.Minute},
+		conductor.Settings{Lease: testLease, LongestLease: 2 * testLease, KeepStates: time.Minute, MostOpen: w.mostOpen},
 		conductor.Dependencies{
 			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Workers: w, Advisors: w, Journal: w, Rows: w, Book: w.book,
 			Confirmed: func() bool { return true }, Deposed: func() {}, Counts: conductor.NewCounts(),
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -209,7 +209,7 @@
 // start starts a director, whose heartbeats reach the others every 250 ms.
 func (c *city) start(name string) (*director.Director, func()) {
 	d, stop := director.New(director.Settings{
-		Name: name, Region: "r", Conductor: conductor.Settings{Lease: time.Second, LongestLease: time.Second, KeepStates: time.Minute},
+		Name: name, Region: "r", Conductor: conductor.Settings{Lease: time.Second, LongestLease: time.Second, KeepStates: time.Minute, MostOpen: 1000},
 	}, director.Dependencies{
 		Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Store: &store{city: c, instance: name},
 		Workers: idle{}, Advisor: idle{}, Counts: conductor.NewCounts(),
