Several transactions in flight while the store is slow

Ruled out earlier: fewer rows for a job.

Change: four lanes to the store, each with its own writer row, used only while transactions take 60 ms and more as a rule: while a store answers nothing at all, what was not sent can still be refused. A job is in one transaction at most; rows of forgotten jobs are removed alone.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -75,7 +75,8 @@
 	Log      *slog.Logger
 	Workers  Workers
 	Advisors Advisors
-	Journal  Journal
+	// Journals are as many lanes to the store, each with its own writer.
+	Journals []Journal
 	Rows     Rows
 	Book     *ruler.Book
 	// Confirmed tells whether this instance may still take itself for the owner: it heard of the
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -234,8 +234,6 @@
 	})
 }
 
-// TestStalledStoreRefusesAtOnce: what arrives while the store does not answer is told so soon, and
-// what is told so never runs.
 // TestFinalJobsTakeNobodysPlace: final states are kept for minutes, and as many jobs end in that time as
 // may be open at once.
 func TestFinalJobsTakeNobodysPlace(t *testing.T) {
@@ -260,6 +258,8 @@
 	})
 }
 
+// TestStalledStoreRefusesAtOnce: what arrives while the store does not answer is told so soon, and
+// what is told so never runs.
 func TestStalledStoreRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -22,8 +22,12 @@
 	stored bool
 	// fresh tells that the definition has yet to be written, forgotten that it was removed.
 	fresh, forgotten bool
-	dirty            bool
-	after            []func()
+	// dirty tells that the job has changed since it was last put into a transaction, inFlight that one
+	// with its rows is under way.
+	dirty, inFlight bool
+	after           []func()
+	// barriers wait for the job to be written.
+	barriers []*barrier
 	// callers wait to hear whether the job was accepted.
 	callers []func(error)
 	arrived time.Time
@@ -186,6 +190,9 @@
 			c.release(p)
 		}
 		j.dirty = false
+		for _, b := range j.barriers {
+			b.pass()
+		}
 		c.forgetSteps(j)
 		delete(c.jobs, j.id)
 		c.open--
@@ -325,7 +332,7 @@
 // prune forgets jobs whose final state need not be kept any longer.
 func (c *Conductor) prune() {
 	for id, j := range c.jobs {
-		if j.shown.Final() && j.placed() == 0 && c.now.Sub(j.progress.EndedAt) > c.settings.KeepStates+keepLonger {
+		if j.shown.Final() && j.placed() == 0 && !j.dirty && !j.inFlight && c.now.Sub(j.progress.EndedAt) > c.settings.KeepStates+keepLonger {
 			delete(c.jobs, id)
 			c.journal.drops = append(c.journal.drops, id)
 		}
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
@@ -13,20 +14,65 @@
 	mostBytes = 600_000
 )
 
-// journal collects the jobs that have to be written. One transaction is in flight at a time; all
-// that changes meanwhile goes into the next.
+// journal collects the jobs that have to be written. Usually one transaction is in flight, and all that
+// changes meanwhile goes into the next. While the store is slow, more of them are: each goes through a
+// lane, which resolves its own lost answers. A job is in one of them at most, so that its rows are
+// written in the order of its changes.
 type journal struct {
 	dirty []*job
-	// drops are final jobs that nobody may ask for any more.
-	drops    []string
-	inFlight bool
-	sentAt   time.Time
+	// drops are final jobs that nobody may ask for any more. While they are being removed nothing else
+	// is in flight: a job may be handed in again under the same ID.
+	drops []string
+	// lanes are what is in flight, nil where nothing is.
+	lanes     []*flight
+	exclusive bool
 	// usual is how long transactions took lately.
 	usual time.Duration
-	// barriers run once all that was dirty when they were set has been written.
-	barriers []func()
 }
 
+// flight is a transaction under way.
+type flight struct {
+	jobs     []*job
+	sentAt   time.Time
+	after    []func()
+	barriers []*barrier
+}
+
+// barrier runs a function once so many jobs and transactions have been written.
+type barrier struct {
+	after func()
+	waits int
+}
+
+func (b *barrier) pass() {
+	if b.waits--; b.waits == 0 {
+		b.after()
+	}
+}
+
+// inFlight returns when the oldest transaction in flight was sent, when the latest was, and how many there
+// are.
+func (j *journal) inFlight() (oldest, youngest time.Time, count int) {
+	for _, f := range j.lanes {
+		if f == nil {
+			continue
+		}
+		if count == 0 || f.sentAt.Before(oldest) {
+			oldest = f.sentAt
+		}
+		if f.sentAt.After(youngest) {
+			youngest = f.sentAt
+		}
+		count++
+	}
+	return oldest, youngest, count
+}
+
+// slowStore is from which usual length of transactions a second one is sent beside the first: three times
+// what the store takes in its usual order. While the store answers nothing at all, whatever was not sent
+// can still be refused.
+const slowStore = 60 * time.Millisecond
+
 const (
 	// usualWeight is the inverse of the weight of the latest transaction in what is usual.
 	usualWeight = 3
@@ -43,7 +89,8 @@
 
 // storeRefusal returns why nothing can be accepted now, or nil: the store does not answer.
 func (c *Conductor) storeRefusal() *RefusedError {
-	if !c.journal.inFlight || c.now.Sub(c.journal.sentAt) < max(stalledAfter, stalledFactor*c.journal.usual) {
+	oldest, _, count := c.journal.inFlight()
+	if count == 0 || c.now.Sub(oldest) < max(stalledAfter, stalledFactor*c.journal.usual) {
 		return nil
 	}
 	return &RefusedError{
@@ -68,49 +115,89 @@
 
 // whenWritten runs a function once everything that has changed so far is written.
 func (c *Conductor) whenWritten(after func()) {
-	if len(c.journal.dirty) == 0 && !c.journal.inFlight {
+	b := &barrier{after: after}
+	for _, j := range c.journal.dirty {
+		j.barriers = append(j.barriers, b)
+		b.waits++
+	}
+	for _, f := range c.journal.lanes {
+		if f != nil {
+			f.barriers = append(f.barriers, b)
+			b.waits++
+		}
+	}
+	if b.waits == 0 {
 		after()
-		return
 	}
-	c.journal.barriers = append(c.journal.barriers, after)
 }
 
-// commit sends the next transaction, if there is something to write and none is in flight.
+// commit sends what has to be written, as far as lanes are free.
 func (c *Conductor) commit() {
-	if c.journal.inFlight || c.deposed || len(c.journal.dirty)+len(c.journal.drops) == 0 && len(c.journal.barriers) == 0 {
-		return
+	for !c.deposed {
+		lane, free := c.freeLane()
+		if !free {
+			return
+		}
+		f, transaction := c.fill()
+		if f == nil {
+			return
+		}
+		c.journal.lanes[lane] = f
+		c.group.Go(func() { c.sendTransaction(lane, f, transaction) })
+	}
+}
+
+// freeLane returns the lane that the next transaction goes through, if one is to be sent now.
+func (c *Conductor) freeLane() (lane int, free bool) {
+	j := &c.journal
+	if j.lanes == nil {
+		j.lanes = make([]*flight, len(c.Journals))
+	}
+	_, youngest, count := j.inFlight()
+	if j.exclusive || count == len(j.lanes) {
+		return 0, false
 	}
+	if count > 0 && (j.usual < slowStore || c.now.Sub(youngest) < j.usual/time.Duration(len(j.lanes))) {
+		return 0, false
+	}
+	return slices.Index(j.lanes, nil), true
+}
+
+// fill makes a transaction of the jobs that have changed and are not in flight.
+func (c *Conductor) fill() (*flight, connector.Transaction) {
 	transaction := connector.Transaction{
 		Preconditions: []connector.Precondition{{Key: c.claim.Row, Version: c.claim.Version}},
 	}
-	var after []func()
-	size, taken := 0, 0
+	f := &flight{sentAt: c.now}
+	size := 0
+	kept := c.journal.dirty[:0]
 	for _, j := range c.journal.dirty {
-		rows := len(transaction.Puts) + len(transaction.Deletes)
-		if rows >= mostRows || size >= mostBytes {
-			break
+		if j.inFlight || rows(&transaction) >= mostRows || size >= mostBytes {
+			kept = append(kept, j)
+			continue
 		}
 		size += c.write(&transaction, j)
-		after = append(after, j.after...)
-		j.after, j.dirty = nil, false
-		taken++
-	}
-	c.journal.dirty = c.journal.dirty[taken:]
-	for len(c.journal.drops) > 0 && len(transaction.Puts)+len(transaction.Deletes) < mostRows {
-		transaction.Deletes = append(transaction.Deletes, progressKey(c.claim.Cell, c.journal.drops[0]))
-		c.journal.drops = c.journal.drops[1:]
+		f.after, f.barriers = append(f.after, j.after...), append(f.barriers, j.barriers...)
+		f.jobs = append(f.jobs, j)
+		j.after, j.barriers, j.dirty, j.inFlight = nil, nil, false, true
 	}
-	if len(c.journal.dirty) == 0 {
-		after = append(after, c.journal.barriers...)
-		c.journal.barriers = nil
+	clear(c.journal.dirty[len(kept):])
+	c.journal.dirty = kept
+	if _, _, others := c.journal.inFlight(); others == 0 {
+		for len(c.journal.drops) > 0 && rows(&transaction) < mostRows {
+			transaction.Deletes = append(transaction.Deletes, progressKey(c.claim.Cell, c.journal.drops[0]))
+			c.journal.drops = c.journal.drops[1:]
+			c.journal.exclusive = true
+		}
 	}
-	if len(transaction.Puts)+len(transaction.Deletes) == 0 {
-		runAll(after)
-		return
+	if rows(&transaction) == 0 {
+		return nil, transaction
 	}
-	c.journal.inFlight = true
-	c.journal.sentAt = c.now
-	c.group.Go(func() { c.sendTransaction(transaction, after) })
+	return f, transaction
+}
+
+func rows(transaction *connector.Transaction) int {
+	return len(transaction.Puts) + len(transaction.Deletes)
 }
 
 func runAll(functions []func()) {
@@ -144,13 +231,16 @@
 	return size
 }
 
-func (c *Conductor) sendTransaction(transaction connector.Transaction, after []func()) {
+func (c *Conductor) sendTransaction(lane int, f *flight, transaction connector.Transaction) {
 	sentAt := c.Clock.Now()
-	outcome, err := c.Journal.Commit(c.ctx, transaction)
-	c.Counts.Committed(c.Clock.Since(sentAt), len(transaction.Puts)+len(transaction.Deletes))
+	outcome, err := c.Journals[lane].Commit(c.ctx, transaction)
+	c.Counts.Committed(c.Clock.Since(sentAt), rows(&transaction))
 	c.post(func() {
-		c.journal.inFlight = false
+		c.journal.lanes[lane], c.journal.exclusive = nil, false
 		c.journal.usual += (c.now.Sub(sentAt) - c.journal.usual) / usualWeight
+		for _, j := range f.jobs {
+			j.inFlight = false
+		}
 		switch {
 		case err != nil:
 			// The writer tries until the conductor ends, so only that can have been the reason.
@@ -158,7 +248,10 @@
 		case !outcome.Committed:
 			c.depose("the owner's row has changed")
 		default:
-			runAll(after)
+			runAll(f.after)
+			for _, b := range f.barriers {
+				b.pass()
+			}
 		}
 	})
 }
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -387,7 +387,7 @@
 	c, stop := conductor.Start(conductor.Claim{Cell: "cell", Fence: fence, Row: "owners/cell/owner", Version: version, First: fence == 1},
 		conductor.Settings{Lease: testLease, LongestLease: 2 * testLease, KeepStates: time.Minute, MostOpen: w.mostOpen},
 		conductor.Dependencies{
-			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Workers: w, Advisors: w, Journal: w, Rows: w, Book: w.book,
+			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Workers: w, Advisors: w, Journals: []conductor.Journal{w, w, w}, Rows: w, Book: w.book,
 			Confirmed: func() bool { return true }, Deposed: func() {}, Counts: conductor.NewCounts(),
 		})
 	c.SetWorkers(listed, nil, true)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -345,9 +345,17 @@
 
 func (e *UndecidedError) Unwrap() error { return e.Err }
 
-// newWriter returns a journal for one ownership.
-func (d *Director) newWriter(c *cell, fence int64) *committer.Writer {
-	return committer.NewWriter(d.store, c.name+"/"+d.run+"."+strconv.FormatInt(fence, 10), d.Clock)
+// lanes is how many transactions of one owner may be in flight while the store is slow.
+const lanes = 4
+
+// newWriters returns the journals for one ownership.
+func (d *Director) newWriters(c *cell, fence int64) []conductor.Journal {
+	journals := make([]conductor.Journal, lanes)
+	for lane := range journals {
+		name := fmt.Sprintf("%s/%s.%d.%d", c.name, d.run, fence, lane)
+		journals[lane] = committer.NewWriter(d.store, name, d.Clock)
+	}
+	return journals
 }
 
 // servedPeers are the peers that the store answers, those of the same region first.
--- a/internal/director/ownership.go
+++ b/internal/director/ownership.go
@@ -146,7 +146,7 @@
 		Log:       d.Log,
 		Workers:   d.Workers,
 		Advisors:  d,
-		Journal:   d.newWriter(c, claim.Fence),
+		Journals:  d.newWriters(c, claim.Fence),
 		Rows:      d.store,
 		Book:      d.book,
 		Confirmed: d.confirmed,
