A leaving owner says so, or refuses while the store is silent

Cause: a submission that reached an owner which was leaving was answered with "another owner", which the router had to take for a doubt: the caller got 504 and could not come back. Also, one long transaction raised the silence from which callers are refused to three times its length.

Change: an owner that has not taken a call in says so, and refuses at once while the store does not answer; silence counts from 1.2 s on, whatever transactions took before.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -93,6 +93,11 @@
 
 func (e *NotOwnerError) Error() string { return "cell " + e.Cell + " has another owner" }
 
+// LeftError tells that the owner is leaving the cell, or has left it: the call was not taken in.
+type LeftError struct{ Cell string }
+
+func (e *LeftError) Error() string { return "the owner of cell " + e.Cell + " has left it" }
+
 // UnknownJobError tells that there is no such job.
 type UnknownJobError struct{ ID string }
 
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -297,6 +297,43 @@
 	})
 }
 
+// TestLeavingOwnerTurnsCallersAway: what an owner that leaves has not taken in goes to its successor. If the
+// store is silent there is none, and callers are told at once.
+func TestLeavingOwnerTurnsCallersAway(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 2)
+			c, stop := w.own(1)
+			defer stop()
+			pass(time.Second)
+			stuck := make(chan struct{})
+			w.set(func() { w.stuck = stuck })
+			go func() { _, _ = c.Submit(t.Context(), job("sent", "plain", step(1, 1000))) }()
+			if silent {
+				pass(time.Second)
+			} else {
+				pass(50 * time.Millisecond)
+			}
+			left := make(chan error, 1)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			go func() { left <- c.Leave(ctx) }()
+			pass(50 * time.Millisecond)
+			_, err := c.Submit(t.Context(), job("late", "plain", step(1, 1000)))
+			var refused *conductor.RefusedError
+			var elsewhere *conductor.LeftError
+			if errors.As(err, &refused) != silent || errors.As(err, &elsewhere) == silent {
+				t.Errorf("silent store %t: a submission got %v", silent, err)
+			}
+			close(stuck)
+			<-left
+			if _, err := c.Submit(t.Context(), job("later", "plain", step(1, 1000))); !errors.As(err, &elsewhere) {
+				t.Errorf("after the owner has left: %v", err)
+			}
+		})
+	}
+}
+
 func TestCancelStopsWhatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -97,7 +97,7 @@
 		c.waiting = append(c.waiting, func() { function(reply) })
 	})
 	if !posted {
-		return &NotOwnerError{Cell: c.claim.Cell}
+		return &LeftError{Cell: c.claim.Cell}
 	}
 	select {
 	case err := <-answers:
@@ -119,7 +119,7 @@
 			return
 		}
 		if c.leaving {
-			reply(&NotOwnerError{Cell: c.claim.Cell})
+			reply(c.turnAway())
 			return
 		}
 		if refusal := c.admit(definition); refusal != nil {
@@ -132,6 +132,15 @@
 	return outcome, err
 }
 
+// turnAway answers a submission while the owner leaves: there is a successor in a moment, unless the store
+// that decides who that is does not answer.
+func (c *Conductor) turnAway() error {
+	if refusal := c.storeRefusal(); refusal != nil {
+		return refusal
+	}
+	return &LeftError{Cell: c.claim.Cell}
+}
+
 // repeat answers a submission of a job that is known: it remains one job.
 func (c *Conductor) repeat(j *job, outcome *Outcome, reply func(error)) {
 	outcome.Known = true
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -81,6 +81,9 @@
 	// given stalledFactor times what is usual.
 	stalledAfter  = 400 * time.Millisecond
 	stalledFactor = 3
+	// stalledAtMost bounds that: an outage makes transactions long too, and callers who are told after
+	// half of their time can come back.
+	stalledAtMost = 1200 * time.Millisecond
 	// storeBack and storeSpread give the time after which callers are asked to come back: the
 	// store's usual outages take some seconds, and callers must not come all at once.
 	storeBack   = 900 * time.Millisecond
@@ -90,7 +93,7 @@
 // storeRefusal returns why nothing can be accepted now, or nil: the store does not answer.
 func (c *Conductor) storeRefusal() *RefusedError {
 	oldest, _, count := c.journal.inFlight()
-	if count == 0 || c.now.Sub(oldest) < max(stalledAfter, stalledFactor*c.journal.usual) {
+	if count == 0 || c.now.Sub(oldest) < min(max(stalledAfter, stalledFactor*c.journal.usual), stalledAtMost) {
 		return nil
 	}
 	return &RefusedError{
--- a/internal/director/calls.go
+++ b/internal/director/calls.go
@@ -119,7 +119,8 @@
 	var noOwner *NoOwnerError
 	var notOwner *notOwnerError
 	var noLink *mesher.NoLinkError
-	return errors.As(err, &noOwner) || errors.As(err, &notOwner) || errors.As(err, &noLink)
+	var left *conductor.LeftError
+	return errors.As(err, &left) || errors.As(err, &noOwner) || errors.As(err, &notOwner) || errors.As(err, &noLink)
 }
 
 // notOwnerError tells that a peer was asked that does not own the cell.
@@ -241,6 +242,7 @@
 	reply := &messenger.Reply{Reason: err.Error(), Error: messenger.ErrorKind_ERROR_KIND_UNDECIDED}
 	var refused *conductor.RefusedError
 	var elsewhere *notOwnerError
+	var left *conductor.LeftError
 	var bad *badCallError
 	switch {
 	case errors.As(err, &refused):
@@ -249,7 +251,7 @@
 		if refused.Unavailable {
 			reply.Refusal = unavailable
 		}
-	case errors.As(err, &elsewhere):
+	case errors.As(err, &elsewhere), errors.As(err, &left):
 		reply.Error = messenger.ErrorKind_ERROR_KIND_NOT_OWNER
 	case errors.As(err, &bad):
 		reply.Error = messenger.ErrorKind_ERROR_KIND_BAD_CALL
