Gangs learn their workers early and hold some of them while they look on

Change: a gang names three times the places that it needs; the good workers that it knows are held for it while it asks about others, a tenth of all workers at most for all gangs.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -166,6 +166,8 @@
 	// every are the indexes of all sites, list those that may be named to the advisor.
 	every []int
 	list  *nominator.List
+	// held counts the sites held for gangs in this round.
+	held int
 	// mostFree is the most free processors of a site at the beginning of the round.
 	mostFree modeler.Processors
 }
@@ -208,6 +210,10 @@
 
 // post hands a message to the control goroutine. It reports false when that has ended.
 func (c *Conductor) post(message func()) bool {
+	if c.ctx.Err() != nil {
+		// The mailbox may have room, but nobody reads it any more.
+		return false
+	}
 	select {
 	case c.mailbox <- message:
 		return true
--- a/internal/conductor/gangs.go
+++ b/internal/conductor/gangs.go
@@ -23,11 +23,9 @@
 	}
 	chosen := c.together(s, known)
 	if len(chosen) == 0 {
-		if c.unexplored(s) {
-			return false
-		}
+		explored := !c.unexplored(s)
 		c.keepRoom(s, known)
-		return true
+		return explored
 	}
 	s.kept = make(map[string]int)
 	for _, site := range chosen {
--- a/internal/conductor/rooms.go
+++ b/internal/conductor/rooms.go
@@ -82,6 +82,10 @@
 // all of its places.
 const shortWork = time.Second
 
+// heldShare is the inverse of the share of workers that is held for gangs at most. Work of lower priority
+// needs the others.
+const heldShare = 10
+
 // keepRoom holds the good workers with the most room for a gang, as many as it needs when they are
 // empty.
 func (c *Conductor) keepRoom(s *step, known []int) {
@@ -90,10 +94,13 @@
 	})
 	needed := len(s.tasks)
 	for _, site := range known {
-		if needed <= 0 {
+		if needed <= 0 || c.held >= len(c.sites)/heldShare {
 			return
 		}
 		needed -= packer.Count(c.sites[site].Capacity, s.def.Reserved(), s.def.MostPerWorker)
-		c.sites[site].Held = true
+		if !c.sites[site].Held {
+			c.sites[site].Held = true
+			c.held++
+		}
 	}
 }
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -158,7 +158,7 @@
 		}
 	}
 	slices.SortFunc(c.sites, func(a, b packer.Site) int { return strings.Compare(a.Worker, b.Worker) })
-	c.mostFree = 0
+	c.mostFree, c.held = 0, 0
 	asked := make([]modeler.Processors, len(c.sites))
 	for i := range c.sites {
 		w := c.workers[c.sites[i].Worker]
--- a/internal/nominator/nominator.go
+++ b/internal/nominator/nominator.go
@@ -25,8 +25,11 @@
 const (
 	// MostNamed is how many workers one call may name.
 	MostNamed = 100
-	// spareFactor is how many more places are sought than the tasks need.
+	// spareFactor is how many more places are sought than the tasks need, gangFactor how many more than a
+	// gang needs: its room must be there all at once, and which workers are good is worth knowing before
+	// that.
 	spareFactor = 1.6
+	gangFactor  = 3
 	// mostSought bounds the tasks of a step that is no gang: they can start one by one as room comes
 	// free.
 	mostSought = 16
@@ -94,10 +97,11 @@
 // are asked for counts from now on.
 func (l *List) Nominate(ask Ask) (named []int, places float64) {
 	n := nomination{list: l, ask: &ask, needs: ask.Step.Reserved(), wanted: float64(ask.Tasks)}
-	if !ask.Step.Gang {
-		n.wanted = min(n.wanted, mostSought)
+	if ask.Step.Gang {
+		n.wanted *= gangFactor
+	} else {
+		n.wanted = min(n.wanted, mostSought) * spareFactor
 	}
-	n.wanted *= spareFactor
 	sought := n.wanted
 	for _, site := range ask.Good {
 		n.take(site, 1, 0)
