Tests of a slow store and of room that is asked about

The world now finds two transactions at once that write one row. A quick task finds the room that it asked about; without kept room the test fails.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,6 +147,30 @@
 	})
 }
 
+// TestRoomThatIsAskedAboutIsKept: work that came later and needs no advice does not take the room that a
+// quick task has asked the advisor about.
+func TestRoomThatIsAskedAboutIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.run = func(start *orderer.Start, _ string) (time.Duration, stepper.Ending) {
+			if start.Task.Job == "quick" {
+				return 300 * time.Millisecond, stepper.Done
+			}
+			return 5 * time.Second, stepper.Done
+		}
+		w.decides = 300 * time.Millisecond
+		c, stop := w.own(1)
+		defer stop()
+		submit(t, c, job("before", "plain", step(3, 1000)))
+		pass(100 * time.Millisecond)
+		submit(t, c, job("quick", "advised", step(1, 1000)))
+		pass(100 * time.Millisecond)
+		submit(t, c, job("after", "plain", step(1, 1000)))
+		pass(900 * time.Millisecond)
+		wantState(t, c, "quick", stepper.Completed)
+	})
+}
+
 func TestFailuresCountAndEndTheJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
@@ -258,6 +284,39 @@
 	})
 }
 
+// TestSlowStoreCarriesTheLoad: each transaction takes 0.4 s and holds some forty jobs, while fifty arrive
+// and start each second. One transaction at a time would fall behind by half of them.
+func TestSlowStoreCarriesTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 40)
+		c, stop := w.own(1)
+		defer stop()
+		pass(time.Second)
+		w.set(func() { w.takes = 400 * time.Millisecond })
+		var group sync.WaitGroup
+		var late atomic.Int64
+		for i := range 200 {
+			group.Go(func() {
+				began := time.Now()
+				_, err := c.Submit(t.Context(), job(fmt.Sprintf("job-%d", i), "plain", step(2, 1000)))
+				// The first seconds teach the owner that the store is slow.
+				if i > 100 && (err != nil || time.Since(began) > 900*time.Millisecond) {
+					late.Add(1)
+				}
+			})
+			pass(20 * time.Millisecond)
+		}
+		group.Wait()
+		pass(10 * time.Second)
+		w.set(func() {
+			if late.Load() > 0 || w.most < 2 {
+				t.Errorf("%d of the last 99 jobs were accepted late; %d transactions at once at the most", late.Load(), w.most)
+			}
+		})
+		wantState(t, c, "job-199", stepper.Completed)
+	})
+}
+
 // TestStalledStoreRefusesAtOnce: what arrives while the store does not answer is told so soon, and
 // what is told so never runs.
 func TestStalledStoreRefusesAtOnce(t *testing.T) {
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -28,6 +28,12 @@
 	rows    map[string]connector.Row
 	version int64
 	stuck   chan struct{}
+	// takes is how long a transaction takes; written are the rows of those under way, and most is how
+	// many were at once.
+	takes   time.Duration
+	written map[string]bool
+	flights int
+	most    int
 
 	workers map[string]*fakeWorker
 	// good tells which workers the advisor allows; nil allows all.
@@ -81,7 +87,7 @@
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{
-		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{}, mostOpen: 1000,
+		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{}, mostOpen: 1000, takes: 10 * time.Millisecond, written: make(map[string]bool),
 		starts: make(map[stepper.TaskKey][]int), paced: make(map[stepper.TaskKey]int), gauge: make(map[stepper.TaskKey]int),
 		run: func(*orderer.Start, string) (time.Duration, stepper.Ending) {
 			return time.Second, stepper.Done
@@ -122,9 +128,11 @@
 			return connector.Outcome{}, &connector.UnreachableError{Err: ctx.Err()}
 		}
 	}
-	pass(10 * time.Millisecond)
+	w.begin(transaction)
+	pass(w.takes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.finish(transaction)
 	for _, condition := range transaction.Preconditions {
 		if row := w.rows[condition.Key]; row.Version != condition.Version {
 			return connector.Outcome{Conflicts: []connector.Row{row}}, nil
@@ -140,6 +148,36 @@
 	return connector.Outcome{Committed: true, Version: w.version}, nil
 }
 
+// begin notes which rows a transaction writes. Two at once that write the same row could take effect in
+// either order.
+func (w *world) begin(transaction connector.Transaction) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, key := range keys(transaction) {
+		if w.written[key] {
+			w.t.Errorf("row %s is in two transactions at once", key)
+		}
+		w.written[key] = true
+	}
+	w.flights++
+	w.most = max(w.most, w.flights)
+}
+
+func (w *world) finish(transaction connector.Transaction) {
+	for _, key := range keys(transaction) {
+		delete(w.written, key)
+	}
+	w.flights--
+}
+
+func keys(transaction connector.Transaction) []string {
+	all := slices.Clone(transaction.Deletes)
+	for _, put := range transaction.Puts {
+		all = append(all, put.Key)
+	}
+	return all
+}
+
 // Commit makes the world a journal.
 func (w *world) Commit(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
 	return w.Transact(ctx, transaction)
