--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"io"
+	"os"
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/demonstrator"
+	"dotterelpost.example/dotterelpost/internal/rehearser"
 )
 
 // clock is the real one: the command line is where the process meets the world.
@@ -34,6 +36,7 @@
 		{"report", "show waiting time, packing and control cost", "Shows the three measures as the asked instance sees them.", &reportCommand{}},
 		{"settings", "check settings files", "Checks settings before an instance is started with them.", &settingsCommand{}},
 		{"load", "measure with bounded load", "Sends quick requests at a steady rate and writes percentiles of their times.", &loadCommand{}},
+		{"rehearse", "play a day on the platform's protocol in one process", "Runs a stand-in of the users' platform and real instances against it in one process, with the load and the troubles of a plan, and checks the promises from outside.", &rehearseCommand{}},
 		{"demo", "run the whole system in one process", "Runs the stand-in platform and three entry instances in one process, with both users' work and faults on the way, and checks the promises.", &demoCommand{}},
 	} {
 		if _, err := parser.AddCommand(e.name, e.short, e.long, e.data); err != nil {
@@ -59,6 +62,45 @@
 	return nil
 }
 
+type rehearseCommand struct {
+	unused
+	Plan string `long:"plan" default:"examples/rehearsal/day.json" description:"file with the load and the troubles"`
+	JSON bool   `long:"json" description:"write the report as JSON"`
+	Log  string `long:"log" description:"write the instances' logs to this file"`
+}
+
+func (c *rehearseCommand) run(s *session) error {
+	text, err := os.ReadFile(c.Plan)
+	if err != nil {
+		return &InputError{Reason: err.Error(), Right: "give --plan; examples/rehearsal has plans"}
+	}
+	plan, err := rehearser.ParsePlan(c.Plan, text)
+	if err != nil {
+		return &InputError{Reason: err.Error(), Right: "see examples/rehearsal"}
+	}
+	log, closeLog, err := fileLogger(c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	report, err := rehearser.Run(s.ctx, rehearser.Options{Plan: plan, Clock: clock, Log: log, Progress: s.errs})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = writeIndented(s.out, report)
+	} else {
+		err = report.Write(s.out)
+	}
+	if err != nil {
+		return err
+	}
+	if !report.Held() {
+		return &NegativeError{Reason: "not every promise held"}
+	}
+	return nil
+}
+
 type demoCommand struct {
 	unused
 	Seed uint64 `long:"seed" default:"1" description:"seed of all random choices"`
--- /dev/null
+++ b/internal/rehearser/rehearser_test.go
@@ -0,0 +1,79 @@
+package rehearser_test
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/rehearser"
+)
+
+func TestExamplePlansAreSound(t *testing.T) {
+	files, err := filepath.Glob("../../examples/rehearsal/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%d plans, %v", len(files), err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := rehearser.ParsePlan(file, text); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestFaultsOfAPlanNameTheirPlace(t *testing.T) {
+	const sound = `{"length":"1s","instances":1,"workers":1,"processors":4,"work":"10ms","queues":[{"name":"q","per-second":1,"steps":[{"tasks":1,"processors":1}]}],"troubles":[]}`
+	for name, test := range map[string]struct{ from, to, want string }{
+		"sound":           {"", "", ""},
+		"unknown trouble": {`"troubles":[]`, `"troubles":[{"kind":"flood","at":"1s"}]`, "$.troubles[0].kind"},
+		"no steps":        {`"steps":[{"tasks":1,"processors":1}]`, `"steps":[]`, "$.queues[0].steps"},
+		"unknown field":   {`"length"`, `"colour":1,"length"`, "colour"},
+		"bad duration":    {`"1s"`, `"soon"`, "$.length"},
+		"too many tasks":  {`"tasks":1`, `"tasks":1e9`, "$.queues[0].steps[0].tasks"},
+		"cut short":       {`"troubles":[]}`, `"troubles":[`, "$"},
+	} {
+		_, err := rehearser.ParsePlan("plan.json", []byte(strings.Replace(sound, test.from, test.to, 1)))
+		if (err == nil) != (test.want == "") || err != nil && !strings.Contains(err.Error(), test.want) {
+			t.Errorf("%s: got %v, want a fault at %q", name, err, test.want)
+		}
+	}
+}
+
+// TestPromisesHoldThroughADay plays a short day with an owner's end, lost answers and a silent store.
+func TestPromisesHoldThroughADay(t *testing.T) {
+	second := modeler.Duration(time.Second)
+	plan := &rehearser.Plan{
+		Seed: 1, Length: 3 * second, Instances: 2, Workers: 4, Processors: 8000, Work: second / 20,
+		Queues: []rehearser.Queue{
+			{Name: "quick", PerSecond: 15, Advised: true, Steps: []rehearser.Step{{Tasks: 2, Processors: 1000}}},
+			{Name: "gangs", PerSecond: 3, Steps: []rehearser.Step{{Tasks: 1, Processors: 1000}, {Tasks: 3, Processors: 2000, Gang: true}}},
+		},
+		Troubles: []rehearser.Trouble{
+			{Kind: rehearser.KillOwner, At: second / 2, For: second / 2},
+			{Kind: rehearser.StoreLost, At: second, For: second / 5},
+			{Kind: rehearser.WorkerMute, At: second, For: second / 2},
+			{Kind: rehearser.HistoryForgotten, At: 3 * second / 2},
+			{Kind: rehearser.StoreSilent, At: 2 * second, For: second / 2},
+		},
+	}
+	report, err := rehearser.Run(t.Context(), rehearser.Options{Plan: plan, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Progress: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, failure := range report.Failures {
+		t.Error(failure)
+	}
+	if report.Completed == 0 {
+		t.Error("no job was completed")
+	}
+}
