--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -70,13 +70,9 @@
 }
 
 func (c *rehearseCommand) run(s *session) error {
-	text, err := os.ReadFile(c.Plan)
+	plan, err := readPlan(c.Plan)
 	if err != nil {
-		return &InputError{Reason: err.Error(), Right: "give --plan; examples/rehearsal has plans"}
-	}
-	plan, err := rehearser.ParsePlan(c.Plan, text)
-	if err != nil {
-		return &InputError{Reason: err.Error(), Right: "see examples/rehearsal"}
+		return err
 	}
 	log, closeLog, err := fileLogger(c.Log)
 	if err != nil {
@@ -101,6 +97,14 @@
 	return nil
 }
 
+func readPlan(file string) (*rehearser.Plan, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &InputError{Reason: err.Error(), Right: "give --plan; examples/rehearsal has plans"}
+	}
+	return rehearser.ParsePlan(file, text)
+}
+
 type demoCommand struct {
 	unused
 	Seed uint64 `long:"seed" default:"1" description:"seed of all random choices"`
--- a/internal/commander/servers.go
+++ b/internal/commander/servers.go
@@ -12,6 +12,7 @@
 	"dotterelpost.example/dotterelpost/internal/configurer"
 	"dotterelpost.example/dotterelpost/internal/imitator"
 	"dotterelpost.example/dotterelpost/internal/server"
+	"dotterelpost.example/dotterelpost/platform"
 )
 
 // shutdownTimeout bounds a graceful shutdown. What is open then is cut off, and a peer takes the
@@ -24,20 +25,37 @@
 
 type settingsCheckCommand struct {
 	unused
-	Kind string       `long:"kind" choice:"instance" choice:"stand-in" default:"instance" description:"what the settings are for"`
+	Kind string       `long:"kind" choice:"instance" choice:"stand-in" choice:"attend" choice:"plan" default:"instance" description:"what the settings are for"`
 	JSON bool         `long:"json" description:"write JSON"`
 	Args fileArgument `positional-args:"yes"`
 }
 
 func (c *settingsCheckCommand) run(s *session) error {
-	if c.Kind == "stand-in" {
+	if err := c.check(); err != nil {
+		return err
+	}
+	return say(s, c.JSON, CheckResult{File: c.Args.File, Checked: c.Kind}, "%s: no faults\n", c.Args.File)
+}
+
+// check reads the file as the command does that uses it.
+func (c *settingsCheckCommand) check() error {
+	switch c.Kind {
+	case "stand-in":
 		if _, faults := configurer.ReadPlatform(c.Args.File); len(faults) > 0 {
 			return faults
 		}
-	} else if _, _, err := readInstance(c.Args.File); err != nil {
+	case "attend":
+		if _, err := platform.ReadSettings(c.Args.File); err != nil {
+			return &InputError{Reason: err.Error(), Right: "see docs/OPERATIONS.md"}
+		}
+	case "plan":
+		_, err := readPlan(c.Args.File)
+		return err
+	default:
+		_, _, err := readInstance(c.Args.File)
 		return err
 	}
-	return say(s, c.JSON, CheckResult{File: c.Args.File, Checked: c.Kind}, "%s: no faults\n", c.Args.File)
+	return nil
 }
 
 func readInstance(file string) (configurer.Instance, configurer.Secrets, error) {
--- a/internal/rehearser/callers.go
+++ b/internal/rehearser/callers.go
@@ -53,6 +53,7 @@
 		answer, after := s.caller.Submit(context.WithoutCancel(ctx), at, queue.Name, id, queue.steps(time.Duration(s.Plan.Work)))
 		s.record.answered(id, answer, s.Clock.Since(sentAt))
 		if answer == standin.Accepted {
+			s.follow(ctx, queue, id, random)
 			return
 		}
 		if !s.pause(ctx, max(after, tryAgain)) {
@@ -61,6 +62,35 @@
 	}
 }
 
+// follow asks for a job's state until that does not change any more: final states are kept for a while
+// only.
+func (s *stage) follow(ctx context.Context, queue *Queue, id string, random *rand.Rand) {
+	for s.pause(ctx, lookEvery) {
+		if s.look(ctx, queue.Name, id, random) {
+			return
+		}
+	}
+}
+
+// look asks any instance for the state of a job, and reports whether that is final.
+func (s *stage) look(ctx context.Context, queue, id string, random *rand.Rand) bool {
+	at, up := s.anyInstance(random)
+	if !up {
+		return false
+	}
+	state, answer := s.caller.State(ctx, at, queue, id)
+	switch answer {
+	case standin.Accepted:
+		s.record.shown(id, state, s.platform.Log())
+		return state.Final()
+	case standin.NoSuchJob:
+		s.record.lost(id)
+		return true
+	case standin.Undecided, standin.NotAccepted, standin.NoSuchQueue, standin.BadRequest:
+	}
+	return false
+}
+
 // settle waits until all accepted jobs are shown as completed, or the time is over.
 func (s *stage) settle(ctx context.Context) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, settleFor)
@@ -71,17 +101,7 @@
 			return nil
 		}
 		for _, job := range open {
-			at, up := s.anyInstance(s.random)
-			if !up {
-				break
-			}
-			state, answer := s.caller.State(ctx, at, job.queue.Name, job.id)
-			if answer == standin.Accepted {
-				s.record.shown(job.id, state, s.platform.Log())
-			}
-			if answer == standin.NoSuchJob {
-				s.record.lost(job.id)
-			}
+			s.look(ctx, job.queue.Name, job.id, s.random)
 		}
 		if !s.pause(ctx, lookEvery) {
 			// What is open now is named in the report.
