--- a/internal/conductor/gangs.go
+++ b/internal/conductor/gangs.go
@@ -24,7 +24,7 @@
 	chosen := c.together(s, known)
 	if len(chosen) == 0 {
 		explored := !c.unexplored(s)
-		c.keepRoom(s, known)
+		c.holdWorkers(s, known)
 		return explored
 	}
 	s.kept = make(map[string]int)
--- a/internal/conductor/rooms.go
+++ b/internal/conductor/rooms.go
@@ -30,7 +30,7 @@
 		if !c.keeps(s) {
 			s.kept = nil
 		}
-		c.take(s)
+		c.takeKept(s)
 	}
 }
 
@@ -43,9 +43,9 @@
 	return s.asking || s.def.Gang && c.holdsTickets(s)
 }
 
-// take takes the room that a step keeps out of the survey. Whatever came to lack room meanwhile is not
+// takeKept takes the room that a step keeps out of the survey. Whatever came to lack room meanwhile is not
 // kept.
-func (c *Conductor) take(s *step) {
+func (c *Conductor) takeKept(s *step) {
 	if s.kept == nil {
 		return
 	}
@@ -59,8 +59,8 @@
 	}
 }
 
-// giveBack puts the room that a gang keeps back into the survey: it is its turn.
-func (c *Conductor) giveBack(s *step) {
+// giveBackKept puts the room that a step keeps back into the survey: it is its turn.
+func (c *Conductor) giveBackKept(s *step) {
 	for id, count := range s.taken {
 		site := &c.sites[c.workers[id].site]
 		site.Free = site.Free.Plus(s.def.Reserved().Times(count))
@@ -78,17 +78,18 @@
 	return false
 }
 
-// shortWork is how long a task may take that uses room kept for a gang: it is over before the gang has
-// all of its places.
-const shortWork = time.Second
-
-// heldShare is the inverse of the share of workers that is held for gangs at most. Work of lower priority
-// needs the others.
-const heldShare = 10
+const (
+	// shortWork is how long a task may take that uses workers held for a gang: it is over before the gang
+	// has all of its places.
+	shortWork = time.Second
+	// heldShare is the inverse of the share of workers that is held for gangs at most. Work of lower
+	// priority needs the others.
+	heldShare = 10
+)
 
-// keepRoom holds the good workers with the most room for a gang, as many as it needs when they are
+// holdWorkers holds the good workers with the most room for a gang, as many as it needs when they are
 // empty.
-func (c *Conductor) keepRoom(s *step, known []int) {
+func (c *Conductor) holdWorkers(s *step, known []int) {
 	slices.SortStableFunc(known, func(a, b int) int {
 		return cmp.Compare(c.sites[b].Free.Processors, c.sites[a].Free.Processors)
 	})
--- a/internal/conductor/round.go
+++ b/internal/conductor/round.go
@@ -133,11 +133,11 @@
 	}
 	c.survey()
 	for _, s := range c.ranked() {
-		c.giveBack(s)
+		c.giveBackKept(s)
 		if s.def.Reserved().Processors <= c.mostFree {
 			c.tryStep(s)
 		}
-		c.take(s)
+		c.takeKept(s)
 	}
 	c.sites = c.sites[:0]
 	ended := c.Clock.Now()
