--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -62,6 +62,27 @@
 	return nil
 }
 
+// verdict is a report on promises.
+type verdict interface {
+	Write(out io.Writer) error
+	Held() bool
+}
+
+// writeVerdict writes a report. The error is a *NegativeError if a promise did not hold.
+func writeVerdict(s *session, asJSON bool, report verdict) error {
+	write := report.Write
+	if asJSON {
+		write = func(out io.Writer) error { return writeIndented(out, report) }
+	}
+	if err := write(s.out); err != nil {
+		return err
+	}
+	if !report.Held() {
+		return &NegativeError{Reason: "not every promise held"}
+	}
+	return nil
+}
+
 type rehearseCommand struct {
 	unused
 	Plan string `long:"plan" default:"examples/rehearsal/day.json" description:"file with the load and the troubles"`
@@ -83,18 +104,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		err = writeIndented(s.out, report)
-	} else {
-		err = report.Write(s.out)
-	}
-	if err != nil {
-		return err
-	}
-	if !report.Held() {
-		return &NegativeError{Reason: "not every promise held"}
-	}
-	return nil
+	return writeVerdict(s, c.JSON, report)
 }
 
 func readPlan(file string) (*rehearser.Plan, error) {
@@ -122,16 +132,5 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		err = writeIndented(s.out, report)
-	} else {
-		err = report.Write(s.out)
-	}
-	if err != nil {
-		return err
-	}
-	if !report.Held() {
-		return &NegativeError{Reason: "not every promise held"}
-	}
-	return nil
+	return writeVerdict(s, c.JSON, report)
 }
