Jobs are forgotten after what is urgent while the store is slow

Cause: found by reading. Rows of forgotten jobs are removed with nothing else in flight, which would have kept a slow store at one transaction at a time whenever one had room for them. The test of a slow store now forgets jobs meanwhile; it passes with and without the change, as full transactions leave no room.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -289,9 +289,15 @@
 func TestSlowStoreCarriesTheLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 40)
+		w.keepStates = time.Second
 		c, stop := w.own(1)
 		defer stop()
-		pass(time.Second)
+		// These are forgotten while the store is slow.
+		for i := range 300 {
+			submit(t, c, job(fmt.Sprintf("before-%d", i), "plain", step(1, 1000)))
+			pass(20 * time.Millisecond)
+		}
+		pass(7 * time.Second)
 		w.set(func() { w.takes = 400 * time.Millisecond })
 		var group sync.WaitGroup
 		var late atomic.Int64
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -186,7 +186,9 @@
 	}
 	clear(c.journal.dirty[len(kept):])
 	c.journal.dirty = kept
-	if _, _, others := c.journal.inFlight(); others == 0 {
+	// While the store is slow, jobs are forgotten only when there is nothing else to write.
+	patient := c.journal.usual < slowStore || len(f.jobs) == 0
+	if _, _, others := c.journal.inFlight(); others == 0 && patient {
 		for len(c.journal.drops) > 0 && rows(&transaction) < mostRows {
 			transaction.Deletes = append(transaction.Deletes, progressKey(c.claim.Cell, c.journal.drops[0]))
 			c.journal.drops = c.journal.drops[1:]
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -41,6 +41,8 @@
 	calls []string
 	// mostOpen is how many jobs may be open.
 	mostOpen int
+	// keepStates is how long final states are kept.
+	keepStates time.Duration
 	// decides is added to how long the advisor takes.
 	decides time.Duration
 	book    *ruler.Book
@@ -87,7 +89,7 @@
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{
-		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{}, mostOpen: 1000, takes: 10 * time.Millisecond, written: make(map[string]bool),
+		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), book: &ruler.Book{}, mostOpen: 1000, keepStates: time.Minute, takes: 10 * time.Millisecond, written: make(map[string]bool),
 		starts: make(map[stepper.TaskKey][]int), paced: make(map[stepper.TaskKey]int), gauge: make(map[stepper.TaskKey]int),
 		run: func(*orderer.Start, string) (time.Duration, stepper.Ending) {
 			return time.Second, stepper.Done
@@ -423,7 +425,7 @@
 	}
 	w.mu.Unlock()
 	c, stop := conductor.Start(conductor.Claim{Cell: "cell", Fence: fence, Row: "owners/cell/owner", Version: version, First: fence == 1},
-		conductor.Settings{Lease: testLease, LongestLease: 2 * testLease, KeepStates: time.Minute, MostOpen: w.mostOpen},
+		conductor.Settings{Lease: testLease, LongestLease: 2 * testLease, KeepStates: w.keepStates, MostOpen: w.mostOpen},
 		conductor.Dependencies{
 			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Workers: w, Advisors: w, Journals: []conductor.Journal{w, w, w}, Rows: w, Book: w.book,
 			Confirmed: func() bool { return true }, Deposed: func() {}, Counts: conductor.NewCounts(),
