--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
-.PHONY: demo test check format lint generate bench soak end-to-end
+.PHONY: demo rehearse test check format lint generate bench soak end-to-end
 
 demo: ## run the whole system in one process
 	go run ./cmd/dotterelpost demo
 
+rehearse: ## play a day on the platform's protocol in one process
+	go run ./cmd/dotterelpost rehearse --plan examples/rehearsal/day.json
+
 test: ## run all tests
 	go test ./...
 
