A forgotten job that comes again is not removed with its old row

Cause: found by reading. Rows of forgotten jobs wait for their removal while something else is in flight. A job handed in again under such an ID meanwhile was put and removed by one transaction: accepted, run, and unknown to the next owner. Ruled out: a removal already in flight, which lets nothing beside it.

Change: accepting a job takes back the removal of its old row.

--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -284,6 +284,33 @@
 	})
 }
 
+// TestForgottenJobThatComesAgainIsStored: a job is handed in again under its ID while the row of its
+// forgotten self waits to be removed. The removal must not take the accepted job with it.
+func TestForgottenJobThatComesAgainIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.keepStates = time.Second
+		c, stop := w.own(1)
+		submit(t, c, job("again", "plain", step(1, 1000)))
+		// Its state is kept for the second and ten more.
+		pass(12 * time.Second)
+		stuck := make(chan struct{})
+		w.set(func() { w.stuck = stuck })
+		var group sync.WaitGroup
+		group.Go(func() { submit(t, c, job("before", "plain", step(1, 1000))) })
+		pass(250 * time.Millisecond)
+		group.Go(func() { submit(t, c, job("again", "plain", step(1, 1000))) })
+		pass(50 * time.Millisecond)
+		w.set(func() { close(stuck); w.stuck = nil })
+		group.Wait()
+		stop()
+		successor, stop := w.own(2)
+		defer stop()
+		pass(3 * time.Second)
+		wantState(t, successor, "again", stepper.Completed)
+	})
+}
+
 // TestSlowStoreCarriesTheLoad: each transaction takes 0.4 s and holds some forty jobs, while fifty arrive
 // and start each second. One transaction at a time would fall behind by half of them.
 func TestSlowStoreCarriesTheLoad(t *testing.T) {
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -161,6 +161,7 @@
 		callers:    []func(error){reply},
 		arrived:    c.now,
 	}
+	c.journal.keep(j.id)
 	c.jobs[j.id] = j
 	c.open++
 	c.touch(j, func() {
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -30,6 +30,13 @@
 	usual time.Duration
 }
 
+// keep takes back that the row of a forgotten job is to be removed: a job comes again under its ID.
+func (j *journal) keep(id string) {
+	if at := slices.Index(j.drops, id); at >= 0 {
+		j.drops = slices.Delete(j.drops, at, at+1)
+	}
+}
+
 // flight is a transaction under way.
 type flight struct {
 	jobs     []*job
