The probe of the store can't end while a call is being turned away

Cause: found by reading. The probe looked whether it was over, then said that it had ended; a call turned away between the two found it under way and began no other. The instance would have worked through peers, at a hop a call, until it heard of none. Ruled out: a test that shows it, as the window has no step that a test could hold.

Change: both sides look and write under one mutex.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -63,12 +63,12 @@
 	// directAt is when it last answered directly, anyAt when it last answered at all.
 	refusedAt, directAt, anyAt atomic.Int64
 	relaying                   atomic.Bool
-	// probing tells that the probe is under way that ends with the next direct answer.
-	probing atomic.Bool
-	ctx     context.Context
-	group   sync.WaitGroup
+	ctx                        context.Context
+	group                      sync.WaitGroup
 
 	mu sync.Mutex
+	// probing tells that the probe is under way that ends with the next direct answer.
+	probing bool
 	// failed are the peers through which a call had no answer, and when.
 	failed map[string]time.Time
 	trips  tripMeter
@@ -254,19 +254,30 @@
 
 // turnedAway takes in that a direct call failed, and sees to it that the direct way is probed.
 func (r *Relayer) turnedAway() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.refusedAt.Store(r.elapsed())
-	if r.ctx.Err() == nil && r.probing.CompareAndSwap(false, true) {
+	if r.ctx.Err() == nil && !r.probing {
+		r.probing = true
 		r.group.Go(r.probe)
 	}
 }
 
+// probeOver tells whether the probe is to end: the store has answered directly. It looks under the mutex,
+// so that a call that is turned away at this moment finds the probe under way or begins another.
+func (r *Relayer) probeOver() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probing = r.ctx.Err() == nil && r.refusedAt.Load() != notRefused
+	return !r.probing
+}
+
 // probe reads a row directly until that succeeds.
 func (r *Relayer) probe() {
-	defer r.probing.Store(false)
-	for r.refusedAt.Load() != notRefused {
+	for !r.probeOver() {
 		select {
 		case <-r.ctx.Done():
-			return
+			continue
 		case <-r.Clock.After(probeEvery):
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
