--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -459,3 +459,18 @@
 func job(id, queue string, steps ...stepper.Step) *stepper.Job {
 	return &stepper.Job{ID: id, Queue: queue, Steps: steps}
 }
+
+func submit(t *testing.T, c *conductor.Conductor, j *stepper.Job) {
+	t.Helper()
+	if _, err := c.Submit(t.Context(), j); err != nil {
+		t.Fatalf("submit %s: %v", j.ID, err)
+	}
+}
+
+func wantState(t *testing.T, c *conductor.Conductor, id string, want stepper.State) {
+	t.Helper()
+	state, err := c.State(t.Context(), id)
+	if err != nil || state != want {
+		t.Errorf("state of %s is %q, %v; want %q", id, state, err, want)
+	}
+}
