When to send beside a slow store, and when it counts as silent, in a package of their own

Cause: both decisions stood between the control goroutine's calls and could be tested only through whole worlds; conductor has 2,800 lines. Ruled out: moving the rows too, which are the jobs' own.

Change: package pipeliner, pure, with replays of a usual store, a slow one and an outage. No decision changes.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"dotterelpost.example/dotterelpost/internal/nominator"
 	"dotterelpost.example/dotterelpost/internal/orderer"
 	"dotterelpost.example/dotterelpost/internal/packer"
+	"dotterelpost.example/dotterelpost/internal/pipeliner"
 	"dotterelpost.example/dotterelpost/internal/ruler"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
@@ -194,6 +195,7 @@
 	c.now = c.claimedAt
 	c.random = rand.New(rand.NewPCG(uint64(claim.Fence), uint64(c.claimedAt.UnixNano())))
 	c.advice.init()
+	c.journal.lanes, c.journal.flights = pipeliner.New(len(c.Journals)), make([]*flight, len(c.Journals))
 	c.group.Go(c.recover)
 	go c.run()
 	return c, c.stop
--- a/internal/conductor/journal.go
+++ b/internal/conductor/journal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/pipeliner"
 	"dotterelpost.example/dotterelpost/internal/stepper"
 )
 
@@ -23,11 +24,10 @@
 	// drops are final jobs that nobody may ask for any more. While they are being removed nothing else
 	// is in flight: a job may be handed in again under the same ID.
 	drops []string
-	// lanes are what is in flight, nil where nothing is.
-	lanes     []*flight
+	lanes *pipeliner.Lanes
+	// flights are what is in flight, by lane, nil where nothing is.
+	flights   []*flight
 	exclusive bool
-	// usual is how long transactions took lately.
-	usual time.Duration
 }
 
 // keep takes back that the row of a forgotten job is to be removed: a job comes again under its ID.
@@ -40,7 +40,6 @@
 // flight is a transaction under way.
 type flight struct {
 	jobs     []*job
-	sentAt   time.Time
 	after    []func()
 	barriers []*barrier
 }
@@ -57,40 +56,7 @@
 	}
 }
 
-// inFlight returns when the oldest transaction in flight was sent, when the latest was, and how many there
-// are.
-func (j *journal) inFlight() (oldest, youngest time.Time, count int) {
-	for _, f := range j.lanes {
-		if f == nil {
-			continue
-		}
-		if count == 0 || f.sentAt.Before(oldest) {
-			oldest = f.sentAt
-		}
-		if f.sentAt.After(youngest) {
-			youngest = f.sentAt
-		}
-		count++
-	}
-	return oldest, youngest, count
-}
-
-// slowStore is from which usual length of transactions a second one is sent beside the first: three times
-// what the store takes in its usual order. While the store answers nothing at all, whatever was not sent
-// can still be refused.
-const slowStore = 60 * time.Millisecond
-
 const (
-	// usualWeight is the inverse of the weight of the latest transaction in what is usual.
-	usualWeight = 3
-	// stalledAfter is from how long a transaction in flight means that the store is in trouble; it
-	// is a quarter of the shortest objective of either user. A store that is slow and answers is
-	// given stalledFactor times what is usual.
-	stalledAfter  = 400 * time.Millisecond
-	stalledFactor = 3
-	// stalledAtMost bounds that: an outage makes transactions long too, and callers who are told after
-	// half of their time can come back.
-	stalledAtMost = 1200 * time.Millisecond
 	// storeBack and storeSpread give the time after which callers are asked to come back: the
 	// store's usual outages take some seconds, and callers must not come all at once.
 	storeBack   = 900 * time.Millisecond
@@ -99,8 +65,7 @@
 
 // storeRefusal returns why nothing can be accepted now, or nil: the store does not answer.
 func (c *Conductor) storeRefusal() *RefusedError {
-	oldest, _, count := c.journal.inFlight()
-	if count == 0 || c.now.Sub(oldest) < min(max(stalledAfter, stalledFactor*c.journal.usual), stalledAtMost) {
+	if !c.journal.lanes.Stalled(c.now) {
 		return nil
 	}
 	return &RefusedError{
@@ -130,7 +95,7 @@
 		j.barriers = append(j.barriers, b)
 		b.waits++
 	}
-	for _, f := range c.journal.lanes {
+	for _, f := range c.journal.flights {
 		if f != nil {
 			f.barriers = append(f.barriers, b)
 			b.waits++
@@ -143,8 +108,8 @@
 
 // commit sends what has to be written, as far as lanes are free.
 func (c *Conductor) commit() {
-	for !c.deposed {
-		lane, free := c.freeLane()
+	for !c.deposed && !c.journal.exclusive {
+		lane, free := c.journal.lanes.Free(c.now)
 		if !free {
 			return
 		}
@@ -152,33 +117,18 @@
 		if f == nil {
 			return
 		}
-		c.journal.lanes[lane] = f
+		c.journal.flights[lane] = f
+		c.journal.lanes.Sent(lane, c.now)
 		c.group.Go(func() { c.sendTransaction(lane, f, transaction) })
 	}
 }
 
-// freeLane returns the lane that the next transaction goes through, if one is to be sent now.
-func (c *Conductor) freeLane() (lane int, free bool) {
-	j := &c.journal
-	if j.lanes == nil {
-		j.lanes = make([]*flight, len(c.Journals))
-	}
-	_, youngest, count := j.inFlight()
-	if j.exclusive || count == len(j.lanes) {
-		return 0, false
-	}
-	if count > 0 && (j.usual < slowStore || c.now.Sub(youngest) < j.usual/time.Duration(len(j.lanes))) {
-		return 0, false
-	}
-	return slices.Index(j.lanes, nil), true
-}
-
 // fill makes a transaction of the jobs that have changed and are not in flight.
 func (c *Conductor) fill() (*flight, connector.Transaction) {
 	transaction := connector.Transaction{
 		Preconditions: []connector.Precondition{{Key: c.claim.Row, Version: c.claim.Version}},
 	}
-	f := &flight{sentAt: c.now}
+	f := &flight{}
 	size := 0
 	kept := c.journal.dirty[:0]
 	for _, j := range c.journal.dirty {
@@ -194,8 +144,8 @@
 	clear(c.journal.dirty[len(kept):])
 	c.journal.dirty = kept
 	// While the store is slow, jobs are forgotten only when there is nothing else to write.
-	patient := c.journal.usual < slowStore || len(f.jobs) == 0
-	if _, _, others := c.journal.inFlight(); others == 0 && patient {
+	patient := !c.journal.lanes.Slow() || len(f.jobs) == 0
+	if c.journal.lanes.Idle() && patient {
 		for len(c.journal.drops) > 0 && rows(&transaction) < mostRows {
 			transaction.Deletes = append(transaction.Deletes, progressKey(c.claim.Cell, c.journal.drops[0]))
 			c.journal.drops = c.journal.drops[1:]
@@ -248,8 +198,8 @@
 	outcome, err := c.Journals[lane].Commit(c.ctx, transaction)
 	c.Counts.Committed(c.Clock.Since(sentAt), rows(&transaction))
 	c.post(func() {
-		c.journal.lanes[lane], c.journal.exclusive = nil, false
-		c.journal.usual += (c.now.Sub(sentAt) - c.journal.usual) / usualWeight
+		c.journal.flights[lane], c.journal.exclusive = nil, false
+		c.journal.lanes.Answered(lane, c.now)
 		for _, j := range f.jobs {
 			j.inFlight = false
 		}
