An outage of the store ends for its callers when the store answers

A call that was sent into the silence waits for its own timeout (up to 3 s, doubled after each), the probe waits for the one before it (up to 1.5 s between two), the committer then waits up to a second more, the hung transaction counts as stalled, and its duration raises the average so that the next ones are spaced 350 ms apart. Change: probes do not wait for one another (every 250 ms). The first answer after an outage ends the calls that were started before the probe (a transaction is then in doubt and is read back), wakes the committers, restarts the stall timeout and is not counted as latency. A refusal by a store that answers other calls ends nothing.

Ruled out: longer times to come back.

--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -363,7 +363,9 @@
 	committers := make([]cellscheduler.Committer, maxInFlightTransactions)
 	for slot := range committers {
 		name := fmt.Sprintf("%s/%s.%d.%d", c.name, m.incarnation, fencingToken, slot)
-		committers[slot] = committer.NewWriter(m.store, name, m.Clock)
+		writer := committer.NewWriter(m.store, name, m.Clock)
+		writer.RetryWhenRestored(m.store.Restored)
+		committers[slot] = writer
 	}
 	return committers
 }
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -153,6 +153,7 @@
 		SnapshotReader:     m.store,
 		Configuration:      m.configuration,
 		OwnershipConfirmed: m.mayGrantLeases,
+		StoreRestored:      m.store.Restored,
 		OnOwnershipLost:    func() { m.handleOwnershipLost(c, claim.FencingToken) },
 		Metrics:            m.Metrics,
 	})
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -87,6 +87,9 @@
 	// OwnershipConfirmed reports whether this instance may still consider itself the owner:
 	// either it has heard from the store recently, or no instance has.
 	OwnershipConfirmed func() bool
+	// StoreRestored returns a channel that is closed when the store answers again after an outage.
+	// It may be nil.
+	StoreRestored func() <-chan struct{}
 	// OnOwnershipLost is called once when another instance has become the owner of the cell.
 	OnOwnershipLost func()
 	// Metrics are shared by all schedulers of a process.
@@ -241,10 +244,16 @@
 	defer close(c.done)
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
+	restored := c.storeRestored()
 	for {
 		select {
 		case <-c.ctx.Done():
 			return
+		case <-restored:
+			c.now = c.Clock.Now()
+			restored = c.storeRestored()
+			c.journal.limiter.Restored(c.now)
+			c.roundNeeded = true
 		case message := <-c.mailbox:
 			c.now = c.Clock.Now()
 			message()
@@ -260,6 +269,13 @@
 	}
 }
 
+func (c *Scheduler) storeRestored() <-chan struct{} {
+	if c.StoreRestored == nil {
+		return nil
+	}
+	return c.StoreRestored()
+}
+
 // maxMessagesPerDrain limits how many messages are handled before the next placement round.
 const maxMessagesPerDrain = 128
 
--- a/internal/committer/writer.go
+++ b/internal/committer/writer.go
@@ -67,14 +67,23 @@
 	inDoubt string
 	// sendTimeout bounds the next send.
 	sendTimeout time.Duration
+	// restored returns a channel that is closed when the table answers again after an outage.
+	restored func() <-chan struct{}
 }
 
 // NewWriter returns a writer. The name must be unique to each run of a process: the writer assumes
 // that its row does not exist yet.
 func NewWriter(table Table, name string, clock clockwork.Clock) *Writer {
-	return &Writer{table: table, clock: clock, name: name, slot: make(chan struct{}, 1), sendTimeout: initialSendTimeout}
+	return &Writer{table: table, clock: clock, name: name, slot: make(chan struct{}, 1), sendTimeout: initialSendTimeout, restored: neverRestored}
 }
 
+func neverRestored() <-chan struct{} { return nil }
+
+// RetryWhenRestored makes the writer retry as soon as the table answers again, instead of after the
+// whole delay between two attempts. restored returns a channel that is closed at that time. It must be
+// called before the first Commit.
+func (w *Writer) RetryWhenRestored(restored func() <-chan struct{}) { w.restored = restored }
+
 // Key returns the key of the writer row.
 func (w *Writer) Key() string { return "writer/" + w.name }
 
@@ -100,6 +109,8 @@
 	delays.InitialInterval = 20 * time.Millisecond
 	delays.MaxInterval = time.Second
 	for {
+		// The channel is obtained before the attempt, so that an outage that ends meanwhile is noticed.
+		restored := w.restored()
 		outcome, err := w.attempt(ctx, transaction)
 		if err == nil {
 			return outcome, nil
@@ -107,6 +118,9 @@
 		select {
 		case <-ctx.Done():
 			return connector.Outcome{}, w.commitError(transaction.ID, err)
+		case <-restored:
+			delays.Reset()
+			w.sendTimeout = initialSendTimeout
 		case <-w.clock.After(delays.NextBackOff()):
 		}
 		w.retries.Add(1)
@@ -140,6 +154,7 @@
 			return connector.Outcome{}, err
 		}
 		if lastID == transaction.ID {
+			w.inDoubt = ""
 			return connector.Outcome{Committed: true, Version: w.rowVersion}, nil
 		}
 	}
--- a/internal/committer/writer_test.go
+++ b/internal/committer/writer_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
@@ -241,3 +243,73 @@
 		})
 	}
 }
+
+// TestCommitIsRetriedWhenTheTableIsRestored replays an outage of some seconds, after which the delay
+// between two attempts has grown to a second: the transaction is sent again at the end of the outage,
+// not at the end of the delay.
+func TestCommitIsRetriedWhenTheTableIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &outageTable{slowTable: slowTable{unreliableTable: unreliableTable{rows: make(map[string]connector.Row), applied: make(map[string]int)}}}
+		table.down.Store(true)
+		restored := make(chan struct{})
+		writer := committer.NewWriter(table, "w", clockwork.NewRealClock())
+		writer.RetryWhenRestored(func() <-chan struct{} { return restored })
+		const outage = 5123 * time.Millisecond
+		time.AfterFunc(outage, func() {
+			table.down.Store(false)
+			close(restored)
+		})
+		began := time.Now()
+		if outcome, err := writer.Commit(t.Context(), connector.Transaction{}); err != nil || !outcome.Committed {
+			t.Fatalf("%+v, %v", outcome, err)
+		}
+		if late := time.Since(began) - outage; late > 50*time.Millisecond {
+			t.Errorf("committed %s after the outage", late)
+		}
+	})
+}
+
+// outageTable refuses all calls while it is down.
+type outageTable struct {
+	slowTable
+	down atomic.Bool
+}
+
+func (o *outageTable) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	if o.down.Load() {
+		return connector.Outcome{}, &connector.RefusedError{Status: 503}
+	}
+	return o.slowTable.Transact(ctx, transaction)
+}
+
+// TestConfirmedTransactionIsNotInDoubt: a transaction whose reply was lost is confirmed by reading
+// back. If the next one is refused until its caller stops waiting, that one has had no effect, and is
+// not reported as in doubt.
+func TestConfirmedTransactionIsNotInDoubt(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	table := &refusingTable{unreliableTable: unreliableTable{rows: make(map[string]connector.Row), applied: make(map[string]int), deliveries: []delivery{replyLost}}}
+	writer := committer.NewWriter(table, "test", instantClock{clockwork.NewFakeClock()})
+	if outcome, err := writer.Commit(ctx, connector.Transaction{}); err != nil || !outcome.Committed {
+		t.Fatalf("%+v, %v", outcome, err)
+	}
+	table.onRefusal = cancel
+	_, err := writer.Commit(ctx, connector.Transaction{})
+	var inDoubt *committer.InDoubtError
+	if err == nil || errors.As(err, &inDoubt) {
+		t.Errorf("a transaction that was refused ended with %v", err)
+	}
+}
+
+// refusingTable refuses all transactions once onRefusal is set, and calls it each time.
+type refusingTable struct {
+	unreliableTable
+	onRefusal func()
+}
+
+func (t *refusingTable) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	if t.onRefusal != nil {
+		t.onRefusal()
+		return connector.Outcome{}, &connector.RefusedError{Call: "transact", Status: 503}
+	}
+	return t.unreliableTable.Transact(ctx, transaction)
+}
--- a/internal/inflightlimiter/inflightlimiter.go
+++ b/internal/inflightlimiter/inflightlimiter.go
@@ -43,6 +43,8 @@
 	sentAt []time.Time
 	// averageDuration is the exponential moving average of transaction durations.
 	averageDuration time.Duration
+	// restoredAt is when an outage of the store last ended.
+	restoredAt time.Time
 }
 
 // New returns a limiter with count free slots.
@@ -88,9 +90,22 @@
 // Acquire records that a transaction was sent in a slot.
 func (l *Limiter) Acquire(slot int, now time.Time) { l.sentAt[slot] = now }
 
+// Restored records that an outage of the store has ended. The time before it says nothing about how
+// long the store takes now.
+func (l *Limiter) Restored(now time.Time) { l.restoredAt = now }
+
+// inFlightSince returns since when the store has had the opportunity to answer the transaction in a
+// slot.
+func (l *Limiter) inFlightSince(slot int) time.Time {
+	if l.restoredAt.After(l.sentAt[slot]) {
+		return l.restoredAt
+	}
+	return l.sentAt[slot]
+}
+
 // Release frees a slot whose transaction has a known outcome, and updates the average duration.
 func (l *Limiter) Release(slot int, now time.Time) {
-	l.averageDuration += (now.Sub(l.sentAt[slot]) - l.averageDuration) / averageDivisor
+	l.averageDuration += (now.Sub(l.inFlightSince(slot)) - l.averageDuration) / averageDivisor
 	l.sentAt[slot] = time.Time{}
 }
 
@@ -98,8 +113,8 @@
 // nothing new can be accepted.
 func (l *Limiter) Stalled(now time.Time) bool {
 	timeout := min(max(minStallTimeout, stallTimeoutFactor*l.averageDuration), maxStallTimeout)
-	for _, sentAt := range l.sentAt {
-		if !sentAt.IsZero() && now.Sub(sentAt) >= timeout {
+	for slot, sentAt := range l.sentAt {
+		if !sentAt.IsZero() && now.Sub(l.inFlightSince(slot)) >= timeout {
 			return true
 		}
 	}
--- a/internal/inflightlimiter/inflightlimiter_test.go
+++ b/internal/inflightlimiter/inflightlimiter_test.go
@@ -107,3 +107,29 @@
 		})
 	}
 }
+
+// TestOutageDoesNotSlowTheStoreDown replays an outage of four seconds. When the store answers again, it
+// is neither stalled nor slow, so that the next transaction is sent as soon as the one in flight ends.
+func TestOutageDoesNotSlowTheStoreDown(t *testing.T) {
+	l := inflightlimiter.New(slots)
+	for at := time.Duration(0); at < 3*time.Second; at += 15 * ms {
+		l.Acquire(0, start.Add(at))
+		l.Release(0, start.Add(at+15*ms))
+	}
+	l.Acquire(0, start.Add(3*time.Second))
+	answers := start.Add(7 * time.Second)
+	if !l.Stalled(answers) {
+		t.Error("a silent store is not reported as stalled")
+	}
+	l.Restored(answers)
+	if l.Stalled(answers.Add(50 * ms)) {
+		t.Error("the store is still reported as stalled after its return")
+	}
+	l.Release(0, answers.Add(50*ms))
+	if l.Slow() {
+		t.Error("the time of the outage counts as the store's latency")
+	}
+	if _, free := l.FreeSlot(answers.Add(50 * ms)); !free {
+		t.Error("the next transaction has to wait")
+	}
+}
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -73,11 +73,31 @@
 	mu sync.Mutex
 	// probing reports whether the probe is running. It runs until the next direct answer.
 	probing bool
+	// restored is closed and replaced whenever the store answers directly after a failure.
+	restored chan struct{}
+	// calls are the calls in progress.
+	calls map[*callInProgress]struct{}
 	// failedPeers maps peers through which a call got no answer to the time of that call.
 	failedPeers map[string]time.Time
 	roundTrips  roundTripTracker
 }
 
+// callInProgress is a call that has not been answered yet.
+type callInProgress struct {
+	startedAt time.Time
+	cancel    context.CancelFunc
+	// abandoned is set if the call was cancelled because the store has answered a later one.
+	abandoned bool
+}
+
+// Restored returns a channel that is closed when the store answers this instance directly again after
+// a direct call has failed.
+func (r *Relayer) Restored() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restored
+}
+
 // RoundTrip returns the round-trip time of recent direct calls other than watches, 0 before the
 // first.
 func (r *Relayer) RoundTrip() time.Duration { return r.roundTrips.shortest() }
@@ -121,10 +141,10 @@
 }
 
 const (
-	// probeInterval is the delay between two probes of the direct path. More frequent probes load the
-	// store with reads; less frequent ones leave calls on the longer path through a peer after the
-	// direct path has recovered.
-	probeInterval = 500 * time.Millisecond
+	// probeInterval is the delay between two probes of the direct path. A probe does not wait for the
+	// one before it, which a silent store leaves unanswered. More frequent probes load the store with
+	// reads; less frequent ones delay everything that waits for the store after it has recovered.
+	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds a probe. A read usually takes 10 ms, and up to sixty times as long when the
 	// store is degraded.
 	probeTimeout = time.Second
@@ -133,7 +153,10 @@
 // New returns a relayer and a function that stops its probe.
 func New(dependencies Dependencies) (*Relayer, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Relayer{Dependencies: dependencies, failedPeers: make(map[string]time.Time), ctx: ctx}
+	r := &Relayer{
+		Dependencies: dependencies, failedPeers: make(map[string]time.Time), ctx: ctx,
+		restored: make(chan struct{}), calls: make(map[*callInProgress]struct{}),
+	}
 	r.startedAt = dependencies.Clock.Now()
 	r.lastFailure.Store(noFailure)
 	return r, func() {
@@ -231,9 +254,32 @@
 	return answer.Changes, err
 }
 
-// do makes a store call. It tries the direct path first, unless a direct call has failed and none has
-// been answered since.
+// do makes a store call. A call that is still unanswered when the store has answered a probe that was
+// sent later is abandoned: its connection is dead, and waiting for its timeout would delay everything
+// behind it. An abandoned transaction is in doubt.
 func (r *Relayer) do(ctx context.Context, req *request) (reply, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	call := &callInProgress{startedAt: r.Clock.Now(), cancel: cancel}
+	r.mu.Lock()
+	r.calls[call] = struct{}{}
+	r.mu.Unlock()
+	answer, err := r.callEitherWay(callCtx, call, req)
+	r.mu.Lock()
+	delete(r.calls, call)
+	r.mu.Unlock()
+	return answer, err
+}
+
+func (r *Relayer) wasAbandoned(call *callInProgress) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return call.abandoned
+}
+
+// callEitherWay tries the direct path first, unless a direct call has failed and none has been
+// answered since.
+func (r *Relayer) callEitherWay(ctx context.Context, call *callInProgress, req *request) (reply, error) {
 	if r.lastFailure.Load() != noFailure {
 		if answer, relayed, err := r.relay(ctx, req); relayed {
 			return answer, err
@@ -246,7 +292,10 @@
 		r.recordRoundTrip(req, startedAt)
 	}
 	if err == nil || errors.As(err, &compacted) {
-		r.recordDirectAnswer()
+		r.recordDirectAnswer(startedAt)
+		return answer, err
+	}
+	if r.wasAbandoned(call) {
 		return answer, err
 	}
 	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -286,28 +335,49 @@
 // probe reads a row directly at intervals until the store answers.
 func (r *Relayer) probe() {
 	for !r.probeDone() {
+		r.group.Go(r.probeOnce)
 		select {
 		case <-r.ctx.Done():
-			continue
 		case <-r.Clock.After(probeInterval):
 		}
-		ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
-		_, err := r.Store.Read(ctx, r.ProbeKey)
-		cancel()
-		if err == nil {
-			r.recordDirectAnswer()
-		}
 	}
 }
 
-func (r *Relayer) recordDirectAnswer() {
+func (r *Relayer) probeOnce() {
+	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
+	defer cancel()
+	startedAt := r.Clock.Now()
+	if _, err := r.Store.Read(ctx, r.ProbeKey); err == nil {
+		r.recordDirectAnswer(startedAt)
+	}
+}
+
+// recordDirectAnswer records that the store has answered a direct call that was started at the given
+// time. If it is the first answer after an outage, the calls that were started earlier are abandoned.
+func (r *Relayer) recordDirectAnswer(startedAt time.Time) {
 	now := r.elapsed()
-	r.lastDirectAnswer.Store(now)
+	silence := time.Duration(now - r.lastDirectAnswer.Swap(now))
 	r.lastAnswer.Store(now)
-	r.lastFailure.Store(noFailure)
+	if r.lastFailure.Swap(noFailure) == noFailure {
+		return
+	}
 	if r.relaying.CompareAndSwap(true, false) {
 		r.Log.Info("store reached directly again")
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.restored)
+	r.restored = make(chan struct{})
+	if silence < unavailableTimeout {
+		// The store refused a call but has answered others, so the calls in progress will be answered.
+		return
+	}
+	for call := range r.calls {
+		if call.startedAt.Before(startedAt) {
+			call.abandoned = true
+			call.cancel()
+		}
+	}
 }
 
 // hadNoEffect reports whether a failed call certainly had no effect.
@@ -413,12 +483,13 @@
 	if err := json.Unmarshal(payload, &req); err != nil {
 		return nil, errors.Wrap(err, "decode request")
 	}
+	startedAt := r.Clock.Now()
 	answer, err := callDirect(ctx, r.Store, &req)
 	var refused *connector.RefusedError
 	var compacted *connector.CompactedError
 	switch {
 	case err == nil:
-		r.recordDirectAnswer()
+		r.recordDirectAnswer(startedAt)
 	case errors.As(err, &compacted):
 		answer.Compacted = true
 	case errors.As(err, &refused):
