A leaving owner announces that it has stopped, and a successor claims its cell at once

Change: the owner's heartbeat says that it is leaving and no longer holds the cell; it is sent at once, and the first candidate claims the cell without waiting for the row. The row is released only if no peer claims the cell within a second. The claim is a compare-and-set on the version of the row, as before, and the old owner has no writes left. A new owner announces itself too, and reads its two tables at the same time.

--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -33,6 +33,8 @@
 type Mesh interface {
 	Call(ctx context.Context, instance string, call *messenger.Call) (*messenger.Reply, error)
 	LivePeers() map[string]*messenger.Heartbeat
+	// Announce sends a heartbeat to all peers ahead of its time.
+	Announce()
 	SetPeers(instances []modeler.Instance)
 	AddPeer(instance modeler.Instance)
 }
@@ -112,6 +114,9 @@
 	// owner, or last failed to claim the cell, whichever is latest. ownerConfirmedAt is when the
 	// owner last reported in a heartbeat that it owns the cell.
 	ownerSince, ownerConfirmedAt time.Time
+	// abandonedAt is when the owner that the row names was first heard to have stopped serving the
+	// cell, or zero.
+	abandonedAt time.Time
 	// betterCandidateSince is since when another instance has been a better owner, or zero.
 	betterCandidateSince time.Time
 	scheduler            *cellscheduler.Scheduler
@@ -225,6 +230,9 @@
 	defer m.mu.Unlock()
 	m.lastHeartbeat[heartbeat.GetInstance()] = m.Clock.Now()
 	delete(m.endedAt, heartbeat.GetInstance())
+	if heartbeat.GetLeaving() {
+		m.recordAbandonedCells(heartbeat)
+	}
 	for _, holding := range heartbeat.GetHoldings() {
 		c := m.cells[holding.GetPartition()]
 		if c == nil || holding.GetEpoch() < c.ownership.FencingToken {
@@ -244,6 +252,22 @@
 	}
 }
 
+// recordAbandonedCells records the cells that an instance that is shutting down has stopped serving
+// although their rows still name it: it has nothing left to write, and a successor need not wait until
+// the row is released. The caller holds the mutex.
+func (m *Manager) recordAbandonedCells(heartbeat *messenger.Heartbeat) {
+	held := make(map[string]bool, len(heartbeat.GetHoldings()))
+	for _, holding := range heartbeat.GetHoldings() {
+		held[holding.GetPartition()] = true
+	}
+	for name, c := range m.cells {
+		if c.ownership.Owner == heartbeat.GetInstance() && !held[name] && c.abandonedAt.IsZero() {
+			c.abandonedAt = m.Clock.Now()
+			m.Log.Info("cell abandoned by its owner", "cell", name, "owner", c.ownership.Owner, "fence", c.ownership.FencingToken)
+		}
+	}
+}
+
 const (
 	// storeLostTimeout is how long the store may stay silent before it counts as unreachable.
 	storeLostTimeout = 2500 * time.Millisecond
--- a/internal/cellmanager/cellmanager_test.go
+++ b/internal/cellmanager/cellmanager_test.go
@@ -36,12 +36,16 @@
 	// silent are the incarnations whose heartbeats and replies are lost.
 	silent   map[string]bool
 	managers map[string]*cellmanager.Manager
+	// receivers deliver the current heartbeats of all peers to an incarnation ahead of their time.
+	receivers map[string]func()
+	// transactionDelay is the duration of a transaction.
+	transactionDelay time.Duration
 }
 
 func newCluster() *cluster {
 	c := &cluster{
 		rows: make(map[string]connector.Row), refused: make(map[string]bool), silent: make(map[string]bool),
-		managers: make(map[string]*cellmanager.Manager),
+		managers: make(map[string]*cellmanager.Manager), receivers: make(map[string]func()), transactionDelay: 5 * time.Millisecond,
 	}
 	c.version = 1
 	c.rows["op//config"] = connector.Row{Key: "op//config", Value: []byte(`{}`), Version: 1}
@@ -73,7 +77,10 @@
 }
 
 func (s *store) Transact(_ context.Context, transaction connector.Transaction) (connector.Outcome, error) {
-	sleep(5 * time.Millisecond)
+	s.cluster.mu.Lock()
+	delay := s.cluster.transactionDelay
+	s.cluster.mu.Unlock()
+	sleep(delay)
 	if err := s.refuse(); err != nil {
 		return connector.Outcome{}, err
 	}
@@ -182,6 +189,17 @@
 	return live
 }
 
+// Announce passes this incarnation's heartbeat to all reachable peers.
+func (m *mesh) Announce() {
+	m.cluster.mu.Lock()
+	defer m.cluster.mu.Unlock()
+	for incarnation, receive := range m.cluster.receivers {
+		if incarnation != m.incarnation {
+			go receive()
+		}
+	}
+}
+
 func (m *mesh) SetPeers([]modeler.Instance) {}
 func (m *mesh) AddPeer(modeler.Instance)    {}
 
@@ -227,7 +245,10 @@
 	})
 	m := &mesh{cluster: c, incarnation: manager.Incarnation(), heartbeats: make(map[string]*messenger.Heartbeat), lastHeard: make(map[string]time.Time)}
 	manager.SetMesh(m, netip.MustParseAddrPort("127.0.0.1:1"))
-	c.set(func() { c.managers[manager.Incarnation()] = manager })
+	c.set(func() {
+		c.managers[manager.Incarnation()] = manager
+		c.receivers[manager.Incarnation()] = func() { m.receiveHeartbeats(manager) }
+	})
 	done := make(chan struct{})
 	var receivers sync.WaitGroup
 	receivers.Go(func() {
@@ -244,7 +265,10 @@
 	return manager, func() {
 		close(done)
 		receivers.Wait()
-		c.set(func() { delete(c.managers, manager.Incarnation()) })
+		c.set(func() {
+			delete(c.managers, manager.Incarnation())
+			delete(c.receivers, manager.Incarnation())
+		})
 		stop()
 	}
 }
@@ -391,6 +415,29 @@
 	}
 }
 
+// TestShutdownWhileStoreIsSlow replays a rolling restart while the store takes half a second for a
+// transaction. The successor claims the cell when the owner announces that it has stopped serving it,
+// and does not wait until the row is released: one transaction is enough for the hand-over.
+func TestShutdownWhileStoreIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		owner, others, stop := startThree(t, c)
+		defer stopAll(stop)
+		c.set(func() { c.transactionDelay = 500 * time.Millisecond })
+		leftAt := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		owner.ReleaseCells(ctx)
+		if now := c.owner(t); now.Owner == owner.Incarnation() || now.Owner == "" {
+			t.Errorf("after the shutdown the cell is owned by %q", now.Owner)
+		}
+		// A claim, the acceptance of the job and the time until the owners are next checked.
+		if err := submit(t, others[0], "after"); err != nil || time.Since(leftAt) > 1300*time.Millisecond {
+			t.Errorf("first job accepted %s after the shutdown began, want at most 1.3s; error %v", time.Since(leftAt), err)
+		}
+	})
+}
+
 // TestOwnerRefusedByStoreWritesThroughPeer checks that an owner that the store refuses keeps its
 // cell: it writes through a peer, accepts jobs within three seconds, and its writes reach the
 // store.
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -118,7 +118,7 @@
 // handleOwnerChange wakes callers that wait for a new owner, and starts or stops this instance's
 // scheduler of the cell. The caller holds the mutex.
 func (m *Manager) handleOwnerChange(c *cell) {
-	c.ownerSince = m.Clock.Now()
+	c.ownerSince, c.abandonedAt = m.Clock.Now(), time.Time{}
 	close(c.ownerChanged)
 	c.ownerChanged = make(chan struct{})
 	m.Log.Info("owner known", "cell", c.name, "owner", c.ownership.Owner, "fence", c.ownership.FencingToken, "version", c.ownership.Version)
@@ -280,7 +280,10 @@
 		return false
 	}
 	failedAt := c.ownerSince
-	if c.ownership.Owner != "" && !m.ended(c.ownership.Owner) {
+	switch {
+	case !c.abandonedAt.IsZero():
+		failedAt = c.abandonedAt
+	case c.ownership.Owner != "" && !m.ended(c.ownership.Owner):
 		failedAt = m.ownerLastConfirmed(c).Add(elector.HeartbeatTimeout)
 		if m.peerCount > 0 && len(m.mesh.LivePeers()) == 0 {
 			// An instance that hears no peer may itself be cut off, and would then replace an owner
@@ -378,6 +381,7 @@
 		return
 	}
 	m.updateOwner(c, ownership)
+	m.mesh.Announce()
 }
 
 func (m *Manager) readOwner(ctx context.Context, c *cell) (elector.Ownership, error) {
@@ -389,8 +393,8 @@
 }
 
 // ReleaseCells releases the cells of this instance during a graceful shutdown: pending writes are
-// finished, and each owner row is left without an owner, so that another instance claims the cell at
-// once.
+// finished, and the peers are told at once that the cells need another owner. If none of them claims a
+// cell, its owner row is left without an owner.
 func (m *Manager) ReleaseCells(ctx context.Context) {
 	m.leaving.Store(true)
 	m.mu.Lock()
@@ -418,12 +422,49 @@
 		m.Log.Warn("cell left in haste", "cell", c.name, "error", err)
 	}
 	stop()
+	m.mu.Lock()
+	c.scheduler, c.stopScheduler = nil, nil
+	m.mu.Unlock()
+	if m.leaving.Load() {
+		m.mesh.Announce()
+		if m.awaitSuccessor(ctx, c, known) {
+			return
+		}
+	}
 	ownership, err := elector.Release(ctx, m.store, known)
 	m.Log.Info("cell left", "cell", c.name, "fence", known.FencingToken, "error", err)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c.scheduler, c.stopScheduler = nil, nil
 	if err == nil {
 		m.updateOwner(c, ownership)
 	}
 }
+
+// successorTimeout is how long a leaving owner waits for a successor before it releases the row. A
+// claim takes two round trips to the store, at its slowest a second.
+const successorTimeout = time.Second
+
+// awaitSuccessor waits until a peer owns a cell that this instance has abandoned. It reports false if
+// none has claimed it.
+func (m *Manager) awaitSuccessor(ctx context.Context, c *cell, known elector.Ownership) bool {
+	if len(m.mesh.LivePeers()) == 0 {
+		return false
+	}
+	timeout := m.Clock.After(successorTimeout)
+	for {
+		m.mu.Lock()
+		current, changed := c.ownership, c.ownerChanged
+		m.mu.Unlock()
+		if current.FencingToken > known.FencingToken {
+			m.Log.Info("cell left", "cell", c.name, "fence", known.FencingToken, "successor", current.Owner)
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
@@ -228,11 +229,7 @@
 func (c *Scheduler) recover() {
 	delay := initialRetryDelay
 	for c.ctx.Err() == nil {
-		definitions, err := c.SnapshotReader.Snapshot(c.ctx, "jobs", c.claim.Cell)
-		var progress connector.Changes
-		if err == nil {
-			progress, err = c.SnapshotReader.Snapshot(c.ctx, "progress", c.claim.Cell)
-		}
+		definitions, progress, err := c.readRows()
 		if err == nil {
 			c.post(func() { c.restoreRows(definitions.Rows, progress.Rows) })
 			return
@@ -246,6 +243,20 @@
 	}
 }
 
+// readRows reads the definitions and the progress of all jobs. The two reads need not see the same
+// moment: no earlier owner can write since this one has claimed the cell.
+func (c *Scheduler) readRows() (definitions, progress connector.Changes, err error) {
+	var definitionsErr error
+	var group sync.WaitGroup
+	group.Go(func() { definitions, definitionsErr = c.SnapshotReader.Snapshot(c.ctx, "jobs", c.claim.Cell) })
+	progress, err = c.SnapshotReader.Snapshot(c.ctx, "progress", c.claim.Cell)
+	group.Wait()
+	if err == nil {
+		err = definitionsErr
+	}
+	return definitions, progress, err
+}
+
 // restoreRows restores the state from the stored rows. Assigned runs are unconfirmed until their
 // worker has listed its runs under the new fencing token.
 func (c *Scheduler) restoreRows(definitions, progress []connector.Row) {
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -32,6 +32,8 @@
 	closed    chan struct{}
 	nextID    uint64
 	sentBytes int64
+	// heartbeatDue receives a value when a heartbeat should be sent ahead of its time.
+	heartbeatDue chan struct{}
 	// unansweredHeartbeats counts the heartbeats sent since the last frame received on the connection.
 	unansweredHeartbeats atomic.Int32
 	pending              map[uint64]chan *messenger.Reply
@@ -39,7 +41,7 @@
 
 func newLink(m *Mesh, peer modeler.Instance) *link {
 	ctx, cancel := context.WithCancel(m.ctx)
-	l := &link{mesh: m, peer: peer, ctx: ctx, cancel: cancel, pending: make(map[uint64]chan *messenger.Reply)}
+	l := &link{mesh: m, peer: peer, ctx: ctx, cancel: cancel, pending: make(map[uint64]chan *messenger.Reply), heartbeatDue: make(chan struct{}, 1)}
 	go l.run()
 	return l
 }
@@ -118,11 +120,22 @@
 			return
 		case <-closed:
 			return
+		case <-l.heartbeatDue:
+			// An additional heartbeat does not count as unanswered before its answer can be there.
+			l.unansweredHeartbeats.Add(-1)
 		case <-ticker.Chan():
 		}
 	}
 }
 
+// announce makes the link send a heartbeat at once.
+func (l *link) announce() {
+	select {
+	case l.heartbeatDue <- struct{}{}:
+	default:
+	}
+}
+
 // disconnect closes the connection and clears the pending calls, which return a LinkError as soon as
 // gnet reports the close.
 func (l *link) disconnect() {
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -256,6 +256,16 @@
 	}
 }
 
+// Announce sends a heartbeat to all peers at once, so that they learn of a change before the next
+// interval is over.
+func (m *Mesh) Announce() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.announce()
+	}
+}
+
 // LivePeers returns the latest heartbeat of each peer that has not missed too many, by instance name.
 func (m *Mesh) LivePeers() map[string]*messenger.Heartbeat {
 	m.mu.Lock()
