--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,25 +45,6 @@
 
 func (j *job) placementCount() int { return len(j.placements) }
 
-func encodeDefinition(definition *steptracker.Job) ([]byte, error) {
-	text, err := json.Marshal(definition)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode job")
-	}
-	return text, nil
-}
-
-func decodeDefinition(text []byte) (*steptracker.Job, error) {
-	definition := &steptracker.Job{}
-	if err := json.Unmarshal(text, definition); err != nil {
-		return nil, errors.Wrap(err, "decode job")
-	}
-	if err := definition.Validate(); err != nil {
-		return nil, err
-	}
-	return definition, nil
-}
-
 func visibleStateOf(p *steptracker.Progress) steptracker.State {
 	switch {
 	case p.State != "":
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -186,7 +186,7 @@
 	transaction.Puts = append(transaction.Puts, connector.Put{Key: progressKey(c.claim.Cell, j.id), Value: text})
 	if j.definitionUnwritten {
 		j.definitionUnwritten = false
-		definition, err := encodeDefinition(j.definition)
+		definition, err := j.definition.Encode()
 		if err != nil {
 			c.Log.Error("job could not be encoded", "job", j.id, "error", err)
 			return size
@@ -262,7 +262,7 @@
 func (c *Scheduler) restoreRows(definitions, progress []connector.Row) {
 	parsed := make(map[string]*steptracker.Job, len(definitions))
 	for _, row := range definitions {
-		definition, err := decodeDefinition(row.Value)
+		definition, err := steptracker.DecodeJob(row.Value)
 		if err != nil {
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
 			continue
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -1,12 +1,9 @@
 package steptracker
 
 import (
-	"encoding/json"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 // State is the state of a job as reported to callers.
@@ -143,24 +140,6 @@
 	return &Progress{Queue: job.Queue, AcceptedAt: acceptedAt}
 }
 
-// Encode returns the progress as JSON, which is how it is stored.
-func (p *Progress) Encode() ([]byte, error) {
-	data, err := json.Marshal(p)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode progress")
-	}
-	return data, nil
-}
-
-// Decode parses the output of Encode.
-func Decode(data []byte) (*Progress, error) {
-	p := &Progress{}
-	if err := json.Unmarshal(data, p); err != nil {
-		return nil, errors.Wrap(err, "decode progress")
-	}
-	return p, nil
-}
-
 // OpenDue opens the occurrences that are due.
 func (p *Progress) OpenDue(job *Job, now time.Time) {
 	for p.State == "" && p.Next < job.Occurrences() && !job.DueAt(p.Next).After(now) {
--- a/internal/storerelayer/recovery_test.go
+++ b/internal/storerelayer/recovery_test.go
@@ -124,3 +124,36 @@
 		return s.store.Transact(ctx, transaction)
 	}
 }
+
+// TestRoundTripIsTheDistanceToTheStore replays a link that an owner's own load delays by a quarter of a
+// second. The load must not make another instance look nearer to the store: the cell would be handed
+// over, and the next owner would be as loaded.
+func TestRoundTripIsTheDistanceToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &delayedStore{delay: 37 * time.Millisecond}
+		r, stop := storerelayer.New(storerelayer.Dependencies{
+			Store: direct, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Peers: func() []string { return nil },
+		})
+		defer stop()
+		for range 40 {
+			if _, err := r.Read(t.Context(), "t/p/k"); err != nil {
+				t.Fatal(err)
+			}
+			direct.delay = 220 * time.Millisecond
+		}
+		if distance := r.RoundTrip(); distance != 37*time.Millisecond {
+			t.Errorf("the round trip is %s under load, want 37ms", distance)
+		}
+	})
+}
+
+// delayedStore answers reads after a delay.
+type delayedStore struct {
+	store
+	delay time.Duration
+}
+
+func (s *delayedStore) Read(ctx context.Context, keys ...string) (map[string]connector.Row, error) {
+	<-time.After(s.delay)
+	return s.store.Read(ctx, keys...)
+}
--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -24,7 +24,6 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,7 +97,7 @@
 	return r.restored
 }
 
-// RoundTrip returns the round-trip time of recent direct calls other than watches, 0 before the
+// RoundTrip returns the shortest round-trip time of a direct call other than a watch, 0 before the
 // first.
 func (r *Relayer) RoundTrip() time.Duration { return r.roundTrips.shortest() }
 
@@ -108,36 +107,25 @@
 	}
 }
 
-// roundTripSamples is the number of recent calls whose minimum is the round-trip time. The minimum
-// is used because a degraded store is slow for all instances, and occasionally for some of their
-// calls.
-const roundTripSamples = 16
-
-// roundTripTracker keeps the latest round-trip times.
+// roundTripTracker keeps the shortest round-trip time. Longer ones measure the load of the store and
+// of the links, not the distance to the store, which never changes.
 type roundTripTracker struct {
-	mu      sync.Mutex
-	samples []time.Duration
-	next    int
+	mu    sync.Mutex
+	known time.Duration
 }
 
 func (t *roundTripTracker) add(roundTrip time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.samples) < roundTripSamples {
-		t.samples = append(t.samples, roundTrip)
-		return
+	if t.known == 0 || roundTrip < t.known {
+		t.known = roundTrip
 	}
-	t.samples[t.next] = roundTrip
-	t.next = (t.next + 1) % roundTripSamples
 }
 
 func (t *roundTripTracker) shortest() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.samples) == 0 {
-		return 0
-	}
-	return slices.Min(t.samples)
+	return t.known
 }
 
 const (
