Heartbeats between instances that own nothing are rarer in large fleets

Cause: every process sent a heartbeat to every other one four times a second: on 147 machines 86,000 a second in all, and 0.09 core for a process that does nothing else. Change: an owner's heartbeats, by which its failure is detected, stay at 250 ms. Others are 25 ms times the number of peers apart, at least 250 ms, those to an owner 6 ms times the number of peers: an instance sends some 42 a second and an owner receives at most 167, in a fleet of any size. A heartbeat names the interval to the next one, and the receiver counts the sender as live accordingly. A failed candidate that the others have not noticed costs them one stagger delay of 150 ms when they claim a cell. A silent connection that carries few heartbeats is noticed by its calls: after one without a reply, a heartbeat is sent and must be answered within a second. All connections are flushed together, every 2 ms at most: one timer and one wake-up of the event loop serve all.

--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -316,13 +316,6 @@
 	return true
 }
 
-// alive reports whether a heartbeat of a peer arrived within the heartbeat timeout. The caller holds
-// the mutex.
-func (m *Manager) alive(incarnation string) bool {
-	heardAt, known := m.lastHeartbeat[incarnation]
-	return known && !m.ended(incarnation) && m.Clock.Since(heardAt) < elector.HeartbeatTimeout
-}
-
 // ownerLastConfirmed returns when the owner of a cell was last known to own it. The latest heartbeat
 // alone does not show this, as a live incarnation may have lost the cell. For an incarnation that has
 // ended it returns the zero time. The caller holds the mutex.
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -365,7 +365,7 @@
 func (m *Manager) candidates() []elector.Candidate {
 	candidates := []elector.Candidate{{Name: m.incarnation, Started: m.startedAt, StoreUnreachable: m.store.SinceDirectAnswer() > storeLostTimeout, RoundTrip: m.store.RoundTrip(), Slow: m.slowness.Slow(), Processors: m.settings.Processors}}
 	for incarnation, heartbeat := range m.mesh.LivePeers() {
-		if m.alive(incarnation) {
+		if !m.ended(incarnation) {
 			candidates = append(candidates, elector.Candidate{
 				Name: incarnation, Started: incarnationStart(incarnation), Leaving: heartbeat.GetLeaving(), Slow: heartbeat.GetSlow(),
 				StoreUnreachable:      time.Duration(heartbeat.GetStoreSilenceMillis())*time.Millisecond > storeLostTimeout,
--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	// heartbeatInterval is the interval between heartbeats to each peer.
+	// heartbeatInterval is the shortest interval between heartbeats to each peer.
 	heartbeatInterval = 250 * time.Millisecond
 	// defaultLease is how long a worker continues its runs without hearing from the owner. It is longer
 	// than the usual connection loss of a worker. The runs of a failed worker are restarted only after
@@ -121,7 +121,8 @@
 	})
 	i.cleanUps = []func(){closeStore, closeWorkers, closeAdvisor, stop}
 	mesh, closeMesh, err := mesher.New(mesher.Settings{
-		Instance: i.manager.Incarnation(), Region: settings.Region, Listen: settings.MeshAddress, SameRegionHeartbeatInterval: heartbeatInterval, CrossRegionHeartbeatInterval: heartbeatInterval, DialUnlistedPeers: true,
+		Instance: i.manager.Incarnation(), Region: settings.Region, Listen: settings.MeshAddress, SameRegionHeartbeatInterval: heartbeatInterval, CrossRegionHeartbeatInterval: heartbeatInterval,
+		HeartbeatInterval: i.manager.HeartbeatInterval, DialUnlistedPeers: true,
 	}, mesher.Dependencies{Clock: clock, Log: log, Handler: i.manager, Heartbeat: i.manager.Heartbeat, OnHeartbeat: i.manager.HandleHeartbeat, OnPeerExited: i.manager.HandlePeerExited})
 	if err != nil {
 		i.cleanUp()
--- a/internal/mesher/batcher.go
+++ b/internal/mesher/batcher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/panjf2000/gnet/v2"
 
 	"dotterelpost.example/dotterelpost/internal/deflater"
@@ -13,9 +14,10 @@
 )
 
 const (
-	// batchDelay is how long a frame waits for others to be sent with it. A fiftieth of the round trip
-	// between regions, it makes one write of what an owner decides in one round.
-	batchDelay = time.Millisecond
+	// batchDelay is how long a frame waits for others to be sent with it, a thirtieth of the round trip
+	// between regions. All connections are flushed together, because waking the event loop costs more
+	// than a write.
+	batchDelay = 2 * time.Millisecond
 	// maxBatchBytes is the size at which frames are sent without waiting for others.
 	maxBatchBytes = 32 << 10
 	// minCompressedBytes is the size from which a batch is compressed. Smaller ones are heartbeats and
@@ -33,8 +35,33 @@
 
 	mu      sync.Mutex
 	pending []byte
-	// flushScheduled is set while a timer is running that sends the pending frames.
-	flushScheduled bool
+}
+
+// flusher flushes the batchers of all connections that have pending frames.
+type flusher struct {
+	mu sync.Mutex
+	// batchers have pending frames. A timer is running while there are any.
+	batchers []*batcher
+}
+
+// schedule flushes a batcher after the batch delay.
+func (f *flusher) schedule(b *batcher, clock clockwork.Clock) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.batchers) == 0 {
+		clock.AfterFunc(batchDelay, f.flush)
+	}
+	f.batchers = append(f.batchers, b)
+}
+
+func (f *flusher) flush() {
+	f.mu.Lock()
+	batchers := f.batchers
+	f.batchers = nil
+	f.mu.Unlock()
+	for _, b := range batchers {
+		b.flush()
+	}
 }
 
 func newBatcher(mesh *Mesh, conn gnet.Conn, region string, sentBytes *atomic.Int64) *batcher {
@@ -50,13 +77,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.pending) == 0 {
+		b.mesh.flusher.schedule(b, b.mesh.Clock)
+	}
 	b.pending = append(b.pending, data...)
-	switch {
-	case len(b.pending) >= maxBatchBytes:
+	if len(b.pending) >= maxBatchBytes {
 		b.flushLocked()
-	case !b.flushScheduled:
-		b.flushScheduled = true
-		b.mesh.Clock.AfterFunc(batchDelay, b.flush)
 	}
 	return nil
 }
@@ -64,7 +90,6 @@
 func (b *batcher) flush() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.flushScheduled = false
 	b.flushLocked()
 }
 
--- a/internal/mesher/eventhandler.go
+++ b/internal/mesher/eventhandler.go
@@ -147,6 +147,7 @@
 // handleDialledFrame handles a frame that was received on a connection dialled by this instance.
 func handleDialledFrame(l *link, frame *messenger.Frame) error {
 	l.unansweredHeartbeats.Store(0)
+	l.receivedFrames.Add(1)
 	switch kind := frame.GetKind().(type) {
 	case *messenger.Frame_Reply:
 		l.deliver(kind.Reply)
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -39,7 +39,9 @@
 	heartbeatDue chan struct{}
 	// unansweredHeartbeats counts the heartbeats sent since the last frame received on the connection.
 	unansweredHeartbeats atomic.Int32
-	pending              map[uint64]chan *messenger.Reply
+	// receivedFrames counts the frames received from the peer.
+	receivedFrames atomic.Int64
+	pending        map[uint64]chan *messenger.Reply
 }
 
 func newLink(m *Mesh, peer modeler.Instance) *link {
@@ -105,16 +107,16 @@
 }
 
 func (l *link) sendHeartbeats(closed chan struct{}) {
-	ticker := l.mesh.Clock.NewTicker(l.mesh.heartbeatInterval(l.peer.Region))
-	defer ticker.Stop()
 	l.unansweredHeartbeats.Store(0)
 	for {
 		if l.unansweredHeartbeats.Add(1) > maxMissedHeartbeats {
 			l.mesh.Log.Info("peer does not answer heartbeats; reconnecting", "peer", l.peer.Name, "beats", maxMissedHeartbeats)
 			return
 		}
-		heartbeat := &messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: l.mesh.Heartbeat()}}
-		if err := l.send(heartbeat); err != nil {
+		interval := l.mesh.nextHeartbeat(l.peer)
+		heartbeat := l.mesh.Heartbeat()
+		heartbeat.IntervalMillis = interval.Milliseconds()
+		if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: heartbeat}}); err != nil {
 			return
 		}
 		select {
@@ -125,7 +127,7 @@
 		case <-l.heartbeatDue:
 			// An additional heartbeat does not count as unanswered before its answer can be there.
 			l.unansweredHeartbeats.Add(-1)
-		case <-ticker.Chan():
+		case <-l.mesh.Clock.After(interval):
 		}
 	}
 }
@@ -175,6 +177,7 @@
 	if !connected {
 		return nil, &LinkError{Instance: l.peer.Name, Err: &NotConnectedError{}}
 	}
+	receivedBefore := l.receivedFrames.Load()
 	if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Call{Call: call}}); err != nil {
 		return nil, &LinkError{Instance: l.peer.Name, Err: err}
 	}
@@ -184,10 +187,39 @@
 	case <-closed:
 		return nil, &LinkError{Instance: l.peer.Name, Err: &ConnectionClosedError{}}
 	case <-ctx.Done():
+		go l.checkSilence(closed, receivedBefore)
 		return nil, &LinkError{Instance: l.peer.Name, Err: ctx.Err()}
 	}
 }
 
+// silenceTimeout is how long a peer may take to answer the heartbeat that follows a call without a
+// reply.
+const silenceTimeout = time.Second
+
+// checkSilence sends a heartbeat after a call without a reply, and closes the connection if nothing is
+// received on it: a connection can go silent without an error, and a new one may work. Between two
+// instances that rarely send heartbeats it would not be noticed otherwise.
+func (l *link) checkSilence(closed chan struct{}, receivedBefore int64) {
+	if l.receivedFrames.Load() != receivedBefore {
+		return
+	}
+	l.announce()
+	select {
+	case <-closed:
+		return
+	case <-l.ctx.Done():
+		return
+	case <-l.mesh.Clock.After(silenceTimeout):
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.closed == closed && l.receivedFrames.Load() == receivedBefore {
+		l.mesh.Log.Info("peer is silent; reconnecting", "peer", l.peer.Name)
+		// The connection may be closed already.
+		_ = l.conn.Close()
+	}
+}
+
 func (l *link) removePending(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/mesher/mesh.go
+++ b/internal/mesher/mesh.go
@@ -71,6 +71,9 @@
 	// SameRegionHeartbeatInterval and CrossRegionHeartbeatInterval are the times between heartbeats to
 	// peers in the same region and in other regions. Zero selects the default.
 	SameRegionHeartbeatInterval, CrossRegionHeartbeatInterval time.Duration
+	// HeartbeatInterval returns the time until the next heartbeat to a peer. It may be nil; the
+	// intervals above apply then.
+	HeartbeatInterval func(peer string) time.Duration
 }
 
 // Dependencies are the components that a Mesh uses.
@@ -127,6 +130,7 @@
 	links    map[string]*link
 	peers    map[string]Peer
 	handlers sync.WaitGroup
+	flusher  flusher
 
 	sameRegionBytes, crossRegionBytes, frames, badFrames atomic.Int64
 }
@@ -273,13 +277,31 @@
 	live := make(map[string]*messenger.Heartbeat, len(m.peers))
 	now := m.Clock.Now()
 	for name, peer := range m.peers {
-		if now.Sub(peer.ReceivedAt) <= maxMissedHeartbeats*m.heartbeatInterval(peer.Heartbeat.GetRegion()) {
+		if now.Sub(peer.ReceivedAt) <= m.livenessTimeout(peer.Heartbeat) {
 			live[name] = peer.Heartbeat
 		}
 	}
 	return live
 }
 
+// livenessTimeout returns how long after a heartbeat its sender counts as live. Of long intervals,
+// fewer may be missed.
+func (m *Mesh) livenessTimeout(heartbeat *messenger.Heartbeat) time.Duration {
+	usual := maxMissedHeartbeats * m.heartbeatInterval(heartbeat.GetRegion())
+	if announced := time.Duration(heartbeat.GetIntervalMillis()) * time.Millisecond; announced > 0 {
+		return max(usual, announced*5/2)
+	}
+	return usual
+}
+
+// nextHeartbeat returns the time until the next heartbeat to a peer.
+func (m *Mesh) nextHeartbeat(peer modeler.Instance) time.Duration {
+	if m.settings.HeartbeatInterval != nil {
+		return m.settings.HeartbeatInterval(peer.Name)
+	}
+	return m.heartbeatInterval(peer.Region)
+}
+
 func (m *Mesh) heartbeatInterval(region string) time.Duration {
 	if region == m.settings.Region {
 		return m.settings.SameRegionHeartbeatInterval
--- a/internal/mesher/mesh_test.go
+++ b/internal/mesher/mesh_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -227,3 +228,64 @@
 		got[<-heartbeatSenders] = true
 	}
 }
+
+// TestSilentConnectionIsNoticedByItsCalls checks that a connection that carries heartbeats once an hour
+// is redialled soon after a call on it got no reply.
+func TestSilentConnectionIsNoticedByItsCalls(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	clock := clockwork.NewFakeClock()
+	mesh, stop, err := mesher.New(mesher.Settings{
+		Instance: "a", Region: "north", Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		HeartbeatInterval: func(string) time.Duration { return time.Hour },
+	}, mesher.Dependencies{
+		Clock:       clock,
+		Log:         slog.New(slog.DiscardHandler),
+		Handler:     echoHandler{},
+		Heartbeat:   func() *messenger.Heartbeat { return &messenger.Heartbeat{Instance: "a", Region: "north"} },
+		OnHeartbeat: func(*messenger.Heartbeat) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	mesh.SetPeers([]modeler.Instance{{Name: "b", Region: "north", Mesh: netip.MustParseAddrPort(listener.Addr().String())}})
+	first, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	// The link waits for its next heartbeat once it is connected, and its frames for their batch.
+	if err := clock.BlockUntilContext(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var linkError *mesher.LinkError
+	if _, err := mesh.Call(ctx, "b", &messenger.Call{Key: "k"}); !errors.As(err, &linkError) {
+		t.Fatalf("got %v, want a LinkError", err)
+	}
+	accepted := make(chan error, 1)
+	go func() {
+		second, err := listener.Accept()
+		if err == nil {
+			second.Close()
+		}
+		accepted <- err
+	}()
+	for {
+		select {
+		case err := <-accepted:
+			if err != nil {
+				t.Fatal(err)
+			}
+			return
+		default:
+			clock.Advance(100 * time.Millisecond)
+			runtime.Gosched()
+		}
+	}
+}
