Rows of any bytes pass through a peer

Cause: store calls through a peer were JSON with the rows' values embedded as JSON. Change: values travel as bytes.

--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -21,7 +21,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -181,33 +180,22 @@
 
 // request is a call to the store; one of its fields is set.
 type request struct {
-	Transact *connector.Transaction `json:"transact,omitempty"`
-	Read     []string               `json:"read,omitempty"`
-	Snapshot *snapshotRequest       `json:"snapshot,omitempty"`
-	Watch    *watchRequest          `json:"watch,omitempty"`
-}
-
-type snapshotRequest struct {
-	Table string `json:"table"`
-	Part  string `json:"part"`
-}
-
-type watchRequest struct {
-	Table string        `json:"table"`
-	After int64         `json:"after"`
-	Wait  time.Duration `json:"wait"`
+	Transact *connector.Transaction
+	Read     []string
+	Snapshot *snapshotRequest
+	Watch    *watchRequest
 }
 
 // reply is the result of a store call.
 type reply struct {
-	Outcome   connector.Outcome        `json:"outcome,omitzero"`
-	Rows      map[string]connector.Row `json:"rows,omitempty"`
-	Changes   connector.Changes        `json:"changes,omitzero"`
-	Compacted bool                     `json:"forgotten,omitempty"`
+	Outcome   connector.Outcome
+	Rows      map[string]connector.Row
+	Changes   connector.Changes
+	Compacted bool
 	// Refused is set if the call certainly had no effect, InDoubt if that is unknown.
-	Refused string `json:"refused,omitempty"`
-	Status  int    `json:"status,omitempty"`
-	InDoubt string `json:"doubt,omitempty"`
+	Refused string
+	Status  int
+	InDoubt string
 }
 
 // PeerError reports that a peer got no answer from the store.
@@ -390,15 +378,15 @@
 			r.markPeerFailed(peer)
 		}
 	}()
-	payload, err := json.Marshal(req)
+	payload, err := req.encode()
 	if err != nil {
-		return reply{}, true, errors.Wrap(err, "encode request")
+		return reply{}, true, err
 	}
 	payload, err = r.CallPeer(ctx, peer, payload)
 	if err != nil {
 		return reply{}, true, &connector.UnreachableError{Call: "store through " + peer, Err: err}
 	}
-	if err := json.Unmarshal(payload, &answer); err != nil {
+	if answer, err = decodeReply(payload, req); err != nil {
 		return reply{}, true, &connector.UnreachableError{Call: "store through " + peer, Err: err}
 	}
 	if err := answer.failure(peer, req); err != nil {
@@ -467,12 +455,12 @@
 
 // Serve makes a peer's store call directly and returns the encoded reply.
 func (r *Relayer) Serve(ctx context.Context, payload []byte) ([]byte, error) {
-	var req request
-	if err := json.Unmarshal(payload, &req); err != nil {
-		return nil, errors.Wrap(err, "decode request")
+	req, err := decodeRequest(payload)
+	if err != nil {
+		return nil, err
 	}
 	startedAt := r.Clock.Now()
-	answer, err := callDirect(ctx, r.Store, &req)
+	answer, err := callDirect(ctx, r.Store, req)
 	var refused *connector.RefusedError
 	var compacted *connector.CompactedError
 	switch {
@@ -487,9 +475,5 @@
 	default:
 		answer.InDoubt = err.Error()
 	}
-	encoded, err := json.Marshal(answer)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode reply")
-	}
-	return encoded, nil
+	return answer.encode()
 }
--- a/internal/storerelayer/storerelayer_test.go
+++ b/internal/storerelayer/storerelayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"reflect"
 	"runtime"
 	"sync"
 	"testing"
@@ -196,3 +197,63 @@
 		t.Errorf("last answer %s and last direct answer %s ago after a wall clock jump, want 100 ms", r.SinceAnswer(), r.SinceDirectAnswer())
 	}
 }
+
+// TestRowsOfAnyBytesAreRelayed checks that rows whose values are not JSON pass through a peer, in both
+// directions: records may be compressed, and other writers may store anything.
+func TestRowsOfAnyBytesAreRelayed(t *testing.T) {
+	value := []byte("\x01\xff not JSON {")
+	peer := &rowStore{row: connector.Row{Key: "t/p/k", Value: value, Version: 4}}
+	log, clock := slog.New(slog.DiscardHandler), clockwork.NewFakeClock()
+	serving, stopServing := storerelayer.New(storerelayer.Dependencies{Store: peer, Clock: clock, Log: log, Peers: func() []string { return nil }})
+	defer stopServing()
+	r, stop := storerelayer.New(storerelayer.Dependencies{
+		Store: &store{err: errRefused}, Clock: clock, Log: log, Peers: func() []string { return []string{"a"} },
+		CallPeer: func(ctx context.Context, _ string, request []byte) ([]byte, error) {
+			return serving.Serve(ctx, request)
+		},
+	})
+	defer stop()
+	transaction := connector.Transaction{
+		ID: "x", Preconditions: []connector.Precondition{{Key: "t/p/k", Version: 4}}, Puts: []connector.Put{{Key: "t/p/k", Value: value}}, Deletes: []string{"t/p/l"},
+	}
+	outcome, err := r.Transact(t.Context(), transaction)
+	if err != nil || outcome.Committed || len(outcome.Conflicts) != 1 || !reflect.DeepEqual(outcome.Conflicts[0], peer.row) {
+		t.Errorf("transaction: %+v, %v", outcome, err)
+	}
+	if !reflect.DeepEqual(peer.got, transaction) {
+		t.Errorf("the store got %+v, want %+v", peer.got, transaction)
+	}
+	if rows, err := r.Read(t.Context(), "t/p/k"); err != nil || !reflect.DeepEqual(rows, map[string]connector.Row{"t/p/k": peer.row}) {
+		t.Errorf("read: %+v, %v", rows, err)
+	}
+	want := connector.Changes{Rows: []connector.Row{peer.row}, Version: 9}
+	if changes, err := r.Snapshot(t.Context(), "t", "p"); err != nil || !reflect.DeepEqual(changes, want) {
+		t.Errorf("snapshot: %+v, %v", changes, err)
+	}
+	if changes, err := r.Watch(t.Context(), "t", 3, time.Second); err != nil || !reflect.DeepEqual(changes, want) {
+		t.Errorf("watch: %+v, %v", changes, err)
+	}
+}
+
+// rowStore holds one row, with which all transactions conflict.
+type rowStore struct {
+	row connector.Row
+	got connector.Transaction
+}
+
+func (s *rowStore) Transact(_ context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	s.got = transaction
+	return connector.Outcome{Conflicts: []connector.Row{s.row}}, nil
+}
+
+func (s *rowStore) Read(context.Context, ...string) (map[string]connector.Row, error) {
+	return map[string]connector.Row{s.row.Key: s.row}, nil
+}
+
+func (s *rowStore) Snapshot(context.Context, string, string) (connector.Changes, error) {
+	return connector.Changes{Rows: []connector.Row{s.row}, Version: 9}, nil
+}
+
+func (s *rowStore) Watch(context.Context, string, int64, time.Duration) (connector.Changes, error) {
+	return connector.Changes{Rows: []connector.Row{s.row}, Version: 9}, nil
+}
