A slow store's transactions are awaited instead of given up and read back

Change: after the send timeout the writer reads its row while it goes on waiting. If the transaction is answered first, the store is slow; if the read is, the connection is dead, and the transaction is given up as in doubt and read back. Test: a store that takes 0.75 s for a transaction and a third of it for a read: 1.73 s and a retry before, 0.75 s now.

--- a/internal/committer/writer.go
+++ b/internal/committer/writer.go
@@ -23,12 +23,15 @@
 const (
 	// callTimeout bounds one attempt: reading back the writer row and sending the transaction.
 	callTimeout = 3 * time.Second
-	// initialSendTimeout bounds the first send of a transaction. A healthy table replies in a
-	// twentieth of this time, and a connection that stops responding blocks all later writes. For a
-	// slow table, the timeout is sendTimeoutFactor times its last response time, and it doubles
-	// after each send without a reply.
+	// initialSendTimeout is how long the first send of a transaction may take before the writer finds
+	// out whether the connection is dead. A healthy table replies in a twentieth of this time, and a
+	// connection that stops responding blocks all later writes. For a slow table, the timeout is
+	// sendTimeoutFactor times its last response time, and it doubles after each send without a reply.
 	initialSendTimeout = 700 * time.Millisecond
 	sendTimeoutFactor  = 4
+	// probeTimeout bounds the read that finds out whether the connection is dead. At its slowest the
+	// table takes a quarter of a second for a read.
+	probeTimeout = 500 * time.Millisecond
 )
 
 // InDoubtError reports that it could not be determined whether a transaction was committed.
@@ -187,9 +190,7 @@
 	own := connector.Precondition{Key: w.Key(), Version: w.rowVersion}
 	transaction.Preconditions = append(transaction.Preconditions[:len(transaction.Preconditions):len(transaction.Preconditions)], own)
 	sentAt := w.clock.Now()
-	sendCtx, cancel := context.WithTimeout(ctx, w.sendTimeout)
-	outcome, err := w.table.Transact(sendCtx, transaction)
-	cancel()
+	outcome, err := w.transact(ctx, transaction)
 	if err != nil {
 		var unreachable *connector.UnreachableError
 		if errors.As(err, &unreachable) && !unreachable.NeverSent {
@@ -207,6 +208,51 @@
 	return w.resolveConflict(transaction.ID, outcome)
 }
 
+// transactResult is the result of a Transact.
+type transactResult struct {
+	outcome connector.Outcome
+	err     error
+}
+
+// transact sends a transaction once. If there is no reply within the send timeout, it reads the writer
+// row while it goes on waiting: whichever is answered first shows whether the table is slow or the
+// connection is dead. A slow table still replies to the transaction; on a dead connection only the
+// read, which uses another one, is answered, and the transaction is given up as in doubt.
+func (w *Writer) transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	transactCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan transactResult, 1)
+	go func() {
+		outcome, err := w.table.Transact(transactCtx, transaction)
+		results <- transactResult{outcome, err}
+	}()
+	timeout, stopTimeout := context.WithTimeout(ctx, w.sendTimeout)
+	defer stopTimeout()
+	select {
+	case result := <-results:
+		return result.outcome, result.err
+	case <-timeout.Done():
+	}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		readCtx, cancel := context.WithTimeout(transactCtx, probeTimeout)
+		defer cancel()
+		if _, err := w.table.Read(readCtx, w.Key()); err != nil {
+			// Nothing is known about the connection, so the transaction keeps its time.
+			<-transactCtx.Done()
+		}
+	}()
+	select {
+	case result := <-results:
+		return result.outcome, result.err
+	case <-answered:
+	}
+	cancel()
+	result := <-results
+	return result.outcome, result.err
+}
+
 // resolveConflict separates a conflict on the writer row from conflicts of the caller's
 // preconditions. The writer row can have changed only if a transaction in doubt took effect late.
 // If that is this very transaction, it was committed.
