--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -93,10 +93,17 @@
 			newProblem("not-admitted", "No valid token", http.StatusUnauthorized, RanNo, "send the caller's bearer token").write(w)
 			return
 		}
-		contract, found := s.Tickets().ContractOf(caller)
+		tickets := s.Tickets()
+		contract, found := tickets.ContractOf(caller)
+		if !found && tickets.Number == 0 {
+			problem := newProblem("no-ticket", "No ticket read yet", http.StatusServiceUnavailable, RanNo, "this instance has not read the contracts in force")
+			problem.retryAfter = time.Second
+			problem.write(w)
+			return
+		}
 		if !found {
 			newProblem("no-contract", "No contract in force", http.StatusForbidden, RanNo,
-				fmt.Sprintf("caller %s has no contract in ticket %d", caller, s.Tickets().Number)).write(w)
+				fmt.Sprintf("caller %s has no contract in ticket %d", caller, tickets.Number)).write(w)
 			return
 		}
 		if !s.acquireSlot(contract) {
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -48,6 +48,10 @@
 func newServer(r *fakeRouter) *apiserver.Server {
 	state := &ticketer.State{Number: 1}
 	state.Contracts = []ticketer.Contract{{Caller: "crew", Team: "roofers", HomeRegion: "north", RequestsInFlight: 1}}
+	return newServerWithTickets(r, state)
+}
+
+func newServerWithTickets(r *fakeRouter, state *ticketer.State) *apiserver.Server {
 	return apiserver.New(apiserver.Dependencies{
 		Router:        r,
 		Authenticator: authenticator.New(map[string]string{"crew": "token-of-the-crew", "stranger": "token-of-a-stranger"}),
@@ -146,3 +150,17 @@
 		t.Errorf("a request after the first one ended got status %d, want 200", reply.Code)
 	}
 }
+
+// TestCallersRetryWhileNoTicketIsRead: an instance that has just started knows no contract. It must not
+// answer that a caller has none, which is final, but when to try again.
+func TestCallersRetryWhileNoTicketIsRead(t *testing.T) {
+	server := newServerWithTickets(&fakeRouter{}, &ticketer.State{})
+	recorder := send(t.Context(), server, http.MethodPost, "/v1/requests", "token-of-the-crew", "k", quickRequest)
+	if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, want 503 and a time: %s", recorder.Code, recorder.Header().Get("Retry-After"), recorder.Body)
+	}
+	recorder = send(t.Context(), newServer(&fakeRouter{}), http.MethodPost, "/v1/requests", "token-of-a-stranger", "k", quickRequest)
+	if recorder.Code != http.StatusForbidden {
+		t.Errorf("a caller without a contract in the ticket got status %d, want 403", recorder.Code)
+	}
+}
--- a/internal/cellscheduler/cellscheduler_test.go
+++ b/internal/cellscheduler/cellscheduler_test.go
@@ -128,6 +128,18 @@
 		env.withLock(func() { env.workers["w0"].startDelay = 0; env.workers["w1"].startDelay = 0 })
 		sleep(8 * time.Second)
 		wantState(t, c, "j", steptracker.Completed)
+		env.withLock(func() {
+			late := append(env.workers["w0"].lateReplies, env.workers["w1"].lateReplies...)
+			if len(late) != 3 {
+				t.Errorf("%d start orders were late, want 3", len(late))
+			}
+			for _, err := range late {
+				var refused *workerdriver.RefusedError
+				if !errors.As(err, &refused) || refused.Reason != workerdriver.StaleRun {
+					t.Errorf("a late start order got %v, want a refusal as a stale run", err)
+				}
+			}
+		})
 	})
 }
 
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -82,6 +82,9 @@
 	replaced         bool
 	loseStartReplies bool
 	startDelay       time.Duration
+	// lateReplies are the replies to the start orders that startDelay has delayed, nil for one that
+	// was carried out.
+	lateReplies []error
 }
 
 // sleep lets virtual time pass.
@@ -245,9 +248,8 @@
 		time.AfterFunc(worker.startDelay, func() {
 			env.mu.Lock()
 			defer env.mu.Unlock()
-			// The caller has been answered, so it does not matter whether the worker refuses the
-			// late order.
-			_ = worker.start(order)
+			// The caller has been answered, so only the test learns of the reply.
+			worker.lateReplies = append(worker.lateReplies, worker.start(order))
 		})
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
--- a/internal/partitionrouter/partitionrouter.go
+++ b/internal/partitionrouter/partitionrouter.go
@@ -196,7 +196,7 @@
 	if err != nil {
 		return modeler.Answer{}, &OwnerUnreachableError{Partition: call.GetPartition(), Err: err}
 	}
-	return decodeReply(call.GetPartition(), reply)
+	return decodeReply(call.GetPartition(), call.GetKey(), reply)
 }
 
 // ownerCheckInterval is the time between two checks of whether a partition has a new owner while a
--- a/internal/partitionrouter/wire.go
+++ b/internal/partitionrouter/wire.go
@@ -76,7 +76,7 @@
 	return reply
 }
 
-func decodeReply(partition string, reply *messenger.Reply) (modeler.Answer, error) {
+func decodeReply(partition, key string, reply *messenger.Reply) (modeler.Answer, error) {
 	switch reply.GetError() {
 	case messenger.ErrorKind_ERROR_KIND_UNSPECIFIED:
 		var answer modeler.Answer
@@ -96,5 +96,5 @@
 		return modeler.Answer{}, &BadCallError{Reason: reply.GetReason()}
 	case messenger.ErrorKind_ERROR_KIND_UNDECIDED:
 	}
-	return modeler.Answer{}, &modeler.UndecidedError{Key: reply.GetReason()}
+	return modeler.Answer{}, &modeler.UndecidedError{Key: key}
 }
