Fewer syncs and wake-ups for the owner of a large cell

Cause: on the large site (1,100 workers) the owner makes 1,370 syncs a second for 600 runs, as each worker answers once a second also when nothing ends; each of its messages to 28 relays wakes the event loop for itself. Change: in cells of more than 200 workers a sync may wait two seconds, the most that a worker allows, and a worker counts as unresponsive 1.5 s after that.

--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -13,8 +13,12 @@
 
 const (
 	// syncWait is how long a worker may delay its answer to a sync while no run ends. It bounds
-	// the age of what is known about the worker, and of its lease.
-	syncWait = time.Second
+	// the age of what is known about the worker, and of its lease. In a cell of more than
+	// manyWorkers workers it is longSyncWait: most of them end no run within a second, and their syncs
+	// would be most of what the owner does.
+	syncWait     = time.Second
+	longSyncWait = 2 * time.Second
+	manyWorkers  = 200
 	// initialRetryDelay and maxRetryDelay bound the delay before an unanswered call is retried.
 	initialRetryDelay = 150 * time.Millisecond
 	maxRetryDelay     = 600 * time.Millisecond
@@ -22,8 +26,9 @@
 	// worker are not written yet. After that the worker is synced anyway, so that its lease does
 	// not expire during a store outage.
 	unwrittenSyncDelay = 800 * time.Millisecond
-	// unresponsiveAfter is the time without an answer after which a worker gets no new tasks.
-	unresponsiveAfter = 2500 * time.Millisecond
+	// responseTimeout is how long a worker may take for an answer in addition to the time for which it
+	// may delay it. After that it gets no new tasks.
+	responseTimeout = 1500 * time.Millisecond
 	// maxStoreSilence is how long an owner that does not hear from the store continues to extend
 	// leases.
 	maxStoreSilence = 6 * time.Second
@@ -85,10 +90,21 @@
 
 // usable reports whether a worker may get new tasks.
 func (c *Scheduler) usable(w *worker) bool {
-	return w.listed && w.synced && !w.info.Draining && c.now.Sub(w.lastReplyAt) < unresponsiveAfter && c.now.After(w.avoidUntil) &&
+	return w.listed && w.synced && !w.info.Draining && c.now.Sub(w.lastReplyAt) < c.unresponsiveAfter() && c.now.After(w.avoidUntil) &&
 		!w.health.isQuarantined(c.now)
 }
 
+// syncWait returns how long a worker may delay its answer to a sync while no run ends.
+func (c *Scheduler) syncWait() time.Duration {
+	if len(c.workers) > manyWorkers {
+		return longSyncWait
+	}
+	return syncWait
+}
+
+// unresponsiveAfter returns the time without an answer after which a worker gets no new tasks.
+func (c *Scheduler) unresponsiveAfter() time.Duration { return c.syncWait() + responseTimeout }
+
 // UpdateWorkers updates the workers from the platform's list. With complete set, workers that are
 // not named have been removed from the list.
 func (c *Scheduler) UpdateWorkers(listed []workerdriver.Worker, removed []string, complete bool) {
@@ -179,11 +195,11 @@
 	case w.hasMixedLoad():
 		order.MaxWait = throttledSyncWait
 	default:
-		order.MaxWait = syncWait
+		order.MaxWait = c.syncWait()
 	}
 	switch {
 	case w.clockAt.IsZero() || !c.OwnershipConfirmed():
-	case w.synced && c.now.Sub(w.lastReplyAt) > unresponsiveAfter:
+	case w.synced && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter():
 		// An unanswered order may have arrived, so each one that extends the lease postpones the
 		// time at which the worker's runs are certainly over. The lease is extended again after
 		// the first answer.
@@ -232,7 +248,7 @@
 		c.syncFailed(w, err)
 		return
 	}
-	if c.now.Sub(sentAt) > unresponsiveAfter && w.syncFailures > 0 {
+	if c.now.Sub(sentAt) > c.unresponsiveAfter() && w.syncFailures > 0 {
 		c.Log.Info("worker answers again", "worker", w.info.Worker)
 	}
 	w.syncFailures = 0
@@ -310,14 +326,14 @@
 	}
 	// All runs that a worker may have are over once its lease has certainly expired. New start
 	// orders extend the lease, so only older runs are affected.
-	if len(w.placements) > 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > unresponsiveAfter {
+	if len(w.placements) > 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
 		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.placements), "heard-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds())
 		for _, p := range w.placements {
 			c.endRun(p, steptracker.LeaseExpired, "")
 		}
 		w.synced = false
 	}
-	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > unresponsiveAfter {
+	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
 		delete(c.workers, w.info.Worker)
 		return
 	}
--- a/internal/mesher/batcher.go
+++ b/internal/mesher/batcher.go
@@ -18,6 +18,9 @@
 	// between regions. All connections are flushed together, because waking the event loop costs more
 	// than a write.
 	batchDelay = 2 * time.Millisecond
+	// bulkDelay replaces batchDelay for orders to workers and their replies, of which an owner has
+	// thousands a second: each wake-up then serves several.
+	bulkDelay = 8 * time.Millisecond
 	// maxBatchBytes is the size at which frames are sent without waiting for others.
 	maxBatchBytes = 32 << 10
 	// minCompressedBytes is the size from which a batch is compressed. Smaller ones are heartbeats and
@@ -40,37 +43,62 @@
 // flusher flushes the batchers of all connections that have pending frames.
 type flusher struct {
 	mu sync.Mutex
-	// batchers have pending frames. A timer is running while there are any.
+	// batchers have pending frames.
 	batchers []*batcher
+	// flushAt is when the next timer flushes them. It is the zero time if there is no timer.
+	flushAt time.Time
 }
 
-// schedule flushes a batcher after the batch delay.
-func (f *flusher) schedule(b *batcher, clock clockwork.Clock) {
+// schedule flushes a batcher, and all others that wait, after the delay at the latest.
+func (f *flusher) schedule(b *batcher, clock clockwork.Clock, delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.batchers) == 0 {
-		clock.AfterFunc(batchDelay, f.flush)
-	}
 	f.batchers = append(f.batchers, b)
+	f.expediteLocked(clock, delay)
+}
+
+// expedite flushes the waiting batchers after the delay at the latest.
+func (f *flusher) expedite(clock clockwork.Clock, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expediteLocked(clock, delay)
 }
 
+func (f *flusher) expediteLocked(clock clockwork.Clock, delay time.Duration) {
+	at := clock.Now().Add(delay)
+	if f.flushAt.IsZero() || at.Before(f.flushAt) {
+		f.flushAt = at
+		clock.AfterFunc(delay, f.flush)
+	}
+}
+
+// flush flushes the waiting batchers. A timer that an earlier one has anticipated finds none, or some
+// that wait for a later one and lose nothing by going at once.
 func (f *flusher) flush() {
 	f.mu.Lock()
 	batchers := f.batchers
-	f.batchers = nil
+	f.batchers, f.flushAt = nil, time.Time{}
 	f.mu.Unlock()
 	for _, b := range batchers {
 		b.flush()
 	}
 }
 
+// delayOf returns how long a call of a kind, or its reply, may wait for others.
+func delayOf(kind messenger.CallKind) time.Duration {
+	if kind == messenger.CallKind_CALL_KIND_ORDER {
+		return bulkDelay
+	}
+	return batchDelay
+}
+
 func newBatcher(mesh *Mesh, conn gnet.Conn, region string, sentBytes *atomic.Int64) *batcher {
 	return &batcher{mesh: mesh, conn: conn, region: region, sentBytes: sentBytes}
 }
 
-// send adds a frame to the next batch. A frame that cannot be sent is lost with its connection, whose
-// end both sides notice.
-func (b *batcher) send(frame *messenger.Frame) error {
+// send adds a frame to the next batch, which is sent after the delay at the latest. A frame that cannot
+// be sent is lost with its connection, whose end both sides notice.
+func (b *batcher) send(frame *messenger.Frame, delay time.Duration) error {
 	data, err := encodeFrame(frame)
 	if err != nil {
 		return err
@@ -78,7 +106,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.pending) == 0 {
-		b.mesh.flusher.schedule(b, b.mesh.Clock)
+		b.mesh.flusher.schedule(b, b.mesh.Clock, delay)
+	} else if delay < bulkDelay {
+		b.mesh.flusher.expedite(b.mesh.Clock, delay)
 	}
 	b.pending = append(b.pending, data...)
 	if len(b.pending) >= maxBatchBytes {
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -103,7 +103,7 @@
 	if settings.DialUnlistedPeers {
 		hello.Mesh = l.mesh.listenAddress.String()
 	}
-	return closed, l.send(&messenger.Frame{Kind: &messenger.Frame_Hello{Hello: hello}})
+	return closed, l.send(&messenger.Frame{Kind: &messenger.Frame_Hello{Hello: hello}}, batchDelay)
 }
 
 func (l *link) sendHeartbeats(closed chan struct{}) {
@@ -116,7 +116,7 @@
 		interval := l.mesh.nextHeartbeat(l.peer)
 		heartbeat := l.mesh.Heartbeat()
 		heartbeat.IntervalMillis = interval.Milliseconds()
-		if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: heartbeat}}); err != nil {
+		if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Heartbeat{Heartbeat: heartbeat}}, bulkDelay); err != nil {
 			return
 		}
 		select {
@@ -153,14 +153,14 @@
 	clear(l.pending)
 }
 
-func (l *link) send(frame *messenger.Frame) error {
+func (l *link) send(frame *messenger.Frame, delay time.Duration) error {
 	l.mu.Lock()
 	outgoing := l.outgoing
 	l.mu.Unlock()
 	if outgoing == nil {
 		return &LinkError{Instance: l.peer.Name, Err: &NotConnectedError{}}
 	}
-	return outgoing.send(frame)
+	return outgoing.send(frame, delay)
 }
 
 // call assigns the next ID of this link to the call, sends it and waits for the reply with that ID.
@@ -178,7 +178,7 @@
 		return nil, &LinkError{Instance: l.peer.Name, Err: &NotConnectedError{}}
 	}
 	receivedBefore := l.receivedFrames.Load()
-	if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Call{Call: call}}); err != nil {
+	if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Call{Call: call}}, delayOf(call.GetKind())); err != nil {
 		return nil, &LinkError{Instance: l.peer.Name, Err: err}
 	}
 	select {
