Rank counts what passes besides a run; fewer, larger relays; rounds and checks cost less per worker

Cause: in a burst the steps that come first are those with the least time left, and half a second passes besides each run (advice, two writes, start order), so that all of them end late. Change: a step counts as on time only if its remaining chain and this overhead, both learned, fit before its deadline. The chain is the longest one from the step on; it was the step alone. Change: one relay for 100 workers, the largest machines first; replies to orders wait up to 20 ms. Change: the order is kept, and each tick checks a fifth of a large cell's workers.

--- a/internal/cellmanager/relays.go
+++ b/internal/cellmanager/relays.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/messenger"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 	"dotterelpost.example/dotterelpost/internal/workerrelayer"
 )
@@ -85,7 +86,7 @@
 	for incarnation, heartbeat := range m.mesh.LivePeers() {
 		zone, known := m.peerZones[incarnation]
 		if _, failed := s.failedAt[incarnation]; known && !failed && !heartbeat.GetLeaving() && !heartbeat.GetSlow() && !m.ended(incarnation) {
-			instances = append(instances, workerrelayer.Instance{Name: incarnation, AvailabilityZone: zone})
+			instances = append(instances, workerrelayer.Instance{Name: incarnation, AvailabilityZone: zone, Processors: modeler.Processors(heartbeat.GetProcessors())})
 		}
 	}
 	workers := make(map[string]int)
--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -27,10 +27,12 @@
 	router *advicerouter.Router
 	// approvalRates are the fractions of named workers that the advisor approved, by queue.
 	approvalRates map[string]float64
+	// latencies are the moving averages of the durations of calls, by queue.
+	latencies map[string]time.Duration
 }
 
 func (a *advisorState) init() {
-	a.router, a.approvalRates = advicerouter.New(), make(map[string]float64)
+	a.router, a.approvalRates, a.latencies = advicerouter.New(), make(map[string]float64), make(map[string]time.Duration)
 }
 
 // approval is the advisor's approval of one incarnation of a worker for a step.
@@ -159,6 +161,7 @@
 		}
 		return
 	}
+	c.advisor.latencies[queue] = updateLatency(c.advisor.latencies[queue], c.now.Sub(sentAt))
 	c.Log.Info("advised", "job", s.key.Job, "step", s.key.Step, "named", len(startMillis), "good", len(answer.Tickets), "took-ms", c.now.Sub(sentAt).Milliseconds())
 	for _, token := range answer.Tickets {
 		incarnation, named := startMillis[token.Worker]
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -163,8 +163,14 @@
 	// pendingSteps are the steps with tasks to place.
 	pendingSteps map[steptracker.StepKey]*step
 	workers      map[string]*worker
-	journal      journal
-	advisor      advisorState
+	// workerOrder holds all workers sorted by ID, or is nil if workers have come or gone since it was
+	// sorted. checkFrom is the index of the worker that is checked next.
+	workerOrder []*worker
+	checkFrom   int
+	journal     journal
+	advisor     advisorState
+	// startLatency is the moving average of the time from a start order to its confirmation.
+	startLatency time.Duration
 	// durationRatios holds the duration ratio of each queue by name.
 	durationRatios map[string]*durationRatio
 	// queues holds the last known settings of each queue by name.
@@ -295,9 +301,7 @@
 	if !c.recovered || c.ownershipLost {
 		return
 	}
-	for _, w := range c.workers {
-		c.checkWorker(w)
-	}
+	c.checkWorkers()
 	c.roundNeeded = true
 	c.refuseUnwritten()
 	if c.now.After(c.nextSweepAt) {
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -59,7 +59,7 @@
 	w := c.workers[task.AssignedTo.Worker]
 	if w == nil {
 		w = &worker{info: workerdriver.Worker{Incarnation: task.AssignedTo}, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement), leaseEndsAt: c.inheritedLeaseEnd()}
-		c.workers[task.AssignedTo.Worker] = w
+		c.addWorker(w)
 	}
 	p.worker = w
 	w.placements[key] = p
@@ -248,6 +248,7 @@
 		c.updateClock(w, header)
 		if p.state == runSending {
 			c.markStarted(p)
+			c.startLatency = updateLatency(c.startLatency, c.now.Sub(p.sentAt))
 			c.Log.Info("started", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "took-ms", c.now.Sub(p.sentAt).Milliseconds())
 		}
 		if p.stopReason != "" {
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/candidateselector"
@@ -153,15 +152,14 @@
 // collectCandidates builds the list of workers that may get new tasks in this round.
 func (c *Scheduler) collectCandidates() {
 	c.candidates = c.candidates[:0]
-	for id, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		w.candidateIndex = -1
 		if c.usable(w) {
 			c.candidates = append(c.candidates, cellplacer.Candidate{
-				Worker: id, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: w.free(), Slowdown: w.health.slowdown(),
+				Worker: w.info.Worker, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: w.free(), Slowdown: w.health.slowdown(),
 			})
 		}
 	}
-	slices.SortFunc(c.candidates, func(a, b cellplacer.Candidate) int { return strings.Compare(a.Worker, b.Worker) })
 	c.maxFreeProcessors, c.reservedForGangs = 0, 0
 	requested := make([]modeler.Processors, len(c.candidates))
 	for i := range c.candidates {
@@ -207,12 +205,35 @@
 	if j.definition.Scheduled() {
 		waiting.AcceptedAt = j.definition.DueAt(s.key.Occurrence)
 	}
-	waiting.CriticalPath = j.definition.CriticalPath(func(number int) time.Duration { return c.expectedDuration(j, number) })
-	waiting.RemainingTime = c.expectedDuration(j, s.key.Step)
+	estimate := func(number int) time.Duration { return c.expectedDuration(j, number) }
+	waiting.CriticalPath = j.definition.CriticalPath(estimate)
+	waiting.RemainingTime = j.definition.RemainingPath(s.key.Step, estimate)
+	waiting.Overhead = c.expectedOverhead(s)
 	waiting.LongRunning = s.def.LongRunning
 	return prioritizer.RankOf(waiting, c.Clock.Now())
 }
 
+// expectedOverhead returns how long it takes, besides the run, until the result of a step that is placed
+// now is visible: the advisor's answer unless it is known, the writes of assignment and end, and the
+// start order.
+func (c *Scheduler) expectedOverhead(s *step) time.Duration {
+	overhead := 2*c.journal.limiter.AverageDuration() + c.startLatency
+	if queue := c.queueOf(s.job); queue != nil && queue.Advisor != nil && !c.hasValidToken(s) {
+		overhead += c.advisor.latencies[queue.Name]
+	}
+	return overhead
+}
+
+// latencyWeight is the weight of the latest answer in the moving averages of latencies.
+const latencyWeight = 0.1
+
+func updateLatency(average, latest time.Duration) time.Duration {
+	if average == 0 {
+		return latest
+	}
+	return average + time.Duration(latencyWeight*float64(latest-average))
+}
+
 // removedQueuePriority is the priority of jobs whose queue was removed and whose settings are not
 // known.
 const removedQueuePriority = 9
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -1,6 +1,9 @@
 package cellscheduler
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -133,7 +136,7 @@
 	if w == nil {
 		w = &worker{info: info, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement)}
 		w.leaseEndsAt = c.inheritedLeaseEnd()
-		c.workers[info.Worker] = w
+		c.addWorker(w)
 		c.Log.Info("worker joined", "worker", info.Worker, "born", info.StartMillis, "zone", info.AvailabilityZone, "rack", info.Rack)
 	}
 	if info.Draining && !w.info.Draining {
@@ -314,11 +317,47 @@
 	}
 	w.synced = false
 	if !w.listed && len(w.placements) == 0 {
-		delete(c.workers, w.info.Worker)
+		c.removeWorker(w)
 	}
 	w.nextSyncAt = c.now.Add(replacedRetryDelay)
 }
 
+// addWorker adds a worker.
+func (c *Scheduler) addWorker(w *worker) {
+	c.workers[w.info.Worker] = w
+	c.workerOrder = nil
+}
+
+// removeWorker removes a worker.
+func (c *Scheduler) removeWorker(w *worker) {
+	delete(c.workers, w.info.Worker)
+	c.workerOrder = nil
+}
+
+// sortedWorkers returns all workers sorted by ID. The slice is not changed by later calls.
+func (c *Scheduler) sortedWorkers() []*worker {
+	if c.workerOrder == nil {
+		c.workerOrder = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return strings.Compare(a.info.Worker, b.info.Worker) })
+	}
+	return c.workerOrder
+}
+
+// minChecksPerTick is the number of workers checked at each tick. Of more workers a fifth is checked, so
+// that each one is checked every 100 ms, which is less than the shortest timeout.
+const minChecksPerTick = 100
+
+// checkWorkers handles the expired timeouts of some workers and their runs, in turn.
+func (c *Scheduler) checkWorkers() {
+	workers := c.sortedWorkers()
+	for range min(len(workers), max(minChecksPerTick, (len(workers)+4)/5)) {
+		if c.checkFrom >= len(workers) {
+			c.checkFrom = 0
+		}
+		c.checkWorker(workers[c.checkFrom])
+		c.checkFrom++
+	}
+}
+
 // checkWorker handles the expired timeouts of a worker and its runs.
 func (c *Scheduler) checkWorker(w *worker) {
 	if !w.syncInFlight {
@@ -334,7 +373,7 @@
 		w.synced = false
 	}
 	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
-		delete(c.workers, w.info.Worker)
+		c.removeWorker(w)
 		return
 	}
 	for _, p := range w.placements {
--- a/internal/inflightlimiter/inflightlimiter.go
+++ b/internal/inflightlimiter/inflightlimiter.go
@@ -63,6 +63,9 @@
 // Slow reports whether the average duration of transactions is at or above the slow threshold.
 func (l *Limiter) Slow() bool { return l.averageDuration >= slowThreshold }
 
+// AverageDuration returns the moving average of the duration of transactions.
+func (l *Limiter) AverageDuration() time.Duration { return l.averageDuration }
+
 // FreeSlot returns the slot for the next transaction, if one may be sent now: when no transaction is
 // in flight or, while the store is slow, when the latest was sent long enough ago that the
 // transactions are spaced evenly over the average duration.
--- a/internal/mesher/batcher.go
+++ b/internal/mesher/batcher.go
@@ -18,9 +18,11 @@
 	// between regions. All connections are flushed together, because waking the event loop costs more
 	// than a write.
 	batchDelay = 2 * time.Millisecond
-	// bulkDelay replaces batchDelay for orders to workers and their replies, of which an owner has
-	// thousands a second: each wake-up then serves several.
-	bulkDelay = 8 * time.Millisecond
+	// bulkDelay and bulkReplyDelay replace batchDelay for orders to workers and for their replies, of
+	// which an owner has thousands a second: each wake-up then serves several. Nothing waits for the
+	// reply to a start order, and that to a sync has waited for a run to end.
+	bulkDelay      = 8 * time.Millisecond
+	bulkReplyDelay = 20 * time.Millisecond
 	// maxBatchBytes is the size at which frames are sent without waiting for others.
 	maxBatchBytes = 32 << 10
 	// minCompressedBytes is the size from which a batch is compressed. Smaller ones are heartbeats and
@@ -84,14 +86,22 @@
 	}
 }
 
-// delayOf returns how long a call of a kind, or its reply, may wait for others.
-func delayOf(kind messenger.CallKind) time.Duration {
+// callDelay returns how long a call of a kind may wait for others.
+func callDelay(kind messenger.CallKind) time.Duration {
 	if kind == messenger.CallKind_CALL_KIND_ORDER {
 		return bulkDelay
 	}
 	return batchDelay
 }
 
+// replyDelay returns how long the reply to a call of a kind may wait for others.
+func replyDelay(kind messenger.CallKind) time.Duration {
+	if kind == messenger.CallKind_CALL_KIND_ORDER {
+		return bulkReplyDelay
+	}
+	return batchDelay
+}
+
 func newBatcher(mesh *Mesh, conn gnet.Conn, region string, sentBytes *atomic.Int64) *batcher {
 	return &batcher{mesh: mesh, conn: conn, region: region, sentBytes: sentBytes}
 }
@@ -107,7 +117,7 @@
 	defer b.mu.Unlock()
 	if len(b.pending) == 0 {
 		b.mesh.flusher.schedule(b, b.mesh.Clock, delay)
-	} else if delay < bulkDelay {
+	} else if delay < bulkReplyDelay {
 		b.mesh.flusher.expedite(b.mesh.Clock, delay)
 	}
 	b.pending = append(b.pending, data...)
--- a/internal/mesher/eventhandler.go
+++ b/internal/mesher/eventhandler.go
@@ -132,7 +132,7 @@
 			return &FrameError{Reason: "heartbeat before hello"}
 		}
 		go h.mesh.handleHeartbeat(sess.hello, kind.Heartbeat)
-		return sess.replies.send(&messenger.Frame{Kind: &messenger.Frame_Echo{Echo: &messenger.Echo{}}}, bulkDelay)
+		return sess.replies.send(&messenger.Frame{Kind: &messenger.Frame_Echo{Echo: &messenger.Echo{}}}, bulkReplyDelay)
 	case *messenger.Frame_Call:
 		if sess.hello == nil {
 			return &FrameError{Reason: "call before hello"}
@@ -167,7 +167,7 @@
 		defer cancel()
 		reply := m.Handler.ServeCall(ctx, call)
 		reply.Id = call.GetId()
-		if err := replies.send(&messenger.Frame{Kind: &messenger.Frame_Reply{Reply: reply}}, delayOf(call.GetKind())); err != nil {
+		if err := replies.send(&messenger.Frame{Kind: &messenger.Frame_Reply{Reply: reply}}, replyDelay(call.GetKind())); err != nil {
 			m.Log.Error("cannot encode reply", "key", call.GetKey(), "error", err)
 		}
 	})
--- a/internal/mesher/link.go
+++ b/internal/mesher/link.go
@@ -178,7 +178,7 @@
 		return nil, &LinkError{Instance: l.peer.Name, Err: &NotConnectedError{}}
 	}
 	receivedBefore := l.receivedFrames.Load()
-	if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Call{Call: call}}, delayOf(call.GetKind())); err != nil {
+	if err := l.send(&messenger.Frame{Kind: &messenger.Frame_Call{Call: call}}, callDelay(call.GetKind())); err != nil {
 		return nil, &LinkError{Instance: l.peer.Name, Err: err}
 	}
 	select {
--- a/internal/prioritizer/prioritizer.go
+++ b/internal/prioritizer/prioritizer.go
@@ -28,7 +28,10 @@
 	// CriticalPath is the duration of the job's longest chain of dependent steps, RemainingTime the
 	// part of it that is left.
 	CriticalPath, RemainingTime time.Duration
-	LongRunning                 bool
+	// Overhead is the time that passes besides the run until a caller sees the result of a step that is
+	// chosen now: for advice, writes and orders.
+	Overhead    time.Duration
+	LongRunning bool
 }
 
 // Tier classifies steps by how useful their results still are to the caller.
@@ -65,10 +68,13 @@
 		rank.Tier = TierLongRunning
 		return rank
 	}
-	if now.Add(step.RemainingTime).After(deadline) {
+	// Without the overhead, the steps that come first during a burst would be those that are just
+	// about to be late, and all of them would end late.
+	earliestEnd := now.Add(step.RemainingTime + step.Overhead)
+	if earliestEnd.After(deadline) {
 		rank.Tier = TierLate
 		rank.Deadline = step.AcceptedAt.Add(expiryFactor * objective)
-		if now.Add(step.RemainingTime).After(rank.Deadline) {
+		if earliestEnd.After(rank.Deadline) {
 			rank.Tier = TierExpired
 		}
 	}
--- a/internal/prioritizer/prioritizer_test.go
+++ b/internal/prioritizer/prioritizer_test.go
@@ -32,15 +32,18 @@
 	}
 }
 
-// simulateBurst runs one job per tick, in the order given by less, while a burst of one and a half
-// times that rate arrives. It returns how many jobs meet their objective.
-func simulateBurst(less func(a, b prioritizer.WaitingStep, at time.Time) bool) int {
+// simulateBurst runs one job per tick, in the order given by less, while jobs arrive faster: quickPerTick
+// quick ones in each tick and another one in every second tick. The result of a job is seen after the
+// overhead. simulateBurst returns how many jobs meet their objective.
+func simulateBurst(quickPerTick int, overhead time.Duration, less func(a, b prioritizer.WaitingStep, at time.Time) bool) int {
 	var waiting []prioritizer.WaitingStep
 	onTime := 0
 	for tick := range 400 {
 		at := now.Add(time.Duration(tick) * 100 * time.Millisecond)
 		if tick < 200 {
-			waiting = append(waiting, prioritizer.WaitingStep{AcceptedAt: at, Stretch: 1.5, Target: 600 * time.Millisecond, CriticalPath: 100 * time.Millisecond, RemainingTime: 100 * time.Millisecond})
+			for range quickPerTick {
+				waiting = append(waiting, prioritizer.WaitingStep{AcceptedAt: at, Stretch: 1.5, Target: 600 * time.Millisecond, CriticalPath: 100 * time.Millisecond, RemainingTime: 100 * time.Millisecond})
+			}
 			if tick%2 == 0 {
 				waiting = append(waiting, prioritizer.WaitingStep{AcceptedAt: at, Priority: 1, Stretch: 2, Target: 5 * time.Second, CriticalPath: 100 * time.Millisecond, RemainingTime: 100 * time.Millisecond})
 			}
@@ -56,7 +59,7 @@
 		}
 		step := waiting[best]
 		objective := time.Duration(step.Stretch*float64(step.CriticalPath)) + step.Target
-		if !at.Add(step.CriticalPath).After(step.AcceptedAt.Add(objective)) {
+		if !at.Add(overhead + step.CriticalPath).After(step.AcceptedAt.Add(objective)) {
 			onTime++
 		}
 		waiting = slices.Delete(waiting, best, best+1)
@@ -67,11 +70,28 @@
 // TestRankMeetsMoreObjectivesThanArrivalOrder compares the rank with first-in, first-out order, in
 // which a burst makes every later job miss its objective.
 func TestRankMeetsMoreObjectivesThanArrivalOrder(t *testing.T) {
-	byRank := simulateBurst(func(a, b prioritizer.WaitingStep, at time.Time) bool {
+	byRank := simulateBurst(1, 0, func(a, b prioritizer.WaitingStep, at time.Time) bool {
 		return prioritizer.RankOf(a, at).Compare(prioritizer.RankOf(b, at)) < 0
 	})
-	byArrival := simulateBurst(func(a, b prioritizer.WaitingStep, _ time.Time) bool { return a.AcceptedAt.Before(b.AcceptedAt) })
+	byArrival := simulateBurst(1, 0, func(a, b prioritizer.WaitingStep, _ time.Time) bool { return a.AcceptedAt.Before(b.AcceptedAt) })
 	if byRank < 2*byArrival {
 		t.Errorf("%d jobs on time by rank, %d in order of arrival; want at least twice as many by rank", byRank, byArrival)
 	}
 }
+
+// TestOverheadCountsDuringBurst replays a burst of twice the capacity in which half a second passes for advice, writes and
+// orders besides each run. It compares the rank that knows of the overhead with the one that does not.
+func TestOverheadCountsDuringBurst(t *testing.T) {
+	const overhead = 500 * time.Millisecond
+	known := simulateBurst(2, overhead, func(a, b prioritizer.WaitingStep, at time.Time) bool {
+		a.Overhead, b.Overhead = overhead, overhead
+		return prioritizer.RankOf(a, at).Compare(prioritizer.RankOf(b, at)) < 0
+	})
+	unknown := simulateBurst(2, overhead, func(a, b prioritizer.WaitingStep, at time.Time) bool {
+		return prioritizer.RankOf(a, at).Compare(prioritizer.RankOf(b, at)) < 0
+	})
+	t.Logf("%d jobs on time with the overhead, %d without it", known, unknown)
+	if known < 2*unknown {
+		t.Errorf("%d jobs on time with the overhead, %d without it; want at least twice as many", known, unknown)
+	}
+}
--- a/internal/steptracker/job.go
+++ b/internal/steptracker/job.go
@@ -174,3 +174,16 @@
 	}
 	return longest
 }
+
+// RemainingPath returns the length of the longest chain of dependent steps that begins with a step,
+// given the estimated duration of each step.
+func (j *Job) RemainingPath(step int, estimate func(step int) time.Duration) time.Duration {
+	paths := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= step; i-- {
+		paths[i] += estimate(i)
+		for _, dependency := range j.Steps[i].After {
+			paths[dependency] = max(paths[dependency], paths[i])
+		}
+	}
+	return paths[step]
+}
--- a/internal/steptracker/steptracker_test.go
+++ b/internal/steptracker/steptracker_test.go
@@ -204,3 +204,17 @@
 		}
 	})
 }
+
+func TestRemainingPath(t *testing.T) {
+	// Step 0 comes before 1 and 2, and 2 before 3. Step i takes i+1 seconds.
+	job := &steptracker.Job{Steps: []steptracker.Step{{}, {After: []int{0}}, {After: []int{0}}, {After: []int{2}}}}
+	estimate := func(step int) time.Duration { return time.Duration(step+1) * time.Second }
+	for step, want := range []time.Duration{8 * time.Second, 2 * time.Second, 7 * time.Second, 4 * time.Second} {
+		if got := job.RemainingPath(step, estimate); got != want {
+			t.Errorf("from step %d the longest chain takes %s, want %s", step, got, want)
+		}
+	}
+	if whole := job.CriticalPath(estimate); whole != job.RemainingPath(0, estimate) {
+		t.Errorf("the longest chain takes %s from the first step, %s in the whole job", job.RemainingPath(0, estimate), whole)
+	}
+}
--- a/internal/workerrelayer/selection.go
+++ b/internal/workerrelayer/selection.go
@@ -1,8 +1,8 @@
 package workerrelayer
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,6 +13,7 @@
 type Instance struct {
 	Name             string
 	AvailabilityZone string
+	Processors       modeler.Processors
 }
 
 const (
@@ -22,8 +23,8 @@
 	// maxDirectShare is the share of its processors that an owner may spend on orders.
 	maxDirectShare = 0.4
 	// workersPerRelay limits the workers whose orders one relay sends. It bounds what the failure of a
-	// relay delays, and its load.
-	workersPerRelay = 40
+	// relay delays, and its load. The fewer relays there are, the more orders travel together.
+	workersPerRelay = 100
 )
 
 // Needed reports whether an owner with a number of processors needs relays for its workers. The load
@@ -36,25 +37,24 @@
 type Table map[string][]string
 
 // NewTable selects relays among the instances for the workers, which are given by availability zone.
-// Relays are in the zone of their workers. A zone without instances has no relays.
+// Relays are in the zone of their workers, and on its largest machines. A zone without instances has no
+// relays.
 func NewTable(instances []Instance, workers map[string]int) Table {
-	table := make(Table)
-	for _, instance := range instances {
-		table[instance.AvailabilityZone] = append(table[instance.AvailabilityZone], instance.Name)
-	}
-	for zone, names := range table {
+	ordered := slices.Clone(instances)
+	slices.SortFunc(ordered, func(a, b Instance) int {
 		// The order by hash differs from the order of names, in which machines are stopped in turn.
-		slices.SortFunc(names, func(a, b string) int {
-			if ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b); ha != hb {
-				if ha < hb {
-					return -1
-				}
-				return 1
-			}
-			return strings.Compare(a, b)
-		})
-		count := (workers[zone] + workersPerRelay - 1) / workersPerRelay
-		table[zone] = names[:min(count, len(names))]
+		return cmp.Or(
+			cmp.Compare(b.Processors, a.Processors),
+			cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	table := make(Table)
+	for _, instance := range ordered {
+		zone := instance.AvailabilityZone
+		if len(table[zone])*workersPerRelay < workers[zone] {
+			table[zone] = append(table[zone], instance.Name)
+		}
 	}
 	return table
 }
--- a/internal/workerrelayer/workerrelayer_test.go
+++ b/internal/workerrelayer/workerrelayer_test.go
@@ -184,13 +184,16 @@
 func TestRelayTable(t *testing.T) {
 	var instances []workerrelayer.Instance
 	for i := range 6 {
-		instances = append(instances, workerrelayer.Instance{Name: fmt.Sprintf("a%d", i), AvailabilityZone: "a"})
+		instances = append(instances, workerrelayer.Instance{Name: fmt.Sprintf("a%d", i), AvailabilityZone: "a", Processors: modeler.Processors(100 + i/4*300)})
 	}
 	instances = append(instances, workerrelayer.Instance{Name: "b0", AvailabilityZone: "b"})
-	workers := map[string]int{"a": 100, "b": 200, "c": 10}
+	workers := map[string]int{"a": 250, "b": 200, "c": 10}
 	table := workerrelayer.NewTable(instances, workers)
 	if len(table["a"]) != 3 || len(table["b"]) != 1 || table.Relay("c", "w") != "" {
-		t.Errorf("%d relays for 100 workers, want 3; %d of one instance; %q in a zone without instances", len(table["a"]), len(table["b"]), table.Relay("c", "w"))
+		t.Errorf("%d relays for 250 workers, want 3; %d of one instance; %q in a zone without instances", len(table["a"]), len(table["b"]), table.Relay("c", "w"))
+	}
+	if table["a"][0] != "a4" && table["a"][0] != "a5" {
+		t.Errorf("the first relay is %s, want one of the two larger machines", table["a"][0])
 	}
 	load := make(map[string]int)
 	relays := make(map[string]string)
