Tests: orders of a paused owner; fuzzing of batches

The test delivers the orders three seconds late, after a successor has started the tasks: all are refused for their fencing token, and each task runs once. No change was needed.

--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -217,3 +217,45 @@
 		wantState(t, second, "a", steptracker.Completed)
 	})
 }
+
+// TestOrdersOfPausedOwnerAreRefused: an owner is paused between writing an assignment and sending the
+// start orders. A successor takes over, and the orders arrive three seconds later, when it has started
+// the tasks. The workers refuse them, and each task runs once.
+func TestOrdersOfPausedOwnerAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 2)
+		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+			return 6 * time.Second, steptracker.Done
+		}
+		setDelay := func(delay time.Duration) {
+			env.withLock(func() {
+				for _, w := range env.workers {
+					w.startDelay = delay
+				}
+			})
+		}
+		setDelay(3 * time.Second)
+		paused, stopPaused := env.startScheduler(1)
+		submit(t, paused, job("j", "plain", step(3, 1000)))
+		sleep(50 * time.Millisecond)
+		stopPaused()
+		setDelay(0)
+		successor, stop := env.startScheduler(2)
+		defer stop()
+		sleep(5 * time.Second)
+		env.withLock(func() {
+			late := append(env.workers["w0"].lateReplies, env.workers["w1"].lateReplies...)
+			if len(late) != 3 {
+				t.Errorf("%d orders of the paused owner arrived, want 3", len(late))
+			}
+			for _, err := range late {
+				var refused *workerdriver.RefusedError
+				if !errors.As(err, &refused) || refused.Reason != workerdriver.StaleFencingToken {
+					t.Errorf("an order of the paused owner got %v, want a refusal for its fencing token", err)
+				}
+			}
+		})
+		sleep(4 * time.Second)
+		wantState(t, successor, "j", steptracker.Completed)
+	})
+}
--- a/internal/mesher/frame_test.go
+++ b/internal/mesher/frame_test.go
@@ -140,3 +140,38 @@
 		t.Errorf("corrupt data was decoded as %v", frames)
 	}
 }
+
+// FuzzDecodeBatch checks that no input makes the decoder panic or exceed the limit on the size of the
+// frames in one batch.
+func FuzzDecodeBatch(f *testing.F) {
+	var data []byte
+	for _, frame := range sampleFrames() {
+		encoded, err := encodeFrame(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		data = append(data, encoded...)
+	}
+	encoded, err := encodeBatch(data)
+	if err != nil {
+		f.Fatal(err)
+	}
+	batch, err := decodeFrame(encoded)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(batch.GetBatch().GetFrames())
+	f.Fuzz(func(t *testing.T, compressed []byte) {
+		frames, err := decodeBatch(&messenger.Batch{Frames: compressed})
+		if err != nil {
+			return
+		}
+		size := 0
+		for _, frame := range frames {
+			size += lengthPrefixBytes + proto.Size(frame)
+		}
+		if size > 2*maxDecompressedBytes {
+			t.Errorf("%d bytes of frames were decoded", size)
+		}
+	})
+}
