Rounds are bounded in time; the backlog takes turns

Test: rounds over 1,000 steps of 0.3 ms each; each round ends in time and begins with the highest ranks, and every step is looked at within the life of a token.

--- a/internal/candidateselector/candidateselector.go
+++ b/internal/candidateselector/candidateselector.go
@@ -133,6 +133,8 @@
 	needs     modeler.Resources
 	remaining float64
 	selected  []int
+	// isSelected reports for each candidate whether it is in selected. It is nil until one is.
+	isSelected []bool
 }
 
 // addInOrder adds candidates in order of preference until there are enough. A rack other than ""
@@ -143,26 +145,39 @@
 		if s.remaining <= 0 || len(s.selected) >= MaxCandidates {
 			return
 		}
-		if rack != "" && s.selector.candidates[index].Rack != rack || slices.Contains(s.selected, index) || s.request.Excluded != nil && s.request.Excluded(index) {
+		if rack != "" && s.selector.candidates[index].Rack != rack {
 			continue
 		}
+		pending := modeler.Processors(0)
 		if subtractPending {
-			s.add(index, s.request.SuitableShare, s.selector.pending[index])
-		} else {
-			s.add(index, s.request.SuitableShare, 0)
+			pending = s.selector.pending[index]
 		}
+		// In a full cell few candidates have room, so that comes before the exclusions.
+		if s.places(index, pending) == 0 || s.isSelected != nil && s.isSelected[index] || s.request.Excluded != nil && s.request.Excluded(index) {
+			continue
+		}
+		s.add(index, s.request.SuitableShare, pending)
 	}
 }
 
+// places returns how many tasks fit on a candidate in addition to pending demand.
+func (s *selection) places(index int, pending modeler.Processors) int {
+	free := s.selector.candidates[index].Free
+	free.Processors -= pending
+	return cellplacer.MaxTasks(free, s.needs, s.request.Step.MaxPerWorker)
+}
+
 // add adds a candidate if at least one task fits there. Probability is that of the candidate being
 // suitable.
 func (s *selection) add(index int, probability float64, pending modeler.Processors) {
-	free := s.selector.candidates[index].Free
-	free.Processors -= pending
-	count := cellplacer.MaxTasks(free, s.needs, s.request.Step.MaxPerWorker)
+	count := s.places(index, pending)
 	if count == 0 || s.remaining <= 0 {
 		return
 	}
 	s.remaining -= float64(count) * probability
 	s.selected = append(s.selected, index)
+	if s.isSelected == nil {
+		s.isSelected = make([]bool, len(s.selector.candidates))
+	}
+	s.isSelected[index] = true
 }
--- a/internal/candidateselector/candidateselector_test.go
+++ b/internal/candidateselector/candidateselector_test.go
@@ -99,3 +99,28 @@
 		}
 	}
 }
+
+// BenchmarkSelectInFullCell replays a round over the backlog that a burst leaves on 1,100 workers, most
+// of which have no room for the step: the exclusions, which look names up in maps, must not be asked
+// about those.
+func BenchmarkSelectInFullCell(b *testing.B) {
+	free := make([]modeler.Processors, 1100)
+	for i := range free {
+		free[i] = modeler.Processors(i * 9)
+	}
+	candidates := newCandidates(free...)
+	excluded := make(map[string]bool)
+	for i := range candidates {
+		excluded[candidates[i].Worker] = i%3 == 0
+	}
+	pending := make([]modeler.Processors, len(free))
+	for b.Loop() {
+		clear(pending)
+		selector := candidateselector.New(candidates, pending)
+		for range 100 {
+			selector.Select(candidateselector.Request{
+				Step: newStep(9600), Tasks: 4, SuitableShare: 0.5, Excluded: func(index int) bool { return excluded[candidates[index].Worker] },
+			})
+		}
+	}
+}
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -180,6 +180,7 @@
 	roundNeeded bool
 	nextRoundAt time.Time
 	nextSweepAt time.Time
+	visitor     visitor
 	random      *rand.Rand
 	// candidates are the usable workers of the current round, eligible those that one step may
 	// use.
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -110,15 +110,8 @@
 	}
 }
 
-const (
-	// minRoundInterval is the minimum time between two rounds. Changes made meanwhile are handled
-	// together.
-	minRoundInterval = 10 * time.Millisecond
-	// roundPauseFactor limits the share of time spent in rounds: the pause after a round is at
-	// least this many times the round's duration. A long backlog makes rounds long, and an owner
-	// that does nothing else neither accepts jobs nor processes the ends of runs.
-	roundPauseFactor = 8
-)
+// minRoundInterval is the minimum time between two rounds. Changes made meanwhile are handled together.
+const minRoundInterval = 10 * time.Millisecond
 
 // placementRound places pending steps in rank order and requests advice for steps that need it.
 func (c *Scheduler) placementRound() {
@@ -135,13 +128,15 @@
 		return
 	}
 	c.collectCandidates()
-	for _, s := range c.rankedSteps() {
+	ranked := c.rankedSteps()
+	c.visitor.visit(len(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
+		s := ranked[index]
 		c.returnReservation(s)
 		if s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
 		}
 		c.applyReservation(s)
-	}
+	})
 	c.candidates = c.candidates[:0]
 	ended := c.Clock.Now()
 	if next := ended.Add(roundPauseFactor * ended.Sub(c.now)); next.After(c.nextRoundAt) {
--- /dev/null
+++ b/internal/cellscheduler/visitor_test.go
@@ -0,0 +1,60 @@
+package cellscheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBacklogIsVisitedInTurns replays rounds over the backlog that a burst leaves on the large site: a
+// thousand steps, each of which takes 0.3 ms to look at. Every round must end in time and begin with
+// the highest ranks, and every step must be looked at within the validity of a placement token.
+func TestBacklogIsVisitedInTurns(t *testing.T) {
+	const (
+		steps         = 1000
+		cost          = 300 * time.Microsecond
+		tokenLifetime = 4 * time.Second
+	)
+	now := time.Unix(1_000_000, 0)
+	began := now
+	visited := make([]int, steps)
+	var v visitor
+	rounds := 0
+	for ; now.Sub(began) < tokenLifetime; rounds++ {
+		roundBegan := now
+		previous := -1
+		v.visit(steps, func() time.Time { return now }, maxRoundDuration, func(index int) {
+			if index <= previous {
+				t.Fatalf("step %d was visited after step %d", index, previous)
+			}
+			previous = index
+			visited[index]++
+			now = now.Add(cost)
+		})
+		took := now.Sub(roundBegan)
+		if took > maxRoundDuration+cost {
+			t.Fatalf("a round took %s, want at most %s", took, maxRoundDuration+cost)
+		}
+		now = now.Add(roundPauseFactor * took)
+	}
+	for index, count := range visited {
+		if count == 0 {
+			t.Errorf("step %d was not visited in %s", index, tokenLifetime)
+		}
+		if index < 20 && count != rounds {
+			t.Errorf("step %d, of the highest ranks, was visited in %d of %d rounds", index, count, rounds)
+		}
+	}
+}
+
+func TestShortBacklogIsVisitedWhole(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var v visitor
+	for range 3 {
+		count := 0
+		v.visit(30, func() time.Time { return now }, maxRoundDuration, func(int) { count++ })
+		if count != 30 {
+			t.Errorf("%d of 30 steps were visited", count)
+		}
+	}
+	v.visit(0, func() time.Time { return now }, maxRoundDuration, func(int) { t.Error("a step of an empty backlog was visited") })
+}
