A stopped owner blames no relay, and a failed relay is replaced once

Change: calls that the owner itself has given up say nothing about the relay, and only the first failure of a relay selects the others anew. Test: a stopped owner records no failure (it recorded one on the code before).

--- a/internal/cellmanager/relays.go
+++ b/internal/cellmanager/relays.go
@@ -43,11 +43,13 @@
 func (s *relaySelector) RecordFailure(relay string) {
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
-	if _, known := s.failedAt[relay]; !known {
+	_, known := s.failedAt[relay]
+	s.failedAt[relay] = s.manager.Clock.Now()
+	if !known {
+		// Hundreds of calls may fail with one relay; the first of them is enough to replace it.
 		s.manager.Log.Warn("relay does not reply", "relay", relay)
+		s.update()
 	}
-	s.failedAt[relay] = s.manager.Clock.Now()
-	s.update()
 }
 
 // updateWorkers records the workers that were listed or removed.
--- a/internal/workerrelayer/workerrelayer.go
+++ b/internal/workerrelayer/workerrelayer.go
@@ -138,8 +138,8 @@
 }
 
 // send sends an order through a relay. sent is false if the relay certainly did not get it.
-func (c *Client) send(ctx context.Context, relay string, to *workerdriver.Worker, order *request, wait time.Duration) (answer reply, sent bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
+func (c *Client) send(parent context.Context, relay string, to *workerdriver.Worker, order *request, wait time.Duration) (answer reply, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(parent, wait+replyTimeout)
 	defer cancel()
 	order.Worker, order.Address = to.Worker, to.Address
 	payload, err := json.Marshal(order)
@@ -148,7 +148,10 @@
 	}
 	payload, err = c.CallPeer(ctx, relay, payload)
 	if err != nil {
-		c.Relays.RecordFailure(relay)
+		if parent.Err() == nil {
+			// Otherwise the owner has stopped waiting, which says nothing about the relay.
+			c.Relays.RecordFailure(relay)
+		}
 		var notConnected *mesher.NotConnectedError
 		if errors.As(err, &notConnected) {
 			return reply{}, false, err
--- a/internal/workerrelayer/workerrelayer_test.go
+++ b/internal/workerrelayer/workerrelayer_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// TestStoppedOwnerBlamesNoRelay: when an owner stops, all of its calls end at once. That must not count
+// as a failure of the relays, which would be selected anew for each of a thousand calls.
+func TestStoppedOwnerBlamesNoRelay(t *testing.T) {
+	relays := &oneRelay{relay: "r"}
+	ctx, cancel := context.WithCancel(t.Context())
+	client := workerrelayer.New(workerrelayer.Dependencies{Direct: &recordingWorkers{}, Relays: relays, CallPeer: func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		cancel()
+		<-ctx.Done()
+		return nil, &mesher.LinkError{Instance: "r", Err: ctx.Err()}
+	}})
+	var inDoubt *workerdriver.InDoubtError
+	if _, err := client.Start(ctx, &worker, &start); !errors.As(err, &inDoubt) || relays.failures != 0 {
+		t.Errorf("got %v and %d failures of the relay, want in doubt and none", err, relays.failures)
+	}
+}
+
 func TestServeRejectsBadRequests(t *testing.T) {
 	workers := &recordingWorkers{}
 	for _, request := range []string{"", "{", `{"worker":"w"}`, `{"start":7}`} {
