While the store is slow: two transactions in flight, reads judge the connection, one row at acceptance

Cause: at 57 times its usual time the store takes 0.67 s for a transaction, 0.75, 0.98 and 1.47 s beside one, two and three others (trial with each call logged): it handles the transactions of a part one after the other, 0.38 s each. With four in flight a job was accepted after 1.8 s; a transaction passed for lost when a read, which does not queue, was answered before it, and was cancelled and sent again; and 80 rows a transaction were fewer than came. Change: two in flight. A transaction counts as lost if eight reads could have been answered (a slow store's read takes a quarter of a second, a healthy one's 15 ms). At acceptance only the definition is written, with the time; a successor begins such a job anew, but not one whose progress it can't read, and a job submitted again while the final state of an earlier one is still stored replaces that. A transaction holds 95 rows, which the test environment checks against the store's hundred entries.

--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -381,8 +381,9 @@
 func (e *InDoubtError) Unwrap() error { return e.Err }
 
 // maxInFlightTransactions is how many transactions of one owner may be in flight while the store is
-// slow.
-const maxInFlightTransactions = 4
+// slow. The store handles those of a part one after the other, which is half of the time of each: a second
+// one uses the other half, and more of them only wait.
+const maxInFlightTransactions = 2
 
 // newCommitters returns one committer for each transaction that the owner with this fencing token
 // may have in flight.
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -24,6 +24,8 @@
 	// definitionUnwritten is set until the definition is added to a transaction,
 	// definitionDeleted once its row is deleted.
 	definitionUnwritten, definitionDeleted bool
+	// replacesRow is set if the progress of an earlier job with the same ID is still stored.
+	replacesRow bool
 	// dirty is set if the job has changed since it was last added to a transaction, inFlight
 	// while a transaction with its rows is in flight.
 	dirty, inFlight bool
@@ -144,7 +146,7 @@
 		replies:             []func(error){reply},
 		submittedAt:         c.now,
 	}
-	c.journal.cancelRemoval(j.id)
+	j.replacesRow = c.journal.cancelRemoval(j.id)
 	c.jobs[j.id] = j
 	c.openJobs++
 	c.markDirty(j, func() {
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -10,10 +10,11 @@
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 )
 
-// These limits keep a transaction within what the store accepts, including the rows of the
-// preconditions.
+// These limits keep a transaction within what the store accepts: a hundred entries, of which the owner's
+// row and the writer's row, as preconditions, and the put of the writer's row are three, and the last job
+// may add two.
 const (
-	maxTransactionRows  = 80
+	maxTransactionRows  = 95
 	maxTransactionBytes = 600_000
 )
 
@@ -36,11 +37,14 @@
 }
 
 // cancelRemoval cancels the removal of a job's row because a job is submitted again under the
-// same ID.
-func (j *journal) cancelRemoval(id string) {
-	if at := slices.Index(j.removals, id); at >= 0 {
-		j.removals = slices.Delete(j.removals, at, at+1)
+// same ID. It reports whether there is such a row.
+func (j *journal) cancelRemoval(id string) bool {
+	at := slices.Index(j.removals, id)
+	if at < 0 {
+		return false
 	}
+	j.removals = slices.Delete(j.removals, at, at+1)
+	return true
 }
 
 // batch is the set of jobs written by one transaction.
@@ -177,27 +181,37 @@
 
 // appendRows adds a job's rows to a transaction and returns their size in bytes.
 func (c *Scheduler) appendRows(transaction *connector.Transaction, j *job) int {
-	text, err := j.progress.Encode()
-	if err != nil {
-		c.Log.Error("job could not be encoded", "job", j.id, "error", err)
-		return 0
-	}
-	size := len(text)
-	transaction.Puts = append(transaction.Puts, connector.Put{Key: progressKey(c.claim.Cell, j.id), Value: text})
+	size := 0
 	if j.definitionUnwritten {
 		j.definitionUnwritten = false
-		definition, err := j.definition.Encode()
+		definition, err := j.definition.Encode(j.progress.AcceptedAt)
 		if err != nil {
 			c.Log.Error("job could not be encoded", "job", j.id, "error", err)
-			return size
+			return 0
 		}
 		size += len(definition)
 		transaction.Puts = append(transaction.Puts, connector.Put{Key: definitionKey(c.claim.Cell, j.id), Value: definition})
+		if !j.hasProgress() && !j.replacesRow {
+			// While the store is slow, rows are what limits the jobs that can be accepted.
+			return size
+		}
 	} else if j.progress.State.Final() && !j.definitionDeleted && j.placementCount() == 0 {
 		j.definitionDeleted = true
 		transaction.Deletes = append(transaction.Deletes, definitionKey(c.claim.Cell, j.id))
 	}
-	return size
+	text, err := j.progress.Encode()
+	if err != nil {
+		c.Log.Error("job could not be encoded", "job", j.id, "error", err)
+		return size
+	}
+	transaction.Puts = append(transaction.Puts, connector.Put{Key: progressKey(c.claim.Cell, j.id), Value: text})
+	return size + len(text)
+}
+
+// hasProgress reports whether anything is known about a job beyond its definition and the time of its
+// acceptance.
+func (j *job) hasProgress() bool {
+	return j.placementCount() > 0 || j.progress.Started || j.progress.State != ""
 }
 
 func (c *Scheduler) sendTransaction(slot int, sent *batch, transaction connector.Transaction) {
@@ -260,30 +274,40 @@
 // restoreRows restores the state from the stored rows. Assigned runs are unconfirmed until their
 // worker has listed its runs under the new fencing token.
 func (c *Scheduler) restoreRows(definitions, progress []connector.Row) {
-	parsed := make(map[string]*steptracker.Job, len(definitions))
+	accepted := make(map[string]*job, len(definitions))
 	for _, row := range definitions {
-		definition, err := steptracker.DecodeJob(row.Value)
+		definition, acceptedAt, err := steptracker.DecodeJob(row.Value)
 		if err != nil {
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
 			continue
 		}
-		parsed[definition.ID] = definition
+		// Replaced below if the job has progress.
+		p := steptracker.NewProgress(definition, acceptedAt)
+		accepted[definition.ID] = &job{id: definition.ID, definition: definition, progress: p, stored: true, visibleState: visibleStateOf(p)}
 	}
 	for _, row := range progress {
 		id := row.Key[len(progressKey(c.claim.Cell, "")):]
 		p, err := steptracker.Decode(row.Value)
 		if err != nil {
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
+			// What the row says is not known, so the job must not begin anew.
+			delete(accepted, id)
 			continue
 		}
-		j := &job{id: id, definition: parsed[id], progress: p, stored: true, visibleState: visibleStateOf(p)}
+		j := accepted[id]
+		if j == nil {
+			j = &job{id: id, stored: true, definitionDeleted: true}
+		}
+		j.progress, j.visibleState = p, visibleStateOf(p)
 		if j.definition == nil && !p.State.Final() {
 			c.Log.Error("job definition missing", "job", id)
 			continue
 		}
-		j.definitionDeleted = j.definition == nil
+		accepted[id] = j
+	}
+	for id, j := range accepted {
 		c.jobs[id] = j
-		if !p.State.Final() {
+		if !j.progress.State.Final() {
 			c.openJobs++
 		}
 	}
--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
+	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -259,3 +260,65 @@
 		wantState(t, successor, "j", steptracker.Completed)
 	})
 }
+
+// TestAcceptedJobWithoutProgressIsRestored: of a job that waits for its first task only the definition is
+// stored. A successor knows when it was accepted, and runs it; a job whose progress cannot be read does
+// not begin anew.
+func TestAcceptedJobWithoutProgressIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		env.withLock(func() { env.workers["w0"].unreachable = true })
+		first, stopFirst := env.startScheduler(1)
+		submit(t, first, job("waiting", "plain", step(1, 1000)))
+		submit(t, first, job("damaged", "plain", step(1, 1000)))
+		sleep(2 * time.Second)
+		stopFirst()
+		env.withLock(func() {
+			if row := env.rows["progress/cell/waiting"]; row.Version != 0 {
+				t.Errorf("progress of a job that has none was stored: %s", row.Value)
+			}
+			env.version++
+			env.rows["progress/cell/damaged"] = connector.Row{Key: "progress/cell/damaged", Value: []byte("{"), Version: env.version}
+			env.workers["w0"].unreachable = false
+		})
+		successor, stop := env.startScheduler(2)
+		defer stop()
+		wantState(t, successor, "waiting", steptracker.Queued)
+		sleep(3 * time.Second)
+		wantState(t, successor, "waiting", steptracker.Completed)
+		env.withLock(func() {
+			for key := range env.starts {
+				if key.Job == "damaged" {
+					t.Error("a job whose progress cannot be read was started")
+				}
+			}
+		})
+	})
+}
+
+// TestResubmittedJobReplacesProgress: a job is submitted again under its ID while the final state of the
+// earlier job waits to be removed. A successor must not take that state for the new job's.
+func TestResubmittedJobReplacesProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 2)
+		env.stateRetention = time.Second
+		env.approves = func(steptracker.StepKey, string) bool { return false }
+		c, stopFirst := env.startScheduler(1)
+		submit(t, c, job("again", "plain", step(1, 1000)))
+		// The state is kept for the retention time of 1 s plus a margin of 10 s.
+		sleep(12 * time.Second)
+		blocked := make(chan struct{})
+		env.withLock(func() { env.blocked = blocked })
+		var group sync.WaitGroup
+		group.Go(func() { submit(t, c, job("before", "plain", step(1, 1000))) })
+		sleep(250 * time.Millisecond)
+		group.Go(func() { submit(t, c, job("again", "advised", step(1, 1000))) })
+		sleep(50 * time.Millisecond)
+		env.withLock(func() { close(blocked); env.blocked = nil })
+		group.Wait()
+		stopFirst()
+		successor, stop := env.startScheduler(2)
+		defer stop()
+		wantState(t, successor, "again", steptracker.Queued)
+	})
+}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -92,6 +92,9 @@
 
 const testLease = 5 * time.Second
 
+// maxTransactionEntries is the number of entries that the store accepts in one transaction.
+const maxTransactionEntries = 100
+
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
 		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
@@ -160,6 +163,10 @@
 func (env *testEnv) beginCommit(transaction connector.Transaction) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
+	// The writer adds a precondition and a put.
+	if entries := len(transaction.Preconditions) + len(transaction.Puts) + len(transaction.Deletes) + 2; entries > maxTransactionEntries {
+		env.t.Errorf("a transaction has %d entries, the store accepts %d", entries, maxTransactionEntries)
+	}
 	for _, key := range writtenKeys(transaction) {
 		if env.rowsInFlight[key] {
 			env.t.Errorf("row %s is in two concurrent transactions", key)
--- a/internal/committer/writer.go
+++ b/internal/committer/writer.go
@@ -32,6 +32,9 @@
 	// probeTimeout bounds the read that finds out whether the connection is dead. At its slowest the
 	// table takes a quarter of a second for a read.
 	probeTimeout = 500 * time.Millisecond
+	// maxTransactReads is how many times as long as a read a transaction may take. It takes three times
+	// as long by itself, and the table handles the transactions of a part one after the other.
+	maxTransactReads = 8
 )
 
 // InDoubtError reports that it could not be determined whether a transaction was committed.
@@ -215,9 +218,8 @@
 }
 
 // transact sends a transaction once. If there is no reply within the send timeout, it reads the writer
-// row while it goes on waiting: whichever is answered first shows whether the table is slow or the
-// connection is dead. A slow table still replies to the transaction; on a dead connection only the
-// read, which uses another one, is answered, and the transaction is given up as in doubt.
+// row while it goes on waiting: how long the read takes shows whether the table is slow or the connection
+// is dead. On a dead connection the transaction is given up as in doubt.
 func (w *Writer) transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
 	transactCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -233,26 +235,37 @@
 		return result.outcome, result.err
 	case <-timeout.Done():
 	}
-	answered := make(chan struct{})
+	dead := make(chan struct{})
 	go func() {
-		defer close(answered)
-		readCtx, cancel := context.WithTimeout(transactCtx, probeTimeout)
-		defer cancel()
-		if _, err := w.table.Read(readCtx, w.Key()); err != nil {
-			// Nothing is known about the connection, so the transaction keeps its time.
-			<-transactCtx.Done()
-		}
+		w.awaitDeadConnection(transactCtx)
+		close(dead)
 	}()
 	select {
 	case result := <-results:
 		return result.outcome, result.err
-	case <-answered:
+	case <-dead:
 	}
 	cancel()
 	result := <-results
 	return result.outcome, result.err
 }
 
+// awaitDeadConnection returns when a transaction that has had no reply within the send timeout must have
+// been lost, judged by the time that a read takes, or when the context ends. If the read fails, nothing is
+// known, and the transaction keeps the time of its context.
+func (w *Writer) awaitDeadConnection(ctx context.Context) {
+	began := w.clock.Now()
+	readCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := w.table.Read(readCtx, w.Key()); err != nil {
+		<-ctx.Done()
+		return
+	}
+	expected, stop := context.WithTimeout(ctx, maxTransactReads*w.clock.Since(began)-w.sendTimeout)
+	defer stop()
+	<-expected.Done()
+}
+
 // resolveConflict separates a conflict on the writer row from conflicts of the caller's
 // preconditions. The writer row can have changed only if a transaction in doubt took effect late.
 // If that is this very transaction, it was committed.
--- a/internal/committer/writer_test.go
+++ b/internal/committer/writer_test.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// slowStore takes three times as long for a transaction as for a read.
+// slowStore takes a quarter of a second for a read.
 type slowStore struct {
 	slowTable
 }
@@ -216,25 +216,30 @@
 	select {
 	case <-ctx.Done():
 		return nil, &connector.UnreachableError{Call: "read", Err: ctx.Err()}
-	case <-time.After(s.latency / 3):
+	case <-time.After(250 * time.Millisecond):
 		return s.slowTable.Read(ctx, keys...)
 	}
 }
 
-// TestCommitAwaitsSlowStore replays a store that answers 57 times slower than usual, just slower than
-// the send timeout. The transaction must not be given up and read back, which takes half as long again.
+// TestCommitAwaitsSlowStore replays a store that answers 57 times slower than usual, which is longer than
+// the send timeout, for a single transaction and for one behind two others. It must not be given up and
+// read back, which takes half as long again.
 func TestCommitAwaitsSlowStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		table := &slowStore{slowTable{unreliableTable: unreliableTable{rows: make(map[string]connector.Row), applied: make(map[string]int)}, latency: 750 * time.Millisecond}}
-		w := committer.NewWriter(table, "w", clockwork.NewRealClock())
-		began := time.Now()
-		if outcome, err := w.Commit(t.Context(), connector.Transaction{}); err != nil || !outcome.Committed {
-			t.Fatalf("%+v, %v", outcome, err)
-		}
-		if took := time.Since(began); took > 760*time.Millisecond || w.Retries() > 0 {
-			t.Errorf("took %s with %d retries, want 750ms and none", took, w.Retries())
-		}
-	})
+	for _, latency := range []time.Duration{750 * time.Millisecond, 1450 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &slowStore{slowTable{unreliableTable: unreliableTable{rows: make(map[string]connector.Row), applied: make(map[string]int)}, latency: latency}}
+				w := committer.NewWriter(table, "w", clockwork.NewRealClock())
+				began := time.Now()
+				if outcome, err := w.Commit(t.Context(), connector.Transaction{}); err != nil || !outcome.Committed {
+					t.Fatalf("%+v, %v", outcome, err)
+				}
+				if took := time.Since(began); took > latency || w.Retries() > 0 {
+					t.Errorf("took %s with %d retries, want none", took, w.Retries())
+				}
+			})
+		})
+	}
 }
 
 func TestCommitTimeoutReportsWhetherInDoubt(t *testing.T) {
--- a/internal/steptracker/encoding.go
+++ b/internal/steptracker/encoding.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -33,16 +34,26 @@
 	return p, nil
 }
 
-// Encode returns the definition of the job as it is stored.
-func (j *Job) Encode() ([]byte, error) { return encodeRecord(j, "job") }
+// storedJob is the record of a job from its acceptance to its end.
+type storedJob struct {
+	Job
+	AcceptedAt time.Time `json:"accepted-at,omitzero"`
+}
 
-// DecodeJob parses the output of Job.Encode and validates the job.
-func DecodeJob(data []byte) (*Job, error) {
-	j := &Job{}
-	if err := decodeRecord(data, j, "job"); err != nil {
-		return nil, err
+// Encode returns the definition of the job as it is stored, with the time of its acceptance. Until its
+// first task is assigned, nothing else is stored about the job.
+func (j *Job) Encode(acceptedAt time.Time) ([]byte, error) {
+	return encodeRecord(&storedJob{Job: *j, AcceptedAt: acceptedAt}, "job")
+}
+
+// DecodeJob parses the output of Job.Encode and validates the job. The time is the zero time in records
+// of versions that did not store it.
+func DecodeJob(data []byte) (job *Job, acceptedAt time.Time, err error) {
+	stored := &storedJob{}
+	if err := decodeRecord(data, stored, "job"); err != nil {
+		return nil, time.Time{}, err
 	}
-	return j, j.Validate()
+	return &stored.Job, stored.AcceptedAt, stored.Job.Validate()
 }
 
 func encodeRecord(record any, name string) ([]byte, error) {
--- a/internal/steptracker/encoding_test.go
+++ b/internal/steptracker/encoding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -53,10 +54,29 @@
 		}
 	}
 	var unknown *steptracker.UnknownEncodingError
-	if _, err := steptracker.DecodeJob([]byte("\x02")); !errors.As(err, &unknown) {
+	if _, _, err := steptracker.DecodeJob([]byte("\x02")); !errors.As(err, &unknown) {
 		t.Errorf("unknown mark: got %v", err)
 	}
 	if _, err := steptracker.Decode([]byte(`{"queue":"q","accepted-at":"2026-04-26T03:27:09Z"}`)); err != nil {
 		t.Errorf("a record that is not compressed: %v", err)
 	}
 }
+
+func TestStoredJobKeepsTheTimeOfAcceptance(t *testing.T) {
+	acceptedAt := time.UnixMilli(1777174001042)
+	job := &steptracker.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []steptracker.Step{{Tasks: 3}}}
+	data, err := job.Encode(acceptedAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, at, err := steptracker.DecodeJob(data)
+	if err != nil || !reflect.DeepEqual(decoded, job) || !at.Equal(acceptedAt) {
+		t.Errorf("%+v of %s was decoded as %+v of %s, error %v", job, acceptedAt, decoded, at, err)
+	}
+	if _, at, err := steptracker.DecodeJob([]byte(`{"id":"a","queue":"q","steps":[{"tasks":1,"needs":{}}]}`)); err != nil || !at.IsZero() {
+		t.Errorf("a record without the time: %s, %v", at, err)
+	}
+	if _, _, err := steptracker.DecodeJob([]byte(`{"id":"a","queue":"q","steps":[]}`)); err == nil {
+		t.Error("a job without steps was accepted")
+	}
+}
