--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -63,21 +63,7 @@
 func TestResubmittedJobSurvivesRemoval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 2)
-		env.stateRetention = time.Second
-		c, stop := env.startScheduler(1)
-		submit(t, c, job("again", "plain", step(1, 1000)))
-		// The state is kept for the retention time of 1 s plus a margin of 10 s.
-		sleep(12 * time.Second)
-		blocked := make(chan struct{})
-		env.withLock(func() { env.blocked = blocked })
-		var group sync.WaitGroup
-		group.Go(func() { submit(t, c, job("before", "plain", step(1, 1000))) })
-		sleep(250 * time.Millisecond)
-		group.Go(func() { submit(t, c, job("again", "plain", step(1, 1000))) })
-		sleep(50 * time.Millisecond)
-		env.withLock(func() { close(blocked); env.blocked = nil })
-		group.Wait()
-		stop()
+		resubmitBeforeRemoval(t, env, "plain")
 		successor, stop := env.startScheduler(2)
 		defer stop()
 		sleep(3 * time.Second)
@@ -85,6 +71,27 @@
 	})
 }
 
+// resubmitBeforeRemoval submits the job "again", and once more to a queue while the row of the first
+// waits to be removed. The scheduler has stopped when it returns.
+func resubmitBeforeRemoval(t *testing.T, env *testEnv, queue string) {
+	t.Helper()
+	env.stateRetention = time.Second
+	c, stop := env.startScheduler(1)
+	defer stop()
+	submit(t, c, job("again", "plain", step(1, 1000)))
+	// The state is kept for the retention time of 1 s plus a margin of 10 s.
+	sleep(12 * time.Second)
+	blocked := make(chan struct{})
+	env.withLock(func() { env.blocked = blocked })
+	var group sync.WaitGroup
+	group.Go(func() { submit(t, c, job("before", "plain", step(1, 1000))) })
+	sleep(250 * time.Millisecond)
+	group.Go(func() { submit(t, c, job("again", queue, step(1, 1000))) })
+	sleep(50 * time.Millisecond)
+	env.withLock(func() { close(blocked); env.blocked = nil })
+	group.Wait()
+}
+
 // TestSlowStoreSustainsLoad: each transaction takes 0.4 s and holds about forty jobs, while fifty
 // jobs arrive and start each second. With one transaction at a time, half of them could not be
 // written in time.
@@ -301,22 +308,8 @@
 func TestResubmittedJobReplacesProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 2)
-		env.stateRetention = time.Second
 		env.approves = func(steptracker.StepKey, string) bool { return false }
-		c, stopFirst := env.startScheduler(1)
-		submit(t, c, job("again", "plain", step(1, 1000)))
-		// The state is kept for the retention time of 1 s plus a margin of 10 s.
-		sleep(12 * time.Second)
-		blocked := make(chan struct{})
-		env.withLock(func() { env.blocked = blocked })
-		var group sync.WaitGroup
-		group.Go(func() { submit(t, c, job("before", "plain", step(1, 1000))) })
-		sleep(250 * time.Millisecond)
-		group.Go(func() { submit(t, c, job("again", "advised", step(1, 1000))) })
-		sleep(50 * time.Millisecond)
-		env.withLock(func() { close(blocked); env.blocked = nil })
-		group.Wait()
-		stopFirst()
+		resubmitBeforeRemoval(t, env, "advised")
 		successor, stop := env.startScheduler(2)
 		defer stop()
 		wantState(t, successor, "again", steptracker.Queued)
