A definition never outlives the progress of its job

Change: a job that is cancelled before anything of it is written stores its final state only; the final state is removed only after the definition; a definition without the time of acceptance, as earlier versions wrote it, is not run. Test: all three, over three owners; on the code before, the cancelled jobs were queued again and the leftover was run.

--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -325,13 +325,19 @@
 	}
 }
 
-// pruneFinalJobs removes jobs whose final state has been kept for long enough.
+// pruneFinalJobs removes jobs whose final state has been kept for long enough. The definition goes first:
+// one without progress is that of a job that has not begun.
 func (c *Scheduler) pruneFinalJobs() {
 	for id, j := range c.jobs {
-		if j.visibleState.Final() && j.placementCount() == 0 && !j.dirty && !j.inFlight && c.now.Sub(j.progress.EndedAt) > c.settings.StateRetention+retentionMargin {
-			delete(c.jobs, id)
-			c.journal.removals = append(c.journal.removals, id)
+		if !j.visibleState.Final() || j.placementCount() > 0 || j.dirty || j.inFlight || c.now.Sub(j.progress.EndedAt) <= c.settings.StateRetention+retentionMargin {
+			continue
+		}
+		if !j.definitionDeleted {
+			c.markDirty(j, nil)
+			continue
 		}
+		delete(c.jobs, id)
+		c.journal.removals = append(c.journal.removals, id)
 	}
 }
 
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -182,7 +182,12 @@
 // appendRows adds a job's rows to a transaction and returns their size in bytes.
 func (c *Scheduler) appendRows(transaction *connector.Transaction, j *job) int {
 	size := 0
-	if j.definitionUnwritten {
+	over := j.progress.State.Final() && j.placementCount() == 0
+	switch {
+	case over && j.definitionUnwritten:
+		// The job was cancelled before it was written.
+		j.definitionUnwritten, j.definitionDeleted = false, true
+	case j.definitionUnwritten:
 		j.definitionUnwritten = false
 		definition, err := j.definition.Encode(j.progress.AcceptedAt)
 		if err != nil {
@@ -195,7 +200,7 @@
 			// While the store is slow, rows are what limits the jobs that can be accepted.
 			return size
 		}
-	} else if j.progress.State.Final() && !j.definitionDeleted && j.placementCount() == 0 {
+	case over && !j.definitionDeleted:
 		j.definitionDeleted = true
 		transaction.Deletes = append(transaction.Deletes, definitionKey(c.claim.Cell, j.id))
 	}
@@ -306,6 +311,12 @@
 		accepted[id] = j
 	}
 	for id, j := range accepted {
+		if j.progress.AcceptedAt.IsZero() {
+			// Versions that did not store the time wrote the progress with each definition, so the job
+			// is over and its progress has been removed.
+			c.Log.Warn("definition of a job that is over", "job", id)
+			continue
+		}
 		c.jobs[id] = j
 		if !j.progress.State.Final() {
 			c.openJobs++
--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -315,3 +315,61 @@
 		wantState(t, successor, "again", steptracker.Queued)
 	})
 }
+
+// TestFinalJobLeavesNoDefinition: a definition without progress is that of a job that has not begun, so
+// it must not outlive the progress. One job is cancelled before anything of it is written, another one is
+// found by a successor with its final state and its definition, and a third is a leftover of a version
+// that did not store when a job was accepted.
+func TestFinalJobLeavesNoDefinition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		env.stateRetention = time.Second
+		env.approves = func(steptracker.StepKey, string) bool { return false }
+		first, stopFirst := env.startScheduler(1)
+		submit(t, first, job("ended", "advised", step(1, 1000)))
+		blocked := make(chan struct{})
+		env.withLock(func() { env.blocked = blocked })
+		var group sync.WaitGroup
+		group.Go(func() { submit(t, first, job("other", "advised", step(1, 1000))) })
+		sleep(50 * time.Millisecond)
+		group.Go(func() { submit(t, first, job("unwritten", "advised", step(1, 1000))) })
+		sleep(50 * time.Millisecond)
+		group.Go(func() {
+			if err := first.Cancel(t.Context(), "unwritten"); err != nil {
+				t.Errorf("cancel: %v", err)
+			}
+		})
+		sleep(50 * time.Millisecond)
+		env.withLock(func() { close(blocked); env.blocked = nil })
+		group.Wait()
+		definition := env.rows["jobs/cell/ended"]
+		if err := first.Cancel(t.Context(), "ended"); err != nil {
+			t.Errorf("cancel: %v", err)
+		}
+		stopFirst()
+		env.withLock(func() {
+			// As if the first owner had ended before it deleted the definition.
+			env.rows["jobs/cell/ended"] = definition
+			env.version++
+			env.rows["jobs/cell/leftover"] = connector.Row{Key: "jobs/cell/leftover", Version: env.version, Value: []byte(`{"id":"leftover","queue":"plain","steps":[{"tasks":1,"needs":{}}]}`)}
+		})
+		_, stopSecond := env.startScheduler(2)
+		sleep(15 * time.Second)
+		stopSecond()
+		third, stop := env.startScheduler(3)
+		defer stop()
+		sleep(2 * time.Second)
+		for _, id := range []string{"unwritten", "ended", "leftover"} {
+			var unknown *cellscheduler.UnknownJobError
+			if state, err := third.State(t.Context(), id); !errors.As(err, &unknown) {
+				t.Errorf("job %s: state %q, error %v; want an unknown job", id, state, err)
+			}
+		}
+		wantState(t, third, "other", steptracker.Queued)
+		env.withLock(func() {
+			if len(env.starts) > 0 {
+				t.Errorf("tasks of jobs that are over were started: %v", env.starts)
+			}
+		})
+	})
+}
