committer: the judge of a dead connection uses no state of the writer

Cause: it can outlive the transaction that it was started for, when both are answered at the same moment, and read the send timeout while the next transaction sets it. Found by reading; the race detector then named only the tests' fake table, whose rows a writer may now read while it waits (guarded too).

--- a/internal/committer/writer.go
+++ b/internal/committer/writer.go
@@ -228,7 +228,8 @@
 		outcome, err := w.table.Transact(transactCtx, transaction)
 		results <- transactResult{outcome, err}
 	}()
-	timeout, stopTimeout := context.WithTimeout(ctx, w.sendTimeout)
+	sendTimeout := w.sendTimeout
+	timeout, stopTimeout := context.WithTimeout(ctx, sendTimeout)
 	defer stopTimeout()
 	select {
 	case result := <-results:
@@ -237,7 +238,7 @@
 	}
 	dead := make(chan struct{})
 	go func() {
-		w.awaitDeadConnection(transactCtx)
+		w.awaitDeadConnection(transactCtx, sendTimeout)
 		close(dead)
 	}()
 	select {
@@ -252,8 +253,9 @@
 
 // awaitDeadConnection returns when a transaction that has had no reply within the send timeout must have
 // been lost, judged by the time that a read takes, or when the context ends. If the read fails, nothing is
-// known, and the transaction keeps the time of its context.
-func (w *Writer) awaitDeadConnection(ctx context.Context) {
+// known, and the transaction keeps the time of its context. It may outlive transact, so it uses no state
+// of the writer.
+func (w *Writer) awaitDeadConnection(ctx context.Context, sendTimeout time.Duration) {
 	began := w.clock.Now()
 	readCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -261,7 +263,7 @@
 		<-ctx.Done()
 		return
 	}
-	expected, stop := context.WithTimeout(ctx, maxTransactReads*w.clock.Since(began)-w.sendTimeout)
+	expected, stop := context.WithTimeout(ctx, maxTransactReads*w.clock.Since(began)-sendTimeout)
 	defer stop()
 	<-expected.Done()
 }
--- a/internal/committer/writer_test.go
+++ b/internal/committer/writer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -164,6 +165,8 @@
 	unreliableTable
 	latency    time.Duration
 	unanswered int
+	// mu guards the rows, because a writer may read while it waits for a reply.
+	mu sync.Mutex
 }
 
 func (t *slowTable) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
@@ -176,10 +179,18 @@
 	case <-ctx.Done():
 		return connector.Outcome{}, &connector.UnreachableError{Call: "transact", Err: ctx.Err()}
 	case <-time.After(latency):
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		return t.apply(transaction), nil
 	}
 }
 
+func (t *slowTable) Read(ctx context.Context, keys ...string) (map[string]connector.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unreliableTable.Read(ctx, keys...)
+}
+
 // TestCommitRetriesSoonAfterNoReply guards against one unresponsive connection blocking all later
 // writes of the writer. A table that is merely slow must be given enough time to reply.
 func TestCommitRetriesSoonAfterNoReply(t *testing.T) {
@@ -228,7 +239,7 @@
 	for _, latency := range []time.Duration{750 * time.Millisecond, 1450 * time.Millisecond} {
 		t.Run(latency.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := &slowStore{slowTable{unreliableTable: unreliableTable{rows: make(map[string]connector.Row), applied: make(map[string]int)}, latency: latency}}
+				table := &slowStore{slowTable: slowTable{unreliableTable: unreliableTable{rows: make(map[string]connector.Row), applied: make(map[string]int)}, latency: latency}}
 				w := committer.NewWriter(table, "w", clockwork.NewRealClock())
 				began := time.Now()
 				if outcome, err := w.Commit(t.Context(), connector.Transaction{}); err != nil || !outcome.Committed {
