The candidates' order holds when an owner's process ends

The owner is killed at second 7, all 146 peers notice it within a moment, and 26 ms later a machine of 0.192 core owns the cell of 1,100 workers for six seconds, although 17 of 0.8 core are there. The delay of each candidate was counted from when the owner had become the owner, long ago, so that all claimed at their next check and any of them could win. Change: it counts from when the end of the owner was noticed. Test: of two candidates the smaller one checks the owners first; it became the owner on the code before, the larger one does now.

--- a/internal/cellmanager/cellmanager_test.go
+++ b/internal/cellmanager/cellmanager_test.go
@@ -11,6 +11,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 )
 
@@ -86,6 +87,31 @@
 	}
 }
 
+// TestLargeMachineClaimsFirst: the process of an owner ends, and the smaller of two candidates notices it
+// just before it checks the owners, the larger one just after. The larger one must become the owner.
+func TestLargeMachineClaimsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.processors = map[string]modeler.Processors{"a": 800, "b": 192, "c": 800}
+		owner, others, stop := startThree(t, c)
+		defer stopAll(stop)
+		small, large := others[0], others[1]
+		if !strings.HasPrefix(small.Incarnation(), "b@") {
+			small, large = large, small
+		}
+		// Owners are checked at multiples of 100 ms since the start.
+		sleep(90 * time.Millisecond)
+		c.set(func() { c.silent[owner.Incarnation()] = true })
+		small.HandlePeerExited(owner.Incarnation())
+		sleep(20 * time.Millisecond)
+		large.HandlePeerExited(owner.Incarnation())
+		sleep(time.Second)
+		if now := c.owner(t); now.Owner != large.Incarnation() {
+			t.Errorf("the cell is owned by %s, want %s", now.Owner, large.Incarnation())
+		}
+	})
+}
+
 // TestShutdownWhileStoreIsSlow replays a rolling restart while the store takes half a second for a
 // transaction. The successor claims the cell when the owner announces that it has stopped serving it,
 // and waits neither until the owner's writes are finished nor until the row is released: one transaction
--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -36,6 +36,8 @@
 	managers map[string]*cellmanager.Manager
 	// receivers deliver the current heartbeats of all peers to an incarnation ahead of their time.
 	receivers map[string]func()
+	// processors are the sizes of the machines by instance name.
+	processors map[string]modeler.Processors
 	// transactionDelay is the duration of a transaction.
 	transactionDelay time.Duration
 }
@@ -227,7 +229,7 @@
 // start starts a manager that receives the heartbeats of the others every 250 ms.
 func (c *cluster) start(name string) (*cellmanager.Manager, func()) {
 	manager, stop := cellmanager.New(cellmanager.Settings{
-		Name: name, Region: "r", Scheduler: cellscheduler.Settings{Lease: time.Second, MaxLease: time.Second, StateRetention: time.Minute, MaxOpenJobs: 1000},
+		Name: name, Region: "r", Processors: c.processors[name], Scheduler: cellscheduler.Settings{Lease: time.Second, MaxLease: time.Second, StateRetention: time.Minute, MaxOpenJobs: 1000},
 	}, cellmanager.Dependencies{
 		Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Store: &store{cluster: c, instance: name},
 		Workers: stubWorkers{}, Advisor: stubWorkers{}, Metrics: cellscheduler.NewMetrics(),
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -318,7 +318,17 @@
 	switch {
 	case !c.abandonedAt.IsZero():
 		failedAt = c.abandonedAt
-	case c.ownership.Owner != "" && !m.ended(c.ownership.Owner):
+	case c.ownership.Owner == "":
+	case m.ended(c.ownership.Owner):
+		// The delay of the candidates counts from the end of the owner, not from when it became the
+		// owner: all of them would claim the cell at once, and any of them could win.
+		if _, known := m.endedAt[c.ownership.Owner]; !known {
+			m.endedAt[c.ownership.Owner] = m.Clock.Now()
+		}
+		if endedAt := m.endedAt[c.ownership.Owner]; endedAt.After(failedAt) {
+			failedAt = endedAt
+		}
+	default:
 		failedAt = m.ownerLastConfirmed(c).Add(elector.HeartbeatTimeout)
 		if m.peerCount > 0 && len(m.mesh.LivePeers()) == 0 {
 			// An instance that hears no peer may itself be cut off, and would then replace an owner
