A job accepted over damaged progress replaces it

Found by reading the diff once more: since a job's acceptance writes its definition only, a job submitted again under an ID whose stored progress can't be decoded was accepted, and lost at the next change of owner, which leaves such IDs out. Test: the job is accepted anew and known to a third owner; without the change it is not (tried).

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -158,6 +158,8 @@
 	// deferredCalls are the calls that arrived before the stored rows were read.
 	deferredCalls []func()
 	jobs          map[string]*job
+	// unreadable are the IDs whose stored progress could not be decoded.
+	unreadable map[string]bool
 	// openJobs counts the jobs that are not final.
 	openJobs int
 	// pendingSteps are the steps with tasks to place.
@@ -210,6 +212,7 @@
 		done:           make(chan struct{}),
 		claimedAt:      dependencies.Clock.Now(),
 		jobs:           make(map[string]*job),
+		unreadable:     make(map[string]bool),
 		pendingSteps:   make(map[steptracker.StepKey]*step),
 		workers:        make(map[string]*worker),
 		durationRatios: make(map[string]*durationRatio),
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -146,7 +146,7 @@
 		replies:             []func(error){reply},
 		submittedAt:         c.now,
 	}
-	j.replacesRow = c.journal.cancelRemoval(j.id)
+	j.replacesRow = c.journal.cancelRemoval(j.id) || c.unreadable[j.id]
 	c.jobs[j.id] = j
 	c.openJobs++
 	c.markDirty(j, func() {
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -297,6 +297,7 @@
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
 			// What the row says is not known, so the job must not begin anew.
 			delete(accepted, id)
+			c.unreadable[id] = true
 			continue
 		}
 		j := accepted[id]
--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -300,6 +300,13 @@
 				}
 			}
 		})
+		// Once accepted anew, it must not be lost at the next change of owner.
+		env.approves = func(steptracker.StepKey, string) bool { return false }
+		submit(t, successor, job("damaged", "advised", step(1, 1000)))
+		stop()
+		third, stopThird := env.startScheduler(3)
+		defer stopThird()
+		wantState(t, third, "damaged", steptracker.Queued)
 	})
 }
 
