--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -89,6 +89,12 @@
 // RunEnded counts the end of a run.
 func (m *Metrics) RunEnded(how steptracker.EndReason) { m.root.Add("ended-"+string(how), 1) }
 
+// WorkerCrashed counts an incarnation of a worker that has ended with runs on it, and these runs.
+func (m *Metrics) WorkerCrashed(runs int) {
+	m.root.Add("workers-crashed", 1)
+	m.root.Add("runs-on-crashed-workers", int64(runs))
+}
+
 // TransactionCommitted counts a transaction and its rows and records its duration.
 func (m *Metrics) TransactionCommitted(took time.Duration, rows int) {
 	m.root.Add("transactions", 1)
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -59,6 +59,11 @@
 	// leaseEndsAt is the latest time at which the worker's lease expires unless it is extended.
 	leaseEndsAt time.Time
 	lastReplyAt time.Time
+	// unreachableSince is when the first call without an answer after the last answered sync failed; it is
+	// zero if there was none.
+	unreachableSince time.Time
+	// crashLogged is set once the end of the incarnation has been logged.
+	crashLogged bool
 	// lastEnd is the sequence number of the last end of a run that was processed, lastWrittenEnd
 	// that of the last one that was written.
 	lastEnd, lastWrittenEnd int64
@@ -171,7 +176,8 @@
 // one are over. Unanswered start orders may still reach the new incarnation.
 func (c *Scheduler) workerRestarted(w *worker, startMillis int64) {
 	c.Log.Info("worker started anew", "worker", w.info.Worker, "born", startMillis, "places", len(w.placements))
-	w.info.StartMillis = startMillis
+	c.logCrash(w)
+	w.info.StartMillis, w.crashLogged = startMillis, false
 	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
 	w.clockAt = time.Time{}
 	w.health = workerHealth{}
@@ -254,7 +260,7 @@
 	if c.now.Sub(sentAt) > c.unresponsiveAfter() && w.syncFailures > 0 {
 		c.Log.Info("worker answers again", "worker", w.info.Worker)
 	}
-	w.syncFailures = 0
+	w.syncFailures, w.unreachableSince = 0, time.Time{}
 	if !c.updateClock(w, listing.ReplyHeader) {
 		w.nextSyncAt = c.now.Add(initialRetryDelay)
 		return
@@ -287,6 +293,7 @@
 
 func (c *Scheduler) syncFailed(w *worker, err error) {
 	w.syncFailures++
+	c.recordUnreachable(w, err)
 	if w.syncFailures == 1 || w.syncFailures%16 == 0 {
 		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.syncFailures, "places", len(w.placements), "error", err)
 	}
@@ -310,6 +317,7 @@
 // order for it will be carried out.
 func (c *Scheduler) workerReplaced(w *worker) {
 	c.Log.Warn("worker replaced", "worker", w.info.Worker, "places", len(w.placements))
+	c.logCrash(w)
 	for _, p := range w.placements {
 		if p.state != runUnsent {
 			c.endRun(p, steptracker.WorkerLost, "")
