--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -45,7 +45,9 @@
 type taskPayload struct {
 	RunsFor modeler.Duration `json:"runs-for"`
 	Fails   bool             `json:"fails"`
-	Answer  json.RawMessage  `json:"answer"`
+	// CrashesWorker makes the task crash its worker when it has run for RunsFor.
+	CrashesWorker bool            `json:"crashes-worker"`
+	Answer        json.RawMessage `json:"answer"`
 }
 
 type runningTask struct {
@@ -106,11 +108,26 @@
 	w.changed = make(chan struct{})
 }
 
+// crashDowntime is how long a worker does not answer after a task has crashed it.
+const crashDowntime = 3 * time.Second
+
+// crash simulates a crash of the worker, which restarts after crashDowntime. The caller holds the mutex.
+func (w *worker) crash() {
+	w.discardTasks()
+	w.dead = true
+	w.clock.AfterFunc(crashDowntime, w.revive)
+}
+
 // restart simulates a restart: running tasks end, recorded as if their leases had expired, and the
 // state of the worker is lost.
 func (w *worker) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.discardTasks()
+}
+
+// discardTasks ends all tasks and resets the worker. The caller holds the mutex.
+func (w *worker) discardTasks() {
 	for id := range w.running {
 		w.end(id, connector.EndedLeaseExpired, nil)
 	}
@@ -207,6 +224,10 @@
 	if w.boot != boot || task == nil {
 		return
 	}
+	if payload.CrashesWorker {
+		w.crash()
+		return
+	}
 	result := modeler.NewResult(task.request.Attempt.Key, task.request.Attempt.Task, !payload.Fails, string(payload.Answer))
 	w.end(id, connector.EndedFinished, &result)
 }
