A start that was never sent is placed elsewhere at once

Cause: the scheduler treated every start without an answer as in doubt, also those for which no connection could be established, and went on placing runs on a worker that refused connections, for up to 2.5 s. Change: such a run ends at once as never started; a worker whose connection broke or cannot be established gets no new tasks until it answers a sync; the first failed sync is repeated at once, so that a connection that was only reset costs one round trip. An order without an answer that may have been sent stays in doubt as before: a refused connection does not prove that the worker's runs are over. TestStartThatWasNeverSentIsPlacedElsewhere failed before.

--- a/internal/cellscheduler/crashes.go
+++ b/internal/cellscheduler/crashes.go
@@ -19,22 +19,14 @@
 	return errors.As(err, &inDoubt) && inDoubt.NeverSent
 }
 
-// recordUnreachable records that a worker cannot be connected to, or that the connection broke before
-// its reply to a sync.
-func (c *Scheduler) recordUnreachable(w *worker, err error) {
-	if isNeverSent(err) && w.unreachableSince.IsZero() {
+// markUnreachable records that the connection to a worker broke or cannot be established. The worker gets
+// no new tasks until it answers a sync.
+func (c *Scheduler) markUnreachable(w *worker) {
+	if w.unreachableSince.IsZero() {
 		w.unreachableSince = c.now
 	}
 }
 
-// unreachableFor returns for how long a worker had been unreachable at a time.
-func (w *worker) unreachableFor(at time.Time) time.Duration {
-	if w.unreachableSince.IsZero() || at.Before(w.unreachableSince) {
-		return 0
-	}
-	return at.Sub(w.unreachableSince)
-}
-
 // outlived reports whether a worker is known to have outlived the start of a run by the survival period.
 func (w *worker) outlived(p *placement) bool {
 	return !p.startedAt.IsZero() && w.clockAt.Sub(p.startedAt) >= survivalPeriod
@@ -61,7 +53,11 @@
 		}
 	}
 	slices.Sort(recent)
+	var unreachable time.Duration
+	if !w.unreachableSince.IsZero() {
+		unreachable = c.now.Sub(w.unreachableSince)
+	}
 	c.Metrics.WorkerCrashed(runs)
 	c.Log.Warn("worker crashed", "worker", w.info.Worker, "born", w.info.StartMillis, "runs", runs, "recent", recent,
-		"answered-ms-ago", c.now.Sub(w.clockAt).Milliseconds(), "unreachable-ms", w.unreachableFor(c.now).Milliseconds())
+		"answered-ms-ago", c.now.Sub(w.clockAt).Milliseconds(), "unreachable-ms", unreachable.Milliseconds())
 }
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -35,9 +35,8 @@
 	step   *steptracker.Step
 	worker *worker
 	state  placementState
-	// placedAt is when the run was assigned, startedAt when the worker confirmed it, sentAt when the
-	// last order was sent.
-	placedAt, startedAt, sentAt time.Time
+	// startedAt is when the worker confirmed the run, sentAt when the last order was sent.
+	startedAt, sentAt time.Time
 	// stopConfirmedAt is when the worker confirmed a stop, after which the run cannot start any
 	// more.
 	stopConfirmedAt time.Time
@@ -52,7 +51,7 @@
 // addPlacement reserves resources for a run on the worker that its record names. If that worker
 // is not known yet, an entry is created for it, to be completed when the worker joins.
 func (c *Scheduler) addPlacement(j *job, key steptracker.TaskKey, task *steptracker.Task, state placementState) *placement {
-	p := &placement{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, placedAt: c.now, sentAt: c.now, cpuPercent: 100}
+	p := &placement{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, sentAt: c.now, cpuPercent: 100}
 	if j.placements == nil {
 		j.placements = make(map[steptracker.TaskKey]*placement)
 	}
@@ -257,14 +256,17 @@
 		}
 		return
 	}
-	c.recordUnreachable(w, err)
 	var refused *workerdriver.RefusedError
 	if !errors.As(err, &refused) {
-		if p.state == runSending {
+		switch {
+		case p.state == runSending && isNeverSent(err):
+			c.markUnreachable(w)
+			c.Log.Info("start not sent", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "error", err)
+			c.endRun(p, steptracker.NeverStarted, "")
+		case p.state == runSending:
 			p.state = runInDoubt
 			p.sentAt = c.now
-			c.Log.Warn("start in doubt", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "never-sent", isNeverSent(err),
-				"unreachable-ms", w.unreachableFor(p.placedAt).Milliseconds(), "error", err)
+			c.Log.Warn("start in doubt", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "error", err)
 			c.requestListing(w)
 		}
 		return
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -59,8 +59,8 @@
 	// leaseEndsAt is the latest time at which the worker's lease expires unless it is extended.
 	leaseEndsAt time.Time
 	lastReplyAt time.Time
-	// unreachableSince is when the first call without an answer after the last answered sync failed; it is
-	// zero if there was none.
+	// unreachableSince is when a call first failed for want of a connection since the worker last
+	// answered a sync, or the zero time.
 	unreachableSince time.Time
 	// crashLogged is set once the end of the incarnation has been logged.
 	crashLogged bool
@@ -98,8 +98,8 @@
 
 // usable reports whether a worker may get new tasks.
 func (c *Scheduler) usable(w *worker) bool {
-	return w.listed && w.synced && !w.info.Draining && c.now.Sub(w.lastReplyAt) < c.unresponsiveAfter() && c.now.After(w.avoidUntil) &&
-		!w.health.isQuarantined(c.now)
+	return w.listed && w.synced && !w.info.Draining && w.unreachableSince.IsZero() && c.now.Sub(w.lastReplyAt) < c.unresponsiveAfter() &&
+		c.now.After(w.avoidUntil) && !w.health.isQuarantined(c.now)
 }
 
 // syncWait returns how long a worker may delay its answer to a sync while no run ends.
@@ -293,13 +293,17 @@
 
 func (c *Scheduler) syncFailed(w *worker, err error) {
 	w.syncFailures++
-	c.recordUnreachable(w, err)
 	if w.syncFailures == 1 || w.syncFailures%16 == 0 {
 		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.syncFailures, "places", len(w.placements), "error", err)
 	}
 	w.nextSyncAt = c.now.Add(min(initialRetryDelay*time.Duration(w.syncFailures), maxRetryDelay))
 	var refused *workerdriver.RefusedError
 	if !errors.As(err, &refused) {
+		c.markUnreachable(w)
+		if w.syncFailures == 1 {
+			// If only the connection broke, the worker answers on a new one.
+			w.nextSyncAt = c.now
+		}
 		return
 	}
 	switch refused.Reason {
