cellscheduler: a task that crashes its workers is isolated and given up

Class of fault: a retry without a limit or a memory. The counter of failures had one exception, the worker's end, and nothing else counted that. Change: crashattributor (pure) attributes a crash to the runs whose start the worker had not outlived by 100 ms of its own clock. Their tasks run next in isolation: on the emptiest worker, closed to others until it has outlived the start; at most an eighth of the workers while all are in use. Two crashes without another possible cause, and the task is given up: its job is failed. From three crashes of any cause a task is isolated for its whole run, as it may crash late. The history is stored with the task, so owners after this one know it. A worker's end is proved sooner: by a successor at its address in the platform's list, and the lease of an unreachable worker is not extended any more; runs that ended by lease are charged once the worker is known to have crashed.

--- a/internal/cellplacer/cellplacer.go
+++ b/internal/cellplacer/cellplacer.go
@@ -39,6 +39,9 @@
 	Tasks int
 	// AllOrNothing requires that either all tasks are placed or none.
 	AllOrNothing bool
+	// Isolated asks for as few workers as possible on which as little as possible runs, because the
+	// tasks may crash them.
+	Isolated bool
 }
 
 // Place places as many of the tasks as fit and returns the index of the candidate for each of them.
@@ -56,7 +59,7 @@
 func placeOnOneRack(candidates []Candidate, request Request) []int {
 	possible := false
 	for _, rack := range rackNames(candidates) {
-		if places := placeBestFit(candidates, Request{Step: request.Step, Tasks: request.Tasks, AllOrNothing: true}, rack); len(places) > 0 {
+		if places := placeBestFit(candidates, Request{Step: request.Step, Tasks: request.Tasks, AllOrNothing: true, Isolated: request.Isolated}, rack); len(places) > 0 {
 			return places
 		}
 		possible = possible || rackCanHold(candidates, request, rack)
@@ -117,7 +120,7 @@
 			if rack != "" && candidates[i].Rack != rack || !canTake(&candidates[i], request.Step, needs) {
 				continue
 			}
-			if best < 0 || preferred(&candidates[i], &candidates[best], request.Step) {
+			if best < 0 || preferred(&candidates[i], &candidates[best], request) {
 				best = i
 			}
 		}
@@ -148,7 +151,15 @@
 
 // preferred reports whether a is a better choice than b: workers on the rack of the data come
 // first, then workers with a lower slowdown, then those with the fewest free processors (best fit).
-func preferred(a, b *Candidate, step *steptracker.Step) bool {
+// Isolated tasks prefer workers that have tasks of the step, then those with the most free processors.
+func preferred(a, b *Candidate, request Request) bool {
+	if request.Isolated {
+		if (a.StepTasks > 0) != (b.StepTasks > 0) {
+			return a.StepTasks > 0
+		}
+		return a.Free.Processors > b.Free.Processors
+	}
+	step := request.Step
 	if step.DataRack != "" && (a.Rack == step.DataRack) != (b.Rack == step.DataRack) {
 		return a.Rack == step.DataRack
 	}
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -169,8 +169,10 @@
 	// sorted. checkFrom is the index of the worker that is checked next.
 	workerOrder []*worker
 	checkFrom   int
-	journal     journal
-	advisor     advisorState
+	// isolatedWorkers counts the workers that have isolated runs.
+	isolatedWorkers int
+	journal         journal
+	advisor         advisorState
 	// startLatency is the moving average of the time from a start order to its confirmation.
 	startLatency time.Duration
 	// durationRatios holds the duration ratio of each queue by name.
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -95,6 +95,9 @@
 	m.root.Add("runs-on-crashed-workers", int64(runs))
 }
 
+// TaskGivenUp counts a task that is not started again because it crashes its workers.
+func (m *Metrics) TaskGivenUp() { m.root.Add("tasks-given-up", 1) }
+
 // TransactionCommitted counts a transaction and its rows and records its duration.
 func (m *Metrics) TransactionCommitted(took time.Duration, rows int) {
 	m.root.Add("transactions", 1)
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -35,14 +35,23 @@
 	step   *steptracker.Step
 	worker *worker
 	state  placementState
-	// startedAt is when the worker confirmed the run, sentAt when the last order was sent.
-	startedAt, sentAt time.Time
+	// placedAt is when the run was assigned, startedAt when the worker confirmed it, sentAt when the
+	// last order was sent.
+	placedAt, startedAt, sentAt time.Time
 	// stopConfirmedAt is when the worker confirmed a stop, after which the run cannot start any
 	// more.
 	stopConfirmedAt time.Time
 	// stopReason is why the run is being stopped, empty if it is not.
 	stopReason string
 	stopSent   bool
+	// startClock is the worker's clock when the run was first known to have started.
+	startClock workerdriver.Clock
+	// isolated is set while no run of another job may start on the worker. startDeferred is set while
+	// the start order waits until the worker has outlived the starts of the runs beside it.
+	isolated, startDeferred bool
+	// survivalRequested is set once a listing has been requested to learn whether the worker has outlived
+	// the start of the isolated run.
+	survivalRequested bool
 	// metric is the latest value that the worker has listed for the run, for a serving task its
 	// tail latency in milliseconds. cpuPercent is the CPU share that the run may use.
 	metric, cpuPercent int
@@ -51,7 +60,7 @@
 // addPlacement reserves resources for a run on the worker that its record names. If that worker
 // is not known yet, an entry is created for it, to be completed when the worker joins.
 func (c *Scheduler) addPlacement(j *job, key steptracker.TaskKey, task *steptracker.Task, state placementState) *placement {
-	p := &placement{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, sentAt: c.now, cpuPercent: 100}
+	p := &placement{job: j, key: key, run: task.Run, step: &j.definition.Steps[key.Step], state: state, placedAt: c.now, sentAt: c.now, cpuPercent: 100}
 	if j.placements == nil {
 		j.placements = make(map[steptracker.TaskKey]*placement)
 	}
@@ -87,6 +96,7 @@
 	}
 	delete(p.job.placements, p.key)
 	delete(p.worker.placements, p.key)
+	c.endIsolation(p)
 	p.worker.used = p.worker.used.Minus(p.step.Reservation())
 	c.roundNeeded = true
 }
@@ -164,7 +174,7 @@
 		if p.state != runSending {
 			c.Log.Info("run found", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker)
 		}
-		c.markStarted(p)
+		c.markStarted(p, p.worker.latestClock)
 		if p.worker.info.StartMillis != 0 {
 			if task := p.job.progress.Task(p.key); task != nil && task.Run == p.run && task.AssignedTo.StartMillis != p.worker.info.StartMillis {
 				task.AssignedTo.StartMillis = p.worker.info.StartMillis
@@ -181,9 +191,9 @@
 	}
 }
 
-// markStarted records that the worker has confirmed the start.
-func (c *Scheduler) markStarted(p *placement) {
-	p.state, p.startedAt = runStarted, c.now
+// markStarted records that the worker has confirmed the start, at the latest at a reading of its clock.
+func (c *Scheduler) markStarted(p *placement, clock workerdriver.Clock) {
+	p.state, p.startedAt, p.startClock = runStarted, c.now, clock
 	p.job.progress.Started = true
 	if p.job.visibleState == steptracker.Queued {
 		p.job.visibleState = steptracker.Running
@@ -206,6 +216,9 @@
 		c.endRun(p, steptracker.NeverStarted, "")
 		return
 	}
+	if c.deferIsolatedStart(p) {
+		return
+	}
 	order := &workerdriver.Start{
 		Task:           p.key,
 		Run:            p.run,
@@ -247,7 +260,7 @@
 	if err == nil {
 		c.updateClock(w, header)
 		if p.state == runSending {
-			c.markStarted(p)
+			c.markStarted(p, header.Clock)
 			c.startLatency = updateLatency(c.startLatency, c.now.Sub(p.sentAt))
 			c.Log.Info("started", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "took-ms", c.now.Sub(p.sentAt).Milliseconds())
 		}
@@ -304,6 +317,7 @@
 		}
 		c.post(func() {
 			if listing.StartMillis == 0 || listing.StartMillis == w.info.StartMillis {
+				c.observeClock(w, listing.Clock)
 				c.reconcileRunning(w, listing, sentAt)
 			}
 		})
@@ -390,5 +404,9 @@
 	case p.state == runInDoubt && !p.stopConfirmedAt.IsZero() && waited > stopRetryInterval:
 		p.sentAt = c.now
 		c.requestListing(p.worker)
+	case p.startDeferred:
+		c.sendStart(p)
+	case p.isolated:
+		c.checkIsolatedRun(p)
 	}
 }
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -258,7 +258,7 @@
 	c.eligible = c.eligible[:0]
 	for _, i := range indexes {
 		candidate := c.candidates[i]
-		if !needs.Fits(candidate.Free) || !c.isEligible(s, &candidate, short) {
+		if !needs.Fits(candidate.Free) || !c.isEligible(s, &candidate, short) || c.workers[candidate.Worker].isolatedRuns > 0 {
 			continue
 		}
 		if s.def.MaxPerWorker > 0 {
@@ -340,13 +340,27 @@
 // assign assigns tasks of a step to candidates and schedules the write of the assignments. It
 // reports whether the step has nothing left to place.
 func (c *Scheduler) assign(s *step, candidates []cellplacer.Candidate) bool {
-	if len(candidates) == 0 {
-		return false
+	ordinary, suspects := s.unassignedTasks()
+	c.assignTasks(s, candidates, ordinary, false)
+	if len(suspects) > 0 {
+		c.assignTasks(s, c.isolationCandidates(candidates), suspects, true)
 	}
-	unassigned := s.unassigned()
-	chosen := cellplacer.Place(candidates, cellplacer.Request{Step: s.def, Tasks: unassigned, AllOrNothing: s.def.Gang})
+	if !s.placeable() {
+		delete(c.pendingSteps, s.key)
+		return true
+	}
+	return false
+}
+
+// assignTasks assigns as many of the tasks with the given indexes as there is room for, or, of a gang,
+// all or none.
+func (c *Scheduler) assignTasks(s *step, candidates []cellplacer.Candidate, tasks []int, isolated bool) {
+	if len(candidates) == 0 || len(tasks) == 0 {
+		return
+	}
+	chosen := cellplacer.Place(candidates, cellplacer.Request{Step: s.def, Tasks: len(tasks), AllOrNothing: s.def.Gang, Isolated: isolated})
 	if len(chosen) == 0 {
-		return false
+		return
 	}
 	s.reserved, s.unusedAdvice = nil, 0
 	run := 0
@@ -354,33 +368,27 @@
 		run = max(run, s.tasks[i].Run)
 	}
 	var placed []*placement
-	for i := range s.tasks {
-		task := &s.tasks[i]
-		if task.Done || task.Assigned() || len(placed) == len(chosen) {
-			continue
-		}
-		key := steptracker.TaskKey{StepKey: s.key, Index: i}
-		w := c.workers[candidates[chosen[len(placed)]].Worker]
+	for i, candidate := range chosen {
+		task := &s.tasks[tasks[i]]
+		key := steptracker.TaskKey{StepKey: s.key, Index: tasks[i]}
 		number := task.Run + 1
 		if s.def.Gang {
 			number = run + 1
 		}
-		s.job.progress.Assign(key, number, w.info.Incarnation)
-		placed = append(placed, c.addPlacement(s.job, key, task, runUnsent))
+		s.job.progress.Assign(key, number, c.workers[candidates[candidate].Worker].info.Incarnation)
+		p := c.addPlacement(s.job, key, task, runUnsent)
+		if isolated {
+			c.beginIsolation(p)
+		}
+		placed = append(placed, p)
 	}
-	c.Log.Info("placed", "job", s.key.Job, "occurrence", s.key.Occurrence, "step", s.key.Step, "tasks", len(placed), "left", unassigned-len(placed),
-		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(candidates), "waited-ms", c.now.Sub(s.pendingSince).Milliseconds())
-	j := s.job
-	c.markDirty(j, func() {
+	c.Log.Info("placed", "job", s.key.Job, "occurrence", s.key.Occurrence, "step", s.key.Step, "tasks", len(placed), "left", len(tasks)-len(placed),
+		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(candidates), "isolated", isolated, "waited-ms", c.now.Sub(s.pendingSince).Milliseconds())
+	c.markDirty(s.job, func() {
 		for _, p := range placed {
 			c.sendStart(p)
 		}
 	})
-	if !s.placeable() {
-		delete(c.pendingSteps, s.key)
-		return true
-	}
-	return false
 }
 
 // admit returns why a new job cannot be accepted, or nil if it can.
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -56,14 +56,22 @@
 	// never earlier.
 	clock   workerdriver.Clock
 	clockAt time.Time
+	// latestClock is the latest reading of the worker's clock in any reply of this incarnation.
+	latestClock workerdriver.Clock
+	// lapsed are the runs that ended because the lease had expired at lapsedAt. If the worker turns out to
+	// have crashed, that counts for their tasks.
+	lapsed   []lapsedRun
+	lapsedAt time.Time
+	// isolatedRuns counts the isolated runs on the worker. While there are any, it gets no new tasks.
+	isolatedRuns int
 	// leaseEndsAt is the latest time at which the worker's lease expires unless it is extended.
 	leaseEndsAt time.Time
 	lastReplyAt time.Time
 	// unreachableSince is when a call first failed for want of a connection since the worker last
 	// answered a sync, or the zero time.
 	unreachableSince time.Time
-	// crashLogged is set once the end of the incarnation has been logged.
-	crashLogged bool
+	// crashRecorded is set once the end of the incarnation has been recorded.
+	crashRecorded bool
 	// lastEnd is the sequence number of the last end of a run that was processed, lastWrittenEnd
 	// that of the last one that was written.
 	lastEnd, lastWrittenEnd int64
@@ -98,7 +106,7 @@
 
 // usable reports whether a worker may get new tasks.
 func (c *Scheduler) usable(w *worker) bool {
-	return w.listed && w.synced && !w.info.Draining && w.unreachableSince.IsZero() && c.now.Sub(w.lastReplyAt) < c.unresponsiveAfter() &&
+	return w.listed && w.synced && !w.info.Draining && w.isolatedRuns == 0 && w.unreachableSince.IsZero() && c.now.Sub(w.lastReplyAt) < c.unresponsiveAfter() &&
 		c.now.After(w.avoidUntil) && !w.health.isQuarantined(c.now)
 }
 
@@ -141,6 +149,7 @@
 	if w == nil {
 		w = &worker{info: info, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement)}
 		w.leaseEndsAt = c.inheritedLeaseEnd()
+		c.endPredecessor(info)
 		c.addWorker(w)
 		c.Log.Info("worker joined", "worker", info.Worker, "born", info.StartMillis, "zone", info.AvailabilityZone, "rack", info.Rack)
 	}
@@ -162,6 +171,15 @@
 	}
 }
 
+// endPredecessor handles the start of a worker at the address of an earlier one, which is gone.
+func (c *Scheduler) endPredecessor(successor workerdriver.Worker) {
+	for _, w := range c.sortedWorkers() {
+		if w.info.Address == successor.Address && w.info.StartMillis < successor.StartMillis && (len(w.placements) > 0 || len(w.lapsed) > 0) {
+			c.workerReplaced(w)
+		}
+	}
+}
+
 // inheritedLeaseEnd returns the latest expiry of a lease granted by an earlier owner, which may have
 // extended leases for up to maxStoreSilence after this instance claimed the cell.
 func (c *Scheduler) inheritedLeaseEnd() time.Time {
@@ -176,8 +194,8 @@
 // one are over. Unanswered start orders may still reach the new incarnation.
 func (c *Scheduler) workerRestarted(w *worker, startMillis int64) {
 	c.Log.Info("worker started anew", "worker", w.info.Worker, "born", startMillis, "places", len(w.placements))
-	c.logCrash(w)
-	w.info.StartMillis, w.crashLogged = startMillis, false
+	c.recordCrash(w)
+	w.info.StartMillis, w.crashRecorded, w.latestClock = startMillis, false, 0
 	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
 	w.clockAt = time.Time{}
 	w.health = workerHealth{}
@@ -208,7 +226,7 @@
 	}
 	switch {
 	case w.clockAt.IsZero() || !c.OwnershipConfirmed():
-	case w.synced && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter():
+	case w.synced && (!w.unreachableSince.IsZero() || c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter()):
 		// An unanswered order may have arrived, so each one that extends the lease postpones the
 		// time at which the worker's runs are certainly over. The lease is extended again after
 		// the first answer.
@@ -249,6 +267,7 @@
 		c.workerRestarted(w, header.StartMillis)
 	}
 	w.clock, w.clockAt = header.Clock, c.now
+	c.observeClock(w, header.Clock)
 	return true
 }
 
@@ -321,13 +340,14 @@
 // order for it will be carried out.
 func (c *Scheduler) workerReplaced(w *worker) {
 	c.Log.Warn("worker replaced", "worker", w.info.Worker, "places", len(w.placements))
-	c.logCrash(w)
+	c.recordCrash(w)
 	for _, p := range w.placements {
 		if p.state != runUnsent {
 			c.endRun(p, steptracker.WorkerLost, "")
 		}
 	}
 	w.synced = false
+	w.lapsed = nil
 	if !w.listed && len(w.placements) == 0 {
 		c.removeWorker(w)
 	}
@@ -372,19 +392,20 @@
 
 // checkWorker handles the expired timeouts of a worker and its runs.
 func (c *Scheduler) checkWorker(w *worker) {
-	if !w.syncInFlight {
+	if !w.syncInFlight && (w.listed || len(w.placements) > 0) {
 		c.syncWorker(w)
 	}
 	// All runs that a worker may have are over once its lease has certainly expired. New start
 	// orders extend the lease, so only older runs are affected.
 	if len(w.placements) > 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
 		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.placements), "heard-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds())
+		c.keepLapsedRuns(w)
 		for _, p := range w.placements {
 			c.endRun(p, steptracker.LeaseExpired, "")
 		}
 		w.synced = false
 	}
-	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
+	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() && !c.hasLapsedRuns(w) {
 		c.removeWorker(w)
 		return
 	}
@@ -409,6 +430,9 @@
 		if p == nil || p.run != e.Run || p.worker != w {
 			continue
 		}
+		if task := j.progress.Task(e.Task); task != nil {
+			task.CrashHistory.RecordSurvival()
+		}
 		c.endRun(p, e.Reason, e.Checkpoint)
 	}
 }
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"dotterelpost.example/dotterelpost/internal/crashattributor"
 )
 
 // State is the state of a job as reported to callers.
@@ -104,6 +106,8 @@
 	// FailedRun is the number of the last run that failed. A gang keeps its failures in the record
 	// of its first task: several tasks may fail in the same run, which counts as one failure.
 	FailedRun int `json:"failed-run,omitempty"`
+	// CrashHistory is what is known about the crashes of the workers that ran the task.
+	CrashHistory crashattributor.History `json:"crash-history,omitzero"`
 	// Checkpoint is the latest known checkpoint of the task.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
@@ -236,7 +240,7 @@
 }
 
 // UpdateState closes the occurrences that have ended and sets the final state of the job if it has
-// been reached. Long-running tasks may fail any number of times.
+// been reached. Long-running tasks may fail any number of times, but may not crash their workers.
 func (p *Progress) UpdateState(job *Job, maxFailures int, now time.Time) {
 	if p.State != "" {
 		return
@@ -248,6 +252,9 @@
 			if !job.Steps[i].LongRunning && occurrence.hasFailedTask(i, maxFailures) {
 				p.State, p.Reason, p.EndedAt = Failed, "a task failed in "+strconv.Itoa(maxFailures)+" attempts", now
 			}
+			if crashes := occurrence.crashesOfGivenUpTask(i); crashes > 0 {
+				p.State, p.Reason, p.EndedAt = Failed, "a task crashed the workers that started it ("+strconv.Itoa(crashes)+" crashes)", now
+			}
 			ended = ended && !job.Steps[i].LongRunning && occurrence.StepDone(i)
 		}
 		if !ended {
@@ -269,6 +276,17 @@
 	return false
 }
 
+// crashesOfGivenUpTask returns the number of workers that crashed under a task of the step that is given
+// up, or 0 if there is none.
+func (o *Occurrence) crashesOfGivenUpTask(step int) int {
+	for i := range o.Steps[step] {
+		if history := &o.Steps[step][i].CrashHistory; history.GivenUp() {
+			return history.Crashes
+		}
+	}
+	return 0
+}
+
 // Cancel sets the state to Cancelled unless the job already has a final state.
 func (p *Progress) Cancel(now time.Time) {
 	if p.State == "" {
