cellscheduler: no start above a capacity that has shrunk

Cause: rounds use the capacity in the worker's entry, but an assignment that was being written when it shrank was sent regardless; 300 ms of a slow store suffice, an isolated start waits up to 800 ms more. Change: before the order is sent, what is reserved on the worker must fit its present capacity; otherwise the run ends as never started and its task waits for room. Runs that are already there stay.

--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -216,6 +216,12 @@
 		c.endRun(p, steptracker.NeverStarted, "")
 		return
 	}
+	if !w.used.Fits(w.info.Capacity) {
+		// The capacity has shrunk while the assignment was being written.
+		c.Log.Info("start dropped, the worker's capacity has shrunk", "task", p.key.String(), "run", p.run, "worker", w.info.Worker)
+		c.endRun(p, steptracker.NeverStarted, "")
+		return
+	}
 	if c.deferIsolatedStart(p) {
 		return
 	}
