partitionscheduler: a task that crashes its workers is isolated and given up

The same class of fault as in the cell scheduler: an attempt that is lost with its worker was queued again without a limit.

Also: a gang one member of which had ended without success could start with the others; it ends.

--- a/internal/fencer/link.go
+++ b/internal/fencer/link.go
@@ -28,6 +28,8 @@
 	Fenced(reply connector.FenceReply)
 	// Synced is called with the reply to each heartbeat.
 	Synced(reply connector.SyncReply)
+	// Unreachable is called when a heartbeat got no reply.
+	Unreachable()
 	// OwnershipLost is called when the worker has accepted an owner with a higher epoch.
 	OwnershipLost()
 }
@@ -171,6 +173,7 @@
 	for l.ctx.Err() == nil {
 		reply, err := l.syncOnce(knownSequence)
 		if err != nil {
+			l.listener.Unreachable()
 			if !l.sleep(delays.NextBackOff()) {
 				return
 			}
--- a/internal/jobtracker/job.go
+++ b/internal/jobtracker/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/crashattributor"
 	"dotterelpost.example/dotterelpost/internal/journaler"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
@@ -46,6 +47,10 @@
 	StartedAt   time.Time
 	// Evidence is what is known about the attempts before the current one.
 	Evidence journaler.Evidence
+	// CrashHistory is what is known about the crashes of the workers that ran the task.
+	CrashHistory crashattributor.History
+	// SentAt is when the start of the current attempt was first sent.
+	SentAt time.Time
 	// Refusals counts the starts that workers refused for reasons specific to the task.
 	Refusals int
 	// RefusedBy lists the indexes of the workers that recently refused this task.
@@ -183,6 +188,16 @@
 	}
 }
 
+// FailedMember returns the reason why a member of a gang ended without success, or false if none did.
+func (j *Job) FailedMember() (reason string, failed bool) {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.Phase == Finished && t.State != modeler.Done {
+			return t.Reason, true
+		}
+	}
+	return "", false
+}
+
 // Cancel marks the job as cancelled. If state is not empty, all open tasks end immediately in that
 // state.
 func (j *Job) Cancel(state modeler.State, at time.Time) {
--- a/internal/jobtracker/jobtracker.go
+++ b/internal/jobtracker/jobtracker.go
@@ -88,6 +88,9 @@
 	case journaler.Interrupted:
 		if job := tr.jobWithTask(entry); job != nil {
 			job.RecordEvidence(entry.Task, entry.Evidence)
+			if entry.CrashHistory != nil {
+				job.Tasks[entry.Task].CrashHistory = *entry.CrashHistory
+			}
 		}
 	case journaler.WorkerAdded:
 		tr.Workers[entry.Worker] = entry.Boot
--- a/internal/jobtracker/snapshot.go
+++ b/internal/jobtracker/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/crashattributor"
 	"dotterelpost.example/dotterelpost/internal/journaler"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
@@ -35,14 +36,15 @@
 
 // savedTask omits everything that the workers report again. Final is set only for a final state.
 type savedTask struct {
-	Final     modeler.State      `json:"final,omitempty"`
-	Evidence  journaler.Evidence `json:"evidence,omitempty"`
-	Reason    string             `json:"reason,omitempty"`
-	Permitted *modeler.Attempt   `json:"permitted,omitempty"`
-	Worker    string             `json:"worker,omitempty"`
-	Boot      string             `json:"boot,omitempty"`
-	Result    *modeler.Result    `json:"result,omitempty"`
-	StartedAt time.Time          `json:"started-at,omitzero"`
+	Final        modeler.State           `json:"final,omitempty"`
+	Evidence     journaler.Evidence      `json:"evidence,omitempty"`
+	CrashHistory crashattributor.History `json:"crash-history,omitzero"`
+	Reason       string                  `json:"reason,omitempty"`
+	Permitted    *modeler.Attempt        `json:"permitted,omitempty"`
+	Worker       string                  `json:"worker,omitempty"`
+	Boot         string                  `json:"boot,omitempty"`
+	Result       *modeler.Result         `json:"result,omitempty"`
+	StartedAt    time.Time               `json:"started-at,omitzero"`
 }
 
 // Save encodes all accepted durable jobs. A task whose end has not been written to the journal yet
@@ -83,7 +85,7 @@
 }
 
 func (t *Task) save() savedTask {
-	saved := savedTask{StartedAt: t.StartedAt, Evidence: t.Evidence}
+	saved := savedTask{StartedAt: t.StartedAt, Evidence: t.Evidence, CrashHistory: t.CrashHistory}
 	if t.Permitted {
 		attempt := t.Attempt
 		saved.Permitted = &attempt
@@ -136,6 +138,7 @@
 	t := &j.Tasks[task]
 	t.StartedAt = saved.StartedAt
 	t.Evidence = saved.Evidence
+	t.CrashHistory = saved.CrashHistory
 	if saved.Permitted != nil {
 		t.Permitted = true
 		t.Attempt = *saved.Permitted
--- a/internal/journaler/entry.go
+++ b/internal/journaler/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/crashattributor"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -48,6 +49,8 @@
 	Boot    string           `json:"boot,omitempty"`
 
 	Evidence Evidence `json:"evidence,omitempty"`
+	// CrashHistory replaces that of the task; nil leaves it as it is.
+	CrashHistory *crashattributor.History `json:"crash-history,omitempty"`
 
 	State  modeler.State   `json:"state,omitempty"`
 	Reason string          `json:"reason,omitempty"`
--- a/internal/partitionscheduler/partition.go
+++ b/internal/partitionscheduler/partition.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"dotterelpost.example/dotterelpost/internal/crashattributor"
 	"dotterelpost.example/dotterelpost/internal/fencer"
 	"dotterelpost.example/dotterelpost/internal/jobtracker"
 	"dotterelpost.example/dotterelpost/internal/journaler"
@@ -110,6 +111,12 @@
 	placed     []map[taskRef]struct{}
 	usedByTeam map[string]modeler.Resources
 
+	// usable tells of each worker whether it may get new tasks, isolated which of its tasks exclude
+	// others meanwhile. crashVerdicts holds the verdicts on starts without a reply.
+	usable        []bool
+	isolated      map[int]map[taskRef]struct{}
+	crashVerdicts map[taskRef]crashattributor.Verdict
+
 	// loaded is set when the journal has been read, reconciled when all workers have also been
 	// accounted for.
 	loaded     bool
@@ -160,6 +167,9 @@
 		placer:       partitionplacer.New(settings.Seed ^ hash.Sum64()),
 		queue:        queuer.New(),
 		usedByTeam:   make(map[string]modeler.Resources),
+
+		isolated:      make(map[int]map[taskRef]struct{}),
+		crashVerdicts: make(map[taskRef]crashattributor.Verdict),
 	}
 	p.registrar = workerregistrar.New(workerregistrar.Settings{
 		Partition:  grant.Partition,
@@ -343,6 +353,7 @@
 	}
 	p.quickWait.tick(p.queue.QuickLen())
 	p.registrar.RemoveGone(now)
+	p.endIsolations(now)
 	p.reconcile()
 	p.dirty = true
 	p.tracker.RemoveExpired(now.Add(-p.settings.DurableRetention), now.Add(-p.settings.QuickRetention))
--- a/internal/partitionscheduler/round.go
+++ b/internal/partitionscheduler/round.go
@@ -114,7 +114,7 @@
 		if request.Spread != modeler.SpreadNone && request.Class != modeler.Quick {
 			request.JobWorkers = workersOf(job)
 		}
-		placements, shortage := p.placer.Place(request)
+		placements, shortage := p.place(job, request, job.Tasks[task].CrashHistory.NeedsIsolation())
 		if shortage != partitionplacer.NoShortage {
 			full[shape] = len(request.Avoid) == 0
 			job.Tasks[task].RefusedBy = nil
@@ -174,7 +174,11 @@
 	if count < job.Open() {
 		return queuer.Blocked
 	}
-	placements, shortage := p.placer.Place(p.placementRequest(job, count))
+	if reason, failed := job.FailedMember(); failed {
+		p.endQueuedTasks(job, reason)
+		return queuer.Dequeued
+	}
+	placements, shortage := p.place(job, p.placementRequest(job, count), anyNeedsIsolation(job))
 	if shortage != partitionplacer.NoShortage {
 		p.reserveForGang(job, now)
 		if task, found := job.NextQueued(); found {
@@ -220,6 +224,9 @@
 	attempt := modeler.Attempt{Partition: p.name, Epoch: p.epoch, Key: job.Key, Task: task, Number: t.Attempts + 1}
 	job.Assign(task, index, p.registrar.Worker(index).Name, p.registrar.Boot(index), attempt)
 	p.recordPlacement(index, job, task)
+	if t.CrashHistory.NeedsIsolation() {
+		p.beginIsolation(index, taskRef{job: job, task: task})
+	}
 	p.logPlacement(job, attempt, placement, now)
 	if t.Attempts == 1 {
 		p.Metrics.ObserveWait(job.Spec.Class, now.Sub(job.AcceptedAt))
@@ -288,7 +295,7 @@
 // sendStart starts the attempt on its worker. The call is retried until the outcome is certain.
 func (p *Partition) sendStart(job *jobtracker.Job, task int) {
 	t := &job.Tasks[task]
-	t.Phase = jobtracker.Starting
+	t.Phase, t.SentAt = jobtracker.Starting, p.Clock.Now()
 	index := t.WorkerIndex
 	link := p.registrar.Link(index)
 	attempt := t.Attempt
@@ -329,13 +336,14 @@
 	case outcome.Running:
 		t.Phase = jobtracker.Running
 		t.StartedAt = p.Clock.Now()
+		p.registrar.RecordReply(index, t.Boot)
 		if job.Cancelled {
 			p.stopTask(job, task)
 		}
 	case outcome.NeverRan != "":
 		p.handleRefusal(job, task, index, outcome.NeverRan)
 	case outcome.WorkerRestarted:
-		p.loseTask(job, task, "worker "+p.registrar.Worker(index).Name+" restarted while the task was being started")
+		p.loseTask(job, task, p.takeVerdict(job, task), "worker "+p.registrar.Worker(index).Name+" restarted while the task was being started")
 	}
 }
 
@@ -344,8 +352,12 @@
 	t := &job.Tasks[task]
 	worker := p.registrar.Worker(index).Name
 	p.Log.Warn("start refused", "key", job.Key, "task", task, "worker", worker, "refusal", refusal, "attempt", t.Attempts)
-	if refusal == connector.RefusedLeaving {
+	switch refusal {
+	case connector.RefusedLeaving:
 		p.registrar.SetLeaving(index, true)
+	case connector.RefusedWrongBoot:
+		p.registrar.BootRefused(index, t.Boot)
+	default:
 	}
 	t.RefusedBy = append(t.RefusedBy, index)
 	if len(t.RefusedBy) > maxAvoided {
--- a/internal/partitionscheduler/taskends.go
+++ b/internal/partitionscheduler/taskends.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/crashattributor"
 	"dotterelpost.example/dotterelpost/internal/fencer"
 	"dotterelpost.example/dotterelpost/internal/jobtracker"
 	"dotterelpost.example/dotterelpost/internal/journaler"
@@ -98,6 +99,9 @@
 		Evidence: evidence,
 		Reason:   reason,
 	}
+	if history := job.Tasks[task].CrashHistory; history != (crashattributor.History{}) {
+		entry.CrashHistory = &history
+	}
 	p.write(entry, lingerShort, requeue)
 }
 
@@ -128,17 +132,23 @@
 	job.Abandon()
 }
 
-// loseTask handles a task whose worker no longer has it and can't report its outcome.
-func (p *Partition) loseTask(job *jobtracker.Job, task int, reason string) {
+// loseTask handles a task whose worker no longer has it and can't report its outcome, because the worker
+// has crashed or is gone.
+func (p *Partition) loseTask(job *jobtracker.Job, task int, verdict crashattributor.Verdict, reason string) {
 	evidence := journaler.MayHaveRun
 	if job.Tasks[task].Phase == jobtracker.Running {
 		evidence = journaler.HasRun
 	}
-	if job.Spec.Repeatable {
-		p.interruptTask(job, task, evidence, reason, nil)
+	if !job.Spec.Repeatable {
+		p.endTask(job, task, taskEnd{state: modeler.Unknown, reason: reason})
+		return
+	}
+	p.recordCrash(job, task, verdict)
+	if job.Tasks[task].CrashHistory.GivenUp() {
+		p.giveUpTask(job, task, evidence)
 		return
 	}
-	p.endTask(job, task, taskEnd{state: modeler.Unknown, reason: reason})
+	p.interruptTask(job, task, evidence, reason, nil)
 }
 
 // TaskEnded handles a worker's record of the end of a task.
@@ -168,6 +178,7 @@
 		p.endTask(job, task, taskEnd{state: modeler.Done, result: record.Result, onRecorded: onRecorded})
 		return
 	}
+	t.CrashHistory.RecordSurvival()
 	reason := string(record.Kind) + " on worker " + p.registrar.Worker(index).Name
 	if t.Phase == jobtracker.Unverified && job.Spec.Repeatable && !job.Cancelled {
 		// A worker that has not reported yet may run a later attempt, so the decision is left to
@@ -224,6 +235,6 @@
 	case outcome.NeverRan != "":
 		p.interruptTask(job, task, journaler.NeverRan, "stopped before it started", nil)
 	case outcome.WorkerRestarted:
-		p.loseTask(job, task, "worker "+p.registrar.Worker(index).Name+" restarted while the task was being stopped")
+		p.loseTask(job, task, p.takeVerdict(job, task), "worker "+p.registrar.Worker(index).Name+" restarted while the task was being stopped")
 	}
 }
--- a/internal/partitionscheduler/workers.go
+++ b/internal/partitionscheduler/workers.go
@@ -44,12 +44,15 @@
 	pool, _ := p.Tickets().PoolOf(worker.Rack)
 	p.placer.Add(worker, pool)
 	p.placed = append(p.placed, make(map[taskRef]struct{}))
+	p.usable = append(p.usable, false)
 }
 
 // UsabilityChanged sets whether a worker may get new tasks.
 func (p *Partition) UsabilityChanged(index int, usable bool) {
-	p.placer.SetUsable(index, usable)
-	p.dirty = true
+	if p.usable[index] != usable {
+		p.usable[index] = usable
+		p.updateUsability(index)
+	}
 	p.reconcile()
 }
 
@@ -102,6 +105,7 @@
 		return
 	}
 	delete(p.placed[index], ref)
+	p.endIsolation(index, ref)
 	p.placer.Release(index, job.Spec.Needs, job.Spec.Class)
 	p.usedByTeam[job.Spec.Team] = p.usedByTeam[job.Spec.Team].Minus(job.Spec.Needs)
 	p.dirty = true
@@ -110,15 +114,13 @@
 // TasksLost handles the tasks of a worker that can no longer run any of them.
 func (p *Partition) TasksLost(index int) {
 	gone := p.registrar.IsGone(index)
-	for ref := range p.placed[index] {
-		t := &ref.job.Tasks[ref.task]
-		if t.Phase == jobtracker.Starting && !gone {
+	for ref, verdict := range p.attributeCrash(index) {
+		if ref.job.Tasks[ref.task].Phase == jobtracker.Starting && !gone {
 			// The start is retried until the worker answers; a restarted worker refuses it.
+			p.crashVerdicts[ref] = verdict
 			continue
 		}
-		if t.Phase == jobtracker.Starting || t.Phase == jobtracker.Running {
-			p.loseTask(ref.job, ref.task, "worker "+p.registrar.Worker(index).Name+" was lost while the task was assigned to it")
-		}
+		p.loseTask(ref.job, ref.task, verdict, "worker "+p.registrar.Worker(index).Name+" was lost while the task was assigned to it")
 	}
 }
 
--- a/internal/workerregistrar/workerregistrar.go
+++ b/internal/workerregistrar/workerregistrar.go
@@ -68,6 +68,13 @@
 	fenced    bool
 	leaving   bool
 	gone      bool
+	// unreachable is set while the latest heartbeat got no reply.
+	unreachable bool
+	// bootStale is set when the worker has refused a start because it has restarted, until a heartbeat
+	// tells its new boot.
+	bootStale bool
+	// lastReplyAt is when the latest reply of the current boot arrived.
+	lastReplyAt time.Time
 	// journaled is set when the journal records that this boot of the worker may have tasks.
 	journaled bool
 	// listedAt is the time when the worker was first listed.
@@ -78,7 +85,9 @@
 }
 
 // usable reports whether the worker may be given new tasks.
-func (w *workerState) usable() bool { return w.fenced && w.journaled && !w.leaving && !w.gone }
+func (w *workerState) usable() bool {
+	return w.fenced && w.journaled && !w.leaving && !w.gone && !w.unreachable && !w.bootStale
+}
 
 // Registrar keeps track of the workers of a partition.
 type Registrar struct {
@@ -191,6 +200,35 @@
 	r.Handler.UsabilityChanged(index, w.usable())
 }
 
+// setUnreachable sets whether a worker answers heartbeats. One that does not gets no new tasks.
+func (r *Registrar) setUnreachable(index int, unreachable bool) {
+	w := r.workers[index]
+	if w.unreachable != unreachable {
+		w.unreachable = unreachable
+		r.Log.Info("worker unreachable", "worker", w.info.Name, "unreachable", unreachable)
+	}
+	r.Handler.UsabilityChanged(index, w.usable())
+}
+
+// BootRefused records that a worker has refused a start because it has restarted since the given boot. It
+// gets no new tasks until its next heartbeat.
+func (r *Registrar) BootRefused(index int, boot string) {
+	w := r.workers[index]
+	w.bootStale = w.bootStale || w.boot == boot
+	r.Handler.UsabilityChanged(index, w.usable())
+}
+
+// RecordReply records that a boot of the worker has just replied.
+func (r *Registrar) RecordReply(index int, boot string) {
+	if w := r.workers[index]; w.boot == boot {
+		w.lastReplyAt = r.Clock.Now()
+	}
+}
+
+// LastReplyAt returns when the latest reply of the worker's current boot arrived. TasksLost is called
+// before that changes.
+func (r *Registrar) LastReplyAt(index int) time.Time { return r.workers[index].lastReplyAt }
+
 // RestoreBoots takes from the journal the boots of the workers that may have tasks, and notes which of
 // these workers are no longer listed.
 func (r *Registrar) RestoreBoots(boots map[string]string) {
@@ -230,6 +268,10 @@
 	l.registrar.Post(func() { l.registrar.synced(l.index, reply) })
 }
 
+func (l *listener) Unreachable() {
+	l.registrar.Post(func() { l.registrar.setUnreachable(l.index, true) })
+}
+
 func (l *listener) OwnershipLost() { l.registrar.Post(l.registrar.OwnershipLost) }
 
 // fenced handles the reply of a worker that has been fenced: it adopts the running tasks and the
@@ -237,6 +279,7 @@
 func (r *Registrar) fenced(index int, reply connector.FenceReply) {
 	w := r.workers[index]
 	w.boot = reply.Boot
+	r.RecordReply(index, reply.Boot)
 	w.records = newRecordTracker(reply)
 	if known, found := r.boots[w.info.Name]; found && known != reply.Boot {
 		r.mayHaveLostTasks = true
@@ -280,6 +323,9 @@
 	if reply.Boot != w.boot {
 		r.restarted(index, reply.Boot)
 	}
+	r.RecordReply(index, reply.Boot)
+	w.bootStale = false
+	r.setUnreachable(index, false)
 	for _, record := range reply.Ended {
 		r.Handler.TaskEnded(index, record)
 	}
