partitionscheduler: follow a worker's capacity when it changes

Callers saw: a batch job ended as 'stopped' with 'worker w0 refused the start: capacity' after the capacity of its worker had shrunk, although the worker's entry in the list said so. Cause: the registrar took a worker's description from the first list in which it appeared; starts beyond the capacity were refused, and refusals for lack of capacity count against the task. Change: a capacity that has changed in the list reaches the placer; what runs stays. Evidence: TestCapacityOfWorkerChanges failed before (job stopped, at most 2 tasks at a time after the capacity had grown again) and passes now.

--- a/internal/partitionplacer/placer.go
+++ b/internal/partitionplacer/placer.go
@@ -107,6 +107,11 @@
 	pl.addToIndex(index)
 }
 
+// SetCapacity changes the capacity of a worker. Its reservations stay, also those beyond the capacity.
+func (pl *Placer) SetCapacity(index int, capacity modeler.Resources) {
+	pl.updateReservation(index, func(w *workerState) { w.info.Capacity = capacity })
+}
+
 // SetPool moves a worker to another pool.
 func (pl *Placer) SetPool(index int, poolName string) {
 	w := &pl.workers[index]
--- a/internal/partitionscheduler/workers.go
+++ b/internal/partitionscheduler/workers.go
@@ -56,6 +56,12 @@
 	p.reconcile()
 }
 
+// CapacityChanged changes the capacity of a worker. Tasks that run there stay.
+func (p *Partition) CapacityChanged(index int, capacity modeler.Resources) {
+	p.placer.SetCapacity(index, capacity)
+	p.dirty = true
+}
+
 // TaskRunning adopts a task that a worker reported as running when it was fenced.
 func (p *Partition) TaskRunning(index int, running connector.RunningTask) {
 	if p.hasLaterOwner(running.Attempt) {
--- a/internal/simulator/platform.go
+++ b/internal/simulator/platform.go
@@ -114,6 +114,11 @@
 	p.faults = faults
 }
 
+// SetCapacity changes the capacity of a worker, which its entry in the list shows.
+func (p *Platform) SetCapacity(name string, capacity modeler.Resources) {
+	p.forEachWorker([]string{name}, func(w *worker) { w.setCapacity(capacity) })
+}
+
 func (p *Platform) forEachWorker(names []string, act func(*worker)) {
 	for _, name := range names {
 		if w := p.workers[name]; w != nil {
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -372,6 +372,22 @@
 	return nil, w.changed
 }
 
+// setCapacity changes the capacity. Running tasks stay, also those beyond it.
+func (w *worker) setCapacity(capacity modeler.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.info.Capacity = capacity
+	var used modeler.Resources
+	for _, task := range w.running {
+		used = used.Plus(task.request.Needs)
+	}
+	w.free = modeler.Resources{
+		Processors:   capacity.Processors - min(used.Processors, capacity.Processors),
+		Memory:       capacity.Memory - min(used.Memory, capacity.Memory),
+		Accelerators: capacity.Accelerators - min(used.Accelerators, capacity.Accelerators),
+	}
+}
+
 func (w *worker) leave() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/workerregistrar/workerregistrar.go
+++ b/internal/workerregistrar/workerregistrar.go
@@ -20,6 +20,8 @@
 type Handler interface {
 	// WorkerListed is called for a new worker, before any other method is called with its index.
 	WorkerListed(index int, worker modeler.Worker)
+	// CapacityChanged is called when the list shows another capacity of a worker.
+	CapacityChanged(index int, capacity modeler.Resources)
 	// TaskRunning is called for each task that a worker reports as running when it is fenced.
 	TaskRunning(index int, task connector.RunningTask)
 	// TaskEnded is called for each record of an ended task, possibly more than once.
@@ -159,6 +161,7 @@
 		present[worker.Name] = true
 		if index, found := r.byName[worker.Name]; found && !r.workers[index].gone {
 			r.SetLeaving(index, worker.Leaving)
+			r.setCapacity(index, worker.Capacity)
 			continue
 		}
 		r.add(worker)
@@ -229,6 +232,16 @@
 // before that changes.
 func (r *Registrar) LastReplyAt(index int) time.Time { return r.workers[index].lastReplyAt }
 
+func (r *Registrar) setCapacity(index int, capacity modeler.Resources) {
+	w := r.workers[index]
+	if w.info.Capacity == capacity {
+		return
+	}
+	r.Log.Info("worker's capacity changed", "worker", w.info.Name, "before", w.info.Capacity, "now", capacity)
+	w.info.Capacity = capacity
+	r.Handler.CapacityChanged(index, capacity)
+}
+
 // RestoreBoots takes from the journal the boots of the workers that may have tasks, and notes which of
 // these workers are no longer listed.
 func (r *Registrar) RestoreBoots(boots map[string]string) {
