--- a/internal/cellscheduler/crashes_test.go
+++ b/internal/cellscheduler/crashes_test.go
@@ -207,3 +207,28 @@
 		_, _ = c.Submit(context.Background(), j)
 	}
 }
+
+// TestRunsOnARestartedWorkerAreLost: a worker restarts with the same ID. Its runs had started.
+func TestRunsOnARestartedWorkerAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		c, stop := env.startScheduler(1)
+		defer stop()
+		submit(t, c, job("j", "plain", step(3, 1000)))
+		sleep(300 * time.Millisecond)
+		env.withLock(func() {
+			worker := env.workers["w0"]
+			worker.kill()
+			worker.unreachable = false
+			worker.info.StartMillis++
+			worker.startedAt, worker.lastEnd, worker.leaseEndsAt = time.Now(), 0, time.Time{}
+		})
+		sleep(5 * time.Second)
+		wantState(t, c, "j", steptracker.Completed)
+		for name, want := range map[string]string{"ended-lost": "3", "ended-never-ran": "<nil>", "workers-crashed": "1"} {
+			if got := fmt.Sprint(env.schedulerMetrics.Map().Get(name)); got != want {
+				t.Errorf("metric %s is %s, want %s", name, got, want)
+			}
+		}
+	})
+}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -463,7 +463,11 @@
 		case runUnconfirmed:
 			// The worker has seen the new fencing token, so no start order of an earlier owner
 			// can take effect.
-			c.endRun(p, steptracker.NeverStarted, "")
+			reason := steptracker.NeverStarted
+			if !p.startedAt.IsZero() {
+				reason = steptracker.WorkerLost
+			}
+			c.endRun(p, reason, "")
 		case runStarted:
 			if p.startedAt.Before(sentAt) {
 				c.endRun(p, steptracker.WorkerLost, "")
--- a/internal/chaostester/callers.go
+++ b/internal/chaostester/callers.go
@@ -43,7 +43,7 @@
 // submitJob submits a job and retries until it is accepted or the attempts are used up, then follows an
 // accepted job to its final state.
 func (s *scenario) submitJob(ctx context.Context, queue *Queue, id string, random *rand.Rand) {
-	s.recorder.recordSubmission(queue, id)
+	s.recorder.recordSubmission(queue, id, random.Float64() < queue.CrashingShare)
 	for range maxSubmitAttempts {
 		address, up := s.randomInstance(random)
 		if !up {
--- a/internal/chaostester/chaostester.go
+++ b/internal/chaostester/chaostester.go
@@ -77,7 +77,7 @@
 	plan := options.Plan
 	s := &scenario{Options: options, recorder: newRecorder(options.Clock), random: rand.New(rand.NewPCG(plan.Seed, 1))}
 	s.platform = standin.New(standin.Settings{
-		Workers: plan.Workers, Processors: int64(plan.Processors), TaskDuration: time.Duration(plan.TaskDuration), Clock: options.Clock, TaskProcessors: s.recorder.taskProcessors,
+		Workers: plan.Workers, Processors: int64(plan.Processors), TaskDuration: time.Duration(plan.TaskDuration), Clock: options.Clock, TaskProcessors: s.recorder.taskProcessors, CrashesWorker: s.recorder.crashesWorker,
 	})
 	defer s.platform.Close()
 	if err := s.platform.PutQueues(1, plan.queues()); err != nil {
@@ -230,6 +230,10 @@
 		worker := s.randomWorker()
 		worker.DropReplies(true)
 		return func() { worker.DropReplies(false) }
+	case ShrinkWorker:
+		worker := s.randomWorker()
+		worker.SetProcessors(int64(s.Plan.Processors) / 2)
+		return func() { worker.SetProcessors(int64(s.Plan.Processors)) }
 	}
 	return func() {}
 }
--- a/internal/chaostester/chaostester_test.go
+++ b/internal/chaostester/chaostester_test.go
@@ -78,3 +78,30 @@
 		t.Error("no job was completed")
 	}
 }
+
+// TestGuaranteesHoldWhileTasksCrashWorkers runs a short plan in which one job in ten crashes its workers
+// while the capacity of others shrinks and grows again.
+func TestGuaranteesHoldWhileTasksCrashWorkers(t *testing.T) {
+	second := modeler.Duration(time.Second)
+	plan := &chaostester.Plan{
+		Seed: 1, LoadDuration: 3 * second, Instances: 2, Workers: 8, Processors: 8000, TaskDuration: second / 20,
+		Queues: []chaostester.Queue{
+			{Name: "quick", JobsPerSecond: 10, Advised: true, CrashingShare: 0.1, Steps: []chaostester.Step{{Tasks: 2, Processors: 1000}}},
+			{Name: "gangs", JobsPerSecond: 2, Steps: []chaostester.Step{{Tasks: 1, Processors: 1000}, {Tasks: 3, Processors: 2000, Gang: true}}},
+		},
+		Faults: []chaostester.Fault{
+			{Kind: chaostester.ShrinkWorker, At: second / 2, Duration: second, Count: 2, Interval: second / 2},
+			{Kind: chaostester.RestartWorker, At: second},
+		},
+	}
+	report, err := chaostester.Run(t.Context(), chaostester.Options{Plan: plan, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Progress: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, failure := range report.Failures {
+		t.Error(failure)
+	}
+	if report.Completed == 0 || report.GivenUp == 0 {
+		t.Errorf("%d jobs completed and %d given up, want some of both", report.Completed, report.GivenUp)
+	}
+}
--- a/internal/chaostester/plan.go
+++ b/internal/chaostester/plan.go
@@ -34,6 +34,8 @@
 	Priority      int     `json:"priority"`
 	// Advised makes the advisor decide which workers may run the steps.
 	Advised bool `json:"advised"`
+	// CrashingShare is the share of jobs whose first task crashes each worker that starts it.
+	CrashingShare float64 `json:"crashing"`
 }
 
 // Step is a step of each job of a queue. It starts after the previous step.
@@ -66,6 +68,8 @@
 	// replying.
 	RestartWorker     FaultKind = "worker-restart"
 	DropWorkerReplies FaultKind = "worker-mute"
+	// ShrinkWorker halves the capacity of a worker.
+	ShrinkWorker FaultKind = "worker-shrink"
 )
 
 // Fault is a fault and the times at which it is injected.
@@ -101,6 +105,7 @@
     "per-second": {"type": "number", "exclusiveMinimum": 0, "maximum": 2000},
     "priority": {"type": "integer", "minimum": 0, "maximum": 9},
     "advised": {"type": "boolean"},
+    "crashing": {"type": "number", "minimum": 0, "maximum": 1},
     "steps": {"type": "array", "minItems": 1, "maxItems": 10, "items": {
      "type": "object", "additionalProperties": false, "required": ["tasks", "processors"],
      "properties": {
@@ -110,7 +115,7 @@
   "troubles": {"type": "array", "maxItems": 100, "items": {
    "type": "object", "additionalProperties": false, "required": ["kind", "at"],
    "properties": {
-    "kind": {"enum": ["kill-owner", "kill-all", "stop-owner", "store-busy", "store-silent", "store-slow", "store-lost", "history-forgotten", "worker-restart", "worker-mute"]},
+    "kind": {"enum": ["kill-owner", "kill-all", "stop-owner", "store-busy", "store-silent", "store-slow", "store-lost", "history-forgotten", "worker-restart", "worker-mute", "worker-shrink"]},
     "at": {"$ref": "#/$defs/duration"},
     "for": {"$ref": "#/$defs/duration"},
     "times": {"type": "integer", "minimum": 1, "maximum": 200},
