cellscheduler: tasks that wait for isolation ask for no tokens that they cannot use

A step whose tasks wait for isolation asked again every round for the worker that was known to be suitable, though it could not be isolated there. Change: only workers that may take an isolated run are named for such a step. The successor of a crashed worker in the platform's list makes the owner sync with the old one at once, whose refusal is the proof, instead of being the proof. TestIsolatedTasksDoNotFloodTheAdvisor failed before (1,545 to 2,835 calls for 12 tasks).

--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -1,6 +1,7 @@
 package cellscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -127,10 +128,14 @@
 		approvalRate = initialApprovalRate
 	}
 	short := c.isShortTask(s)
+	ordinary, _ := s.unassignedTasks()
+	unusable := func(index int) bool {
+		return len(ordinary) == 0 && !c.mayIsolateOn(c.workers[c.candidates[index].Worker])
+	}
 	excluded := func(index int) bool {
-		return c.isRejected(s, &c.candidates[index]) || !c.isEligible(s, &c.candidates[index], short)
+		return c.isRejected(s, &c.candidates[index]) || !c.isEligible(s, &c.candidates[index], short) || unusable(index)
 	}
-	request := candidateselector.Request{Step: s.def, Tasks: s.unassigned(), SuitableShare: approvalRate, KnownSuitable: c.approvedCandidates(s, false), Excluded: func(index int) bool {
+	request := candidateselector.Request{Step: s.def, Tasks: s.unassigned(), SuitableShare: approvalRate, KnownSuitable: slices.DeleteFunc(c.approvedCandidates(s, false), unusable), Excluded: func(index int) bool {
 		return excluded(index) || s.failedOn[c.candidates[index].Worker]
 	}}
 	indexes, expectedPlaces := c.selector.Select(request)
--- a/internal/cellscheduler/crashes.go
+++ b/internal/cellscheduler/crashes.go
@@ -93,13 +93,17 @@
 	return ordinary, suspects
 }
 
-// isolationCandidates returns the candidates that may take an isolated run: as long as there are few
-// workers with isolated runs, all others, and then those on which nothing runs.
-func (c *Scheduler) isolationCandidates(candidates []cellplacer.Candidate) []cellplacer.Candidate {
+// mayIsolateOn reports whether a worker may take an isolated run: as long as there are few workers with
+// isolated runs, any other one, and then those on which nothing runs.
+func (c *Scheduler) mayIsolateOn(w *worker) bool {
 	few := c.isolatedWorkers < max(minIsolatedWorkers, len(c.workers)/isolatedWorkersDivisor)
+	return w.isolatedRuns == 0 && (few || len(w.placements) == 0)
+}
+
+// isolationCandidates returns the candidates that may take an isolated run.
+func (c *Scheduler) isolationCandidates(candidates []cellplacer.Candidate) []cellplacer.Candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(candidate cellplacer.Candidate) bool {
-		w := c.workers[candidate.Worker]
-		return w.isolatedRuns > 0 || !few && len(w.placements) > 0
+		return !c.mayIsolateOn(c.workers[candidate.Worker])
 	})
 }
 
--- a/internal/cellscheduler/crashes_test.go
+++ b/internal/cellscheduler/crashes_test.go
@@ -232,3 +232,35 @@
 		}
 	})
 }
+
+// TestIsolatedTasksDoNotFloodTheAdvisor: tasks that wait for isolation while all workers are in use do not
+// ask for placement tokens that they cannot use.
+func TestIsolatedTasksDoNotFloodTheAdvisor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 24)
+		env.outcome = func(start *workerdriver.Start, worker string) (time.Duration, steptracker.EndReason) {
+			if start.Task.Job[:1] == "l" {
+				return time.Minute, steptracker.Done
+			}
+			return crashing(start, worker)
+		}
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		// All workers keep some room, and none is idle.
+		long := step(24, 1000)
+		long.MaxPerWorker = 1
+		submit(t, c, job("long", "plain", long))
+		sleep(100 * time.Millisecond)
+		for i := range 12 {
+			submit(t, c, job(fmt.Sprintf("deadly-%d", i), "advised", step(1, 1000)))
+			sleep(50 * time.Millisecond)
+		}
+		sleep(20 * time.Second)
+		env.withLock(func() {
+			if calls := len(env.adviceCalls); calls > 200 {
+				t.Errorf("%d advisor calls for 12 tasks", calls)
+			}
+		})
+	})
+}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -149,7 +149,6 @@
 	if w == nil {
 		w = &worker{info: info, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement)}
 		w.leaseEndsAt = c.inheritedLeaseEnd()
-		c.endPredecessor(info)
 		c.addWorker(w)
 		c.Log.Info("worker joined", "worker", info.Worker, "born", info.StartMillis, "zone", info.AvailabilityZone, "rack", info.Rack)
 	}
@@ -169,13 +168,19 @@
 	if !w.syncInFlight {
 		c.syncWorker(w)
 	}
+	c.syncPredecessors(w)
 }
 
-// endPredecessor handles the start of a worker at the address of an earlier one, which is gone.
-func (c *Scheduler) endPredecessor(successor workerdriver.Worker) {
+// syncPredecessors sends a sync at once to the earlier workers at the address of a worker that has just
+// started. The answer proves that they are gone, which the list alone does not.
+func (c *Scheduler) syncPredecessors(successor *worker) {
+	if successor.synced {
+		return
+	}
 	for _, w := range c.sortedWorkers() {
-		if w.info.Address == successor.Address && w.info.StartMillis < successor.StartMillis && (len(w.placements) > 0 || len(w.lapsed) > 0) {
-			c.workerReplaced(w)
+		if w.info.Address == successor.info.Address && w.info.StartMillis < successor.info.StartMillis && (len(w.placements) > 0 || len(w.lapsed) > 0) {
+			w.nextSyncAt = c.now
+			c.syncWorker(w)
 		}
 	}
 }
