cellscheduler: crash handling costs nothing while nothing is isolated

Found by reading the change: rounds allocated lists of tasks for steps without candidates and looked up each candidate's worker once more; and a start order that was still being sent when a worker's end was proved counted as one of its runs, though an order sent before the crash would have failed by then (a worker that restarts under the same ID can carry it out).

--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -128,9 +128,9 @@
 		approvalRate = initialApprovalRate
 	}
 	short := c.isShortTask(s)
-	ordinary, _ := s.unassignedTasks()
+	isolated := !s.hasOrdinaryTask()
 	unusable := func(index int) bool {
-		return len(ordinary) == 0 && !c.mayIsolateOn(c.workers[c.candidates[index].Worker])
+		return isolated && !c.mayIsolateOn(c.workers[c.candidates[index].Worker])
 	}
 	excluded := func(index int) bool {
 		return c.isRejected(s, &c.candidates[index]) || !c.isEligible(s, &c.candidates[index], short) || unusable(index)
--- a/internal/cellscheduler/crashes.go
+++ b/internal/cellscheduler/crashes.go
@@ -93,6 +93,18 @@
 	return ordinary, suspects
 }
 
+// hasOrdinaryTask reports whether the step has an unassigned task that does not need isolation.
+func (s *step) hasOrdinaryTask() bool {
+	ordinary, suspect := false, false
+	for i := range s.tasks {
+		if !s.tasks[i].Done && !s.tasks[i].Assigned() {
+			isolated := s.needsIsolation(i)
+			ordinary, suspect = ordinary || !isolated, suspect || isolated
+		}
+	}
+	return ordinary && !(s.def.Gang && suspect)
+}
+
 // mayIsolateOn reports whether a worker may take an isolated run: as long as there are few workers with
 // isolated runs, any other one, and then those on which nothing runs.
 func (c *Scheduler) mayIsolateOn(w *worker) bool {
@@ -224,7 +236,8 @@
 	var lapsed []lapsedRun
 	var runs []crashattributor.Run
 	for _, p := range w.placements {
-		if p.state == runUnsent {
+		if p.state == runUnsent || p.state == runSending {
+			// A start order that was sent before the crash would have failed by now.
 			continue
 		}
 		lapsed = append(lapsed, lapsedRun{job: p.job, key: p.key})
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -258,7 +258,7 @@
 	c.eligible = c.eligible[:0]
 	for _, i := range indexes {
 		candidate := c.candidates[i]
-		if !needs.Fits(candidate.Free) || !c.isEligible(s, &candidate, short) || c.workers[candidate.Worker].isolatedRuns > 0 {
+		if !needs.Fits(candidate.Free) || !c.isEligible(s, &candidate, short) || c.isolatedWorkers > 0 && c.workers[candidate.Worker].isolatedRuns > 0 {
 			continue
 		}
 		if s.def.MaxPerWorker > 0 {
@@ -340,6 +340,9 @@
 // assign assigns tasks of a step to candidates and schedules the write of the assignments. It
 // reports whether the step has nothing left to place.
 func (c *Scheduler) assign(s *step, candidates []cellplacer.Candidate) bool {
+	if len(candidates) == 0 {
+		return false
+	}
 	ordinary, suspects := s.unassignedTasks()
 	c.assignTasks(s, candidates, ordinary, false)
 	if len(suspects) > 0 {
