partitionscheduler: planned departures of workers are no crashes

Found by reading the change as the person on call: a task whose workers left as planned three times would have been isolated for its whole run, so that nothing else ran on its worker, for hours in the case of a long batch task. Cause: the end of a leaving worker was recorded like a crash; the cell scheduler already left draining workers out. Also: the verdict kept for a start without a reply is dropped with that start's outcome, so that it can't be used for a later attempt.

--- a/internal/crashattributor/crashattributor.go
+++ b/internal/crashattributor/crashattributor.go
@@ -58,6 +58,8 @@
 	Suspected
 	// Attributed: only runs of this job may have crashed the worker.
 	Attributed
+	// NoCrash: the worker ended as planned. Attribute does not return it.
+	NoCrash
 )
 
 // Attribute returns a verdict for each run of a worker that has crashed.
@@ -100,6 +102,9 @@
 
 // RecordCrash records a crash of the worker that ran the task.
 func (h *History) RecordCrash(verdict Verdict) {
+	if verdict == NoCrash {
+		return
+	}
 	h.Crashes++
 	switch verdict {
 	case Attributed:
@@ -109,7 +114,7 @@
 		h.Suspected++
 	case Cleared:
 		h.Suspected, h.Attributed = 0, 0
-	case Unknown:
+	case Unknown, NoCrash:
 	}
 }
 
--- a/internal/partitioncontroller/crashes_test.go
+++ b/internal/partitioncontroller/crashes_test.go
@@ -114,3 +114,44 @@
 	}
 	return call.Answers[len(call.Answers)-1].State
 }
+
+// TestPlannedDeparturesAreNoCrashes: three workers leave as planned while they run the same task. It must
+// not be isolated after that, or nothing else would run on its worker.
+func TestPlannedDeparturesAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		c := newTestCluster(simulator.CompareEpochs, clusterSize{partitions: 1, workersPerPartition: 4, capacity: smallSize.capacity, slots: 4})
+		c.startInstance(0)
+		<-c.clock.After(6 * time.Second)
+		c.startCaller("long", crashJob(modeler.Batch, 1, crashPayload{RunsFor: modeler.Duration(10 * time.Minute)}), 0)
+		for range 3 {
+			<-c.clock.After(5 * time.Second)
+			worker := c.lastStart().Worker
+			c.faultyWorkers[worker] = true
+			c.platform.SetFaults(simulator.Faults{LeavingWorkers: []string{worker}})
+			<-c.clock.After(10 * time.Second)
+			c.platform.SetFaults(simulator.Faults{KillWorkers: []string{worker}})
+			<-c.clock.After(40 * time.Second)
+		}
+		c.startCaller("other", crashJob(modeler.Batch, 1, crashPayload{RunsFor: modeler.Duration(time.Second)}), 0)
+		<-c.clock.After(10 * time.Second)
+		c.mu.Lock()
+		for _, call := range c.calls {
+			if state := lastState(call); call.Key == "other" && state != modeler.Done {
+				t.Errorf("the other job is %q, want %q", state, modeler.Done)
+			}
+		}
+		c.mu.Unlock()
+		c.shutDown()
+		synctest.Wait()
+	})
+}
+
+func (c *testCluster) lastStart() simulator.Event {
+	var last simulator.Event
+	for _, event := range c.platform.Events() {
+		if event.Started {
+			last = event
+		}
+	}
+	return last
+}
--- a/internal/partitionscheduler/crashes.go
+++ b/internal/partitionscheduler/crashes.go
@@ -20,8 +20,8 @@
 	quietStart = 2 * time.Second
 )
 
-// attributeCrash returns the tasks that a worker may have been running when it crashed, with a verdict on
-// each.
+// attributeCrash returns the tasks that a worker may have been running when it ended, with a verdict on
+// each. The end of a leaving worker is not a crash.
 func (p *Partition) attributeCrash(index int) map[taskRef]crashattributor.Verdict {
 	var refs []taskRef
 	var runs []crashattributor.Run
@@ -39,6 +39,9 @@
 	verdicts := make(map[taskRef]crashattributor.Verdict, len(refs))
 	for i, verdict := range crashattributor.Attribute(runs) {
 		verdicts[refs[i]] = verdict
+		if p.registrar.IsLeaving(index) {
+			verdicts[refs[i]] = crashattributor.NoCrash
+		}
 	}
 	return verdicts
 }
--- a/internal/partitionscheduler/round.go
+++ b/internal/partitionscheduler/round.go
@@ -324,6 +324,7 @@
 }
 
 func (p *Partition) handleStartOutcome(job *jobtracker.Job, task, index int, attempt modeler.Attempt, outcome fencer.Outcome) {
+	verdict := p.takeVerdict(job, task)
 	if outcome.Ended != nil {
 		p.TaskEnded(index, *outcome.Ended)
 		return
@@ -343,7 +344,7 @@
 	case outcome.NeverRan != "":
 		p.handleRefusal(job, task, index, outcome.NeverRan)
 	case outcome.WorkerRestarted:
-		p.loseTask(job, task, p.takeVerdict(job, task), "worker "+p.registrar.Worker(index).Name+" restarted while the task was being started")
+		p.loseTask(job, task, verdict, "worker "+p.registrar.Worker(index).Name+" restarted while the task was being started")
 	}
 }
 
--- a/internal/workerregistrar/workerregistrar.go
+++ b/internal/workerregistrar/workerregistrar.go
@@ -139,6 +139,9 @@
 // IsGone reports whether a worker has been removed because it left the platform's list.
 func (r *Registrar) IsGone(index int) bool { return r.workers[index].gone }
 
+// IsLeaving reports whether a worker leaves as planned.
+func (r *Registrar) IsLeaving(index int) bool { return r.workers[index].leaving }
+
 // BootByName returns the current boot of the worker with the given name, or "" if it is unknown or
 // gone.
 func (r *Registrar) BootByName(worker string) string {
