--- /dev/null
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -0,0 +1,157 @@
+package cellscheduler_test
+
+import (
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/workerdriver"
+)
+
+type fakeRun struct {
+	number       int
+	fencingToken int64
+	timer        *time.Timer
+}
+
+type fakeWorker struct {
+	env                 *testEnv
+	info                workerdriver.Worker
+	highestFencingToken int64
+	running             map[steptracker.TaskKey]*fakeRun
+	ended               []workerdriver.EndedTask
+	lastEnd             int64
+	// refusedRuns is the highest run number of each task that may no longer start.
+	refusedRuns map[steptracker.TaskKey]int
+	changed     chan struct{}
+	startedAt   time.Time
+	leaseEndsAt time.Time
+	// unreachable makes every call end without an answer. loseStartReplies drops the replies to
+	// start orders that are carried out. startDelay delays the execution of start orders.
+	unreachable bool
+	// crashed is set after a crash until a new worker has started at the address. Connections are
+	// refused meanwhile.
+	crashed bool
+	// replaced is set if another worker answers at the address.
+	replaced         bool
+	loseStartReplies bool
+	startDelay       time.Duration
+	// lateReplies are the replies to the start orders that startDelay has delayed, nil for one that
+	// was carried out.
+	lateReplies []error
+}
+
+func (f *fakeWorker) replyHeader() workerdriver.ReplyHeader {
+	return workerdriver.ReplyHeader{Clock: workerdriver.Clock(time.Since(f.startedAt)), StartMillis: f.info.StartMillis}
+}
+
+// start executes or refuses an order. The caller holds the mutex of the environment.
+func (f *fakeWorker) start(order *workerdriver.Start) error {
+	refuse := func(reason workerdriver.Reason) error {
+		return &workerdriver.RefusedError{Worker: f.info.Worker, Reason: reason}
+	}
+	if f.unreachable {
+		return refuse(workerdriver.Unhealthy)
+	}
+	if order.FencingToken < f.highestFencingToken {
+		return refuse(workerdriver.StaleFencingToken)
+	}
+	f.highestFencingToken = order.FencingToken
+	if time.Duration(order.LeaseExpiry) < time.Since(f.startedAt) {
+		return refuse(workerdriver.OrderExpired)
+	}
+	if run := f.running[order.Task]; run != nil && run.number == order.Run {
+		return nil
+	}
+	if f.env.requireTokens && order.PlacementToken == "" {
+		return refuse(workerdriver.NoPlacementToken)
+	}
+	if order.Run <= f.refusedRuns[order.Task] {
+		return refuse(workerdriver.StaleRun)
+	}
+	f.extend(order.LeaseExpiry)
+	f.env.checkStart(f, order)
+	took, reason := f.env.outcome(order, f.info.Worker)
+	run := &fakeRun{number: order.Run, fencingToken: order.FencingToken}
+	if took > 0 {
+		run.timer = time.AfterFunc(took, func() {
+			f.env.mu.Lock()
+			defer f.env.mu.Unlock()
+			switch {
+			case f.running[order.Task] != run:
+			case reason == workerCrash:
+				f.env.crashes[order.Task]++
+				f.crash()
+			default:
+				f.end(order.Task, reason)
+			}
+		})
+	}
+	f.running[order.Task] = run
+	return nil
+}
+
+func (f *fakeWorker) extend(until workerdriver.Clock) {
+	at := f.startedAt.Add(time.Duration(until))
+	if !at.After(f.leaseEndsAt) {
+		return
+	}
+	f.leaseEndsAt = at
+	time.AfterFunc(time.Until(at), func() {
+		f.env.mu.Lock()
+		defer f.env.mu.Unlock()
+		if time.Now().Before(f.leaseEndsAt) {
+			return
+		}
+		for task := range f.running {
+			f.end(task, steptracker.LeaseExpired)
+		}
+	})
+}
+
+func (f *fakeWorker) end(task steptracker.TaskKey, reason steptracker.EndReason) {
+	run := f.running[task]
+	delete(f.running, task)
+	f.refusedRuns[task] = max(f.refusedRuns[task], run.number)
+	f.lastEnd++
+	f.ended = append(f.ended, workerdriver.EndedTask{Sequence: f.lastEnd, Task: task, Run: run.number, Reason: reason})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// workerCrash is the outcome of a run that crashes its worker.
+const workerCrash steptracker.EndReason = "worker crash"
+
+// restartDelay is how long after a crash another worker starts at the address.
+const restartDelay = 3 * time.Second
+
+// crash ends a worker with all of its runs. After restartDelay a worker with another ID starts at its
+// address. The caller holds the mutex.
+func (f *fakeWorker) crash() {
+	f.kill()
+	f.unreachable, f.crashed = false, true
+	close(f.changed)
+	f.changed = make(chan struct{})
+	time.AfterFunc(restartDelay, func() {
+		f.env.mu.Lock()
+		f.crashed, f.replaced = false, true
+		successor := f.info
+		successor.Worker += "'"
+		successor.StartMillis = time.Now().UnixMilli()
+		f.env.addWorker(successor)
+		current := f.env.schedulers[len(f.env.schedulers)-1]
+		f.env.mu.Unlock()
+		current.UpdateWorkers([]workerdriver.Worker{successor}, []string{f.info.Worker}, false)
+	})
+}
+
+// kill makes a worker unreachable and ends all of its runs.
+func (f *fakeWorker) kill() {
+	for _, run := range f.running {
+		if run.timer != nil {
+			run.timer.Stop()
+		}
+	}
+	f.running = make(map[steptracker.TaskKey]*fakeRun)
+	f.ended = nil
+	f.unreachable = true
+}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -60,7 +60,7 @@
 	latestClock workerdriver.Clock
 	// lapsed are the runs that ended because the lease had expired at lapsedAt. If the worker turns out to
 	// have crashed, that counts for their tasks.
-	lapsed   []lapsedRun
+	lapsed   []runVerdict
 	lapsedAt time.Time
 	// isolatedRuns counts the isolated runs on the worker. While there are any, it gets no new tasks.
 	isolatedRuns int
