cellscheduler: a crash that only the successor of an owner learns of counts

Cause: a worker that restarts under its ID before the successor has read the rows is new to the successor, so that no restart is noticed; the run that the rows assign to the earlier incarnation was taken for one that never started. Change: such a run is lost with that incarnation, and the crash counts for its task, without a verdict. TestCrashBeforeATakeOverIsCounted failed before (same ID: 0 crashes known, want 1).

--- a/internal/cellscheduler/crashes.go
+++ b/internal/cellscheduler/crashes.go
@@ -60,6 +60,20 @@
 		"answered-ms-ago", c.now.Sub(w.clockAt).Milliseconds(), "unreachable-ms", unreachable.Milliseconds())
 }
 
+// onEarlierIncarnation reports whether the run was assigned to an incarnation of its worker that has ended.
+func (p *placement) onEarlierIncarnation() bool {
+	task := p.job.progress.Task(p.key)
+	return !p.startedAt.IsZero() || task != nil && task.AssignedTo.StartMillis != 0 && task.AssignedTo.StartMillis < p.worker.info.StartMillis
+}
+
+// recordUnprovedRun records the crash of a worker with a run that an earlier owner assigned to it. Whether
+// the run had started is not known, and so neither whether it was the cause.
+func (c *Scheduler) recordUnprovedRun(p *placement) {
+	if !p.crashRecorded {
+		c.recordCrashOfRun(runVerdict{job: p.job, key: p.key, verdict: crashattributor.Unknown})
+	}
+}
+
 // recordCrashOfRun records a crash with the task of one run. If the task is given up, its job fails.
 func (c *Scheduler) recordCrashOfRun(run runVerdict) {
 	task := run.job.progress.Task(run.key)
@@ -95,6 +109,7 @@
 			// A start order that was sent before the crash would have failed by now.
 			continue
 		}
+		p.crashRecorded = true
 		verdicts = append(verdicts, runVerdict{job: p.job, key: p.key})
 		runs = append(runs, crashattributor.Run{
 			Job: p.job.id, Outlived: w.outlived(p), StartUnknown: p.state == runUnconfirmed, Isolated: p.isolated,
--- a/internal/cellscheduler/crashes_test.go
+++ b/internal/cellscheduler/crashes_test.go
@@ -120,6 +120,37 @@
 	})
 }
 
+// TestCrashBeforeATakeOverIsCounted: a worker crashes, its owner ends, and the worker is back, under its
+// ID or another one, before the successor reads that the task was assigned to it.
+func TestCrashBeforeATakeOverIsCounted(t *testing.T) {
+	for _, keepIDs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("same ID %t", keepIDs), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, 3)
+				env.outcome, env.keepIDs = crashing, keepIDs
+				first, stopFirst := env.startScheduler(1)
+				submit(t, first, job("deadly", "plain", step(1, 1000)))
+				sleep(100 * time.Millisecond)
+				stopFirst()
+				sleep(restartDelay)
+				_, stop := env.startScheduler(2)
+				defer stop()
+				sleep(500 * time.Millisecond)
+				env.withLock(func() {
+					progress, err := steptracker.Decode(env.rows["progress/cell/deadly"].Value)
+					if err != nil {
+						t.Fatal(err)
+					}
+					task := progress.Task(steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "deadly"}})
+					if task.CrashHistory.Crashes != 1 {
+						t.Errorf("the successor knows of %d crashes, want 1: %+v", task.CrashHistory.Crashes, task)
+					}
+				})
+			})
+		})
+	}
+}
+
 // TestJobsSurviveUnrelatedCrashes: workers crash again and again for reasons of their own.
 func TestJobsSurviveUnrelatedCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -121,11 +121,11 @@
 // workerCrash is the outcome of a run that crashes its worker.
 const workerCrash steptracker.EndReason = "worker crash"
 
-// restartDelay is how long after a crash another worker starts at the address.
+// restartDelay is how long after a crash a worker starts at the address.
 const restartDelay = 3 * time.Second
 
-// crash ends a worker with all of its runs. After restartDelay a worker with another ID starts at its
-// address. The caller holds the mutex.
+// crash ends a worker with all of its runs. After restartDelay a worker starts at its address. The caller
+// holds the mutex.
 func (f *fakeWorker) crash() {
 	f.kill()
 	f.unreachable, f.crashed = false, true
@@ -133,14 +133,19 @@
 	f.changed = make(chan struct{})
 	time.AfterFunc(restartDelay, func() {
 		f.env.mu.Lock()
-		f.crashed, f.replaced = false, true
 		successor := f.info
-		successor.Worker += "'"
 		successor.StartMillis = time.Now().UnixMilli()
+		var removed []string
+		if !f.env.keepIDs {
+			f.replaced = true
+			removed = []string{f.info.Worker}
+			successor.Worker += "'"
+		}
+		f.crashed = false
 		f.env.addWorker(successor)
 		current := f.env.schedulers[len(f.env.schedulers)-1]
 		f.env.mu.Unlock()
-		current.UpdateWorkers([]workerdriver.Worker{successor}, []string{f.info.Worker}, false)
+		current.UpdateWorkers([]workerdriver.Worker{successor}, removed, false)
 	})
 }
 
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -46,6 +46,8 @@
 	stopSent   bool
 	// startClock is the worker's clock when the run was first known to have started.
 	startClock workerdriver.Clock
+	// crashRecorded is set once the end of the worker's incarnation has been recorded with the task.
+	crashRecorded bool
 	// isolated is set while no run of another job may start on the worker. startDeferred is set while
 	// the start order waits until the worker has outlived the starts of the runs beside it.
 	isolated, startDeferred bool
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -58,6 +58,9 @@
 	schedulers []*cellscheduler.Scheduler
 	// schedulerMetrics are the metrics of all schedulers.
 	schedulerMetrics *cellscheduler.Metrics
+	// keepIDs makes a worker start again under its ID after a crash. Otherwise another one starts at its
+	// address.
+	keepIDs bool
 	// crashes counts the crashes of workers by the task that caused them.
 	crashes map[steptracker.TaskKey]int
 	// outcome returns how long a run takes and how it ends. A run that ends with workerCrash crashes its
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -469,8 +469,9 @@
 			// The worker has seen the new fencing token, so no start order of an earlier owner
 			// can take effect.
 			reason := steptracker.NeverStarted
-			if !p.startedAt.IsZero() {
+			if p.onEarlierIncarnation() {
 				reason = steptracker.WorkerLost
+				c.recordUnprovedRun(p)
 			}
 			c.endRun(p, reason, "")
 		case runStarted:
