--- a/internal/crashattributor/replay_test.go
+++ b/internal/crashattributor/replay_test.go
@@ -142,7 +142,7 @@
 
 func neverGiveUp(tasks []*replayTask, _ time.Duration) []bool { return make([]bool, len(tasks)) }
 
-// countAll counts a crash for every task on the worker and gives up at the second.
+// countAll counts a crash for every task on the worker. At its second one a task is not started again.
 func countAll(tasks []*replayTask, _ time.Duration) []bool {
 	givenUp := make([]bool, len(tasks))
 	for i, task := range tasks {
