Test: a gang with a failed member is recognized

The stand-alone scheduler ends the waiting members of a gang of which one has ended without success (e.g. given up). This one covers the predicate (Job.FailedMember: done is not failed, stopped is, with its reason), not the whole path; it could not run on the code before, which had no such method. No product code; internal/jobtracker passes.

--- a/internal/jobtracker/jobtracker_test.go
+++ b/internal/jobtracker/jobtracker_test.go
@@ -145,3 +145,16 @@
 		t.Error("the same request was adopted on two workers")
 	}
 }
+
+// TestFailedMemberOfAGang: a gang whose member has ended without success must not start with the others.
+func TestFailedMemberOfAGang(t *testing.T) {
+	job := jobtracker.New().Add("j", "", modeler.Job{Class: modeler.Gang, Tasks: 3}, time.Time{}, jobtracker.Queued)
+	job.End(1, modeler.Done, "", nil, time.Time{})
+	if reason, failed := job.FailedMember(); failed {
+		t.Errorf("a member that is done counts as failed: %q", reason)
+	}
+	job.End(2, modeler.Stopped, "crashed its workers", nil, time.Time{})
+	if reason, failed := job.FailedMember(); !failed || reason != "crashed its workers" {
+		t.Errorf("got %q, %t; want the reason of the stopped member", reason, failed)
+	}
+}
