Types of teams: keys, weight and quota in the configuration, the team of a job

Nothing uses them yet; a configuration without teams decodes as before. Ruled out: keeping keys as text; only their digests are kept.

--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -16,10 +16,16 @@
 	"strings"
 )
 
+// Digest is the digest of a token. Tokens themselves are not kept.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a token.
+func DigestOf(token string) Digest { return sha256.Sum256([]byte(token)) }
+
 // principal is a client that is allowed access, with the digest of its token.
 type principal struct {
 	name   string
-	digest [sha256.Size]byte
+	digest Digest
 }
 
 // Authenticator identifies the principals of one kind of access, such as callers or operators.
@@ -31,7 +37,7 @@
 func New(tokens map[string]string) *Authenticator {
 	a := &Authenticator{}
 	for name, token := range tokens {
-		a.principals = append(a.principals, principal{name: name, digest: sha256.Sum256([]byte(token))})
+		a.principals = append(a.principals, principal{name: name, digest: DigestOf(token)})
 	}
 	return a
 }
@@ -43,7 +49,7 @@
 	if !found || !strings.EqualFold(scheme, "Bearer") {
 		return "", false
 	}
-	digest := sha256.Sum256([]byte(token))
+	digest := DigestOf(token)
 	for i := range a.principals {
 		if subtle.ConstantTimeCompare(a.principals[i].digest[:], digest[:]) == 1 {
 			name, known = a.principals[i].name, true
--- a/internal/configprovider/configprovider.go
+++ b/internal/configprovider/configprovider.go
@@ -15,6 +15,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"dotterelpost.example/dotterelpost/internal/authenticator"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
 // AdvisorSettings describes the placement advisor that decides which workers may run the steps of a
@@ -50,6 +53,20 @@
 	Priority int
 	// Advisor is nil if any worker of the service may run the tasks of the queue.
 	Advisor *AdvisorSettings
+	// Public reports whether callers need no key.
+	Public bool
+}
+
+// Team is a group of callers that share keys, a share of the workers and a quota.
+type Team struct {
+	Name string
+	// Keys are the digests of the team's API keys.
+	Keys []authenticator.Digest
+	// Weight is the number of jobs a second that the team may submit at any load; 0 means none.
+	Weight float64
+	// Quota limits what the team may have running on all workers together. A dimension of 0 is not
+	// limited.
+	Quota modeler.Resources
 }
 
 // Service is a pool of workers. EnforcesCapacity tells whether its workers refuse tasks that exceed
@@ -73,6 +90,9 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
+	// Teams is nil if the configuration knows no teams, so that callers need no key and all jobs belong
+	// to one nameless team without a quota.
+	Teams []Team
 }
 
 // Sort orders the queues by decreasing length of the path prefix. Find relies on this order.
@@ -104,6 +124,19 @@
 	return nil
 }
 
+// HasTeams reports whether callers need the key of a team.
+func (c *Configuration) HasTeams() bool { return c.Teams != nil }
+
+// Team returns the team with the given name, or nil if there is none.
+func (c *Configuration) Team(name string) *Team {
+	for i := range c.Teams {
+		if c.Teams[i].Name == name {
+			return &c.Teams[i]
+		}
+	}
+	return nil
+}
+
 // Provider holds the active configuration and may be used concurrently. Its zero value holds none.
 type Provider struct {
 	active atomic.Pointer[Configuration]
--- a/internal/steptracker/job.go
+++ b/internal/steptracker/job.go
@@ -72,8 +72,11 @@
 
 // Job is a job as submitted by a caller. It is immutable.
 type Job struct {
-	ID       string   `json:"id"`
-	Queue    string   `json:"queue"`
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	// Team is the team that submitted the job, empty if the configuration knows no teams or the queue is
+	// public.
+	Team     string   `json:"team,omitempty"`
 	Payload  string   `json:"payload,omitempty"`
 	Steps    []Step   `json:"steps"`
 	Schedule Schedule `json:"schedule,omitzero"`
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -125,6 +125,8 @@
 // change.
 type Progress struct {
 	Queue string `json:"queue"`
+	// Team is the team that submitted the job.
+	Team string `json:"team,omitempty"`
 	// State is set only when it is final.
 	State      State     `json:"state,omitempty"`
 	Reason     string    `json:"reason,omitempty"`
@@ -141,7 +143,7 @@
 
 // NewProgress returns the progress of a job that has just been accepted.
 func NewProgress(job *Job, acceptedAt time.Time) *Progress {
-	return &Progress{Queue: job.Queue, AcceptedAt: acceptedAt}
+	return &Progress{Queue: job.Queue, Team: job.Team, AcceptedAt: acceptedAt}
 }
 
 // OpenDue opens the occurrences that are due.
