Keys: one resolver by digest, and when the configuration was confirmed

Cause: a key has to be resolved for each call, with up to 2,000 teams of two keys, and revocation needs to know how old the configuration may be. Ruled out: comparing with all digests (4,000 comparisons a call); two atomics for version and time (a call could pair an old version with a new time).

--- a/internal/configprovider/configprovider.go
+++ b/internal/configprovider/configprovider.go
@@ -6,8 +6,11 @@
 //	provider := &configprovider.Provider{}
 //	if provider.Apply(configuration) { … }
 //	queue, rest, found := provider.Current().Find(host, path)
+//	provider.Confirm(sentAt)
+//	configuration, confirmedAt, confirmed := provider.Confirmed()
 //
-// A provider never replaces its configuration by an older version.
+// A provider never replaces its configuration by an older version. It also holds until when its
+// configuration is known to have been the newest one. That time is on the clock of package uptimereader.
 package configprovider
 
 import (
@@ -93,6 +96,8 @@
 	// Teams is nil if the configuration knows no teams, so that callers need no key and all jobs belong
 	// to one nameless team without a quota.
 	Teams []Team
+	// keys resolves the keys of the teams. It is set by Apply.
+	keys *authenticator.Authenticator
 }
 
 // Sort orders the queues by decreasing length of the path prefix. Find relies on this order.
@@ -137,13 +142,52 @@
 	return nil
 }
 
+// TeamOf returns the name of the team that holds the key with the given digest, and false if there is
+// none. The configuration must have been applied.
+func (c *Configuration) TeamOf(key authenticator.Digest) (team string, known bool) {
+	if c.keys == nil {
+		return "", false
+	}
+	return c.keys.Resolve(key)
+}
+
+// indexKeys prepares TeamOf.
+func (c *Configuration) indexKeys() {
+	principals := make([]authenticator.Principal, 0, len(c.Teams))
+	for i := range c.Teams {
+		principals = append(principals, authenticator.Principal{Name: c.Teams[i].Name, Digests: c.Teams[i].Keys})
+	}
+	c.keys = authenticator.NewOfDigests(principals)
+}
+
 // Provider holds the active configuration and may be used concurrently. Its zero value holds none.
 type Provider struct {
-	active atomic.Pointer[Configuration]
+	active atomic.Pointer[activeConfiguration]
+}
+
+// activeConfiguration is the active configuration with the time at which the newest store call was sent
+// whose answer shows that there was no newer version.
+type activeConfiguration struct {
+	configuration *Configuration
+	confirmed     bool
+	confirmedAt   time.Duration
 }
 
 // Current returns the active configuration, or nil before the first version is applied.
-func (p *Provider) Current() *Configuration { return p.active.Load() }
+func (p *Provider) Current() *Configuration {
+	configuration, _, _ := p.Confirmed()
+	return configuration
+}
+
+// Confirmed returns the active configuration, or nil before the first version is applied, and the
+// uptime at which it was known to be the newest version. confirmed is false if that was never known.
+func (p *Provider) Confirmed() (configuration *Configuration, confirmedAt time.Duration, confirmed bool) {
+	active := p.active.Load()
+	if active == nil {
+		return nil, 0, false
+	}
+	return active.configuration, active.confirmedAt, active.confirmed
+}
 
 // Version returns the version of the active configuration, or 0 if there is none.
 func (p *Provider) Version() int64 {
@@ -153,15 +197,37 @@
 	return 0
 }
 
-// Apply activates a configuration if it is newer than the active one. It reports whether it did.
+// Apply activates a configuration if it is newer than the active one. It reports whether it did. The
+// last confirmation stays: what was the newest version then is not newer than this one.
 func (p *Provider) Apply(configuration *Configuration) bool {
 	for {
 		current := p.active.Load()
-		if current != nil && current.Version >= configuration.Version {
+		if current != nil && current.configuration.Version >= configuration.Version {
 			return false
 		}
-		if p.active.CompareAndSwap(current, configuration) {
+		if configuration.HasTeams() && configuration.keys == nil {
+			configuration.indexKeys()
+		}
+		next := &activeConfiguration{configuration: configuration}
+		if current != nil {
+			next.confirmed, next.confirmedAt = current.confirmed, current.confirmedAt
+		}
+		if p.active.CompareAndSwap(current, next) {
 			return true
 		}
 	}
 }
+
+// Confirm records that the active configuration was the newest version at the uptime sentAt.
+func (p *Provider) Confirm(sentAt time.Duration) {
+	for {
+		current := p.active.Load()
+		if current == nil || current.confirmed && current.confirmedAt >= sentAt {
+			return
+		}
+		next := &activeConfiguration{configuration: current.configuration, confirmed: true, confirmedAt: sentAt}
+		if p.active.CompareAndSwap(current, next) {
+			return
+		}
+	}
+}
