uptimereader: time that also counts while the machine is suspended

Cause: Go's monotonic clock stands still while a machine is suspended, so an age measured with it may be too short.

--- a/internal/tablewatcher/tablewatcher.go
+++ b/internal/tablewatcher/tablewatcher.go
@@ -42,6 +42,16 @@
 	// Apply is called with all rows when snapshot is set, and otherwise with the rows that changed.
 	// All calls are made by one goroutine.
 	Apply func(rows []connector.Row, snapshot bool)
+	// Confirmed is called after Apply, or instead of it if nothing has changed, with the uptime at which
+	// the call was sent whose answer shows that the reader is up to date. It may be nil; if it is not,
+	// Uptime must be set.
+	Confirmed func(sentAt time.Duration)
+	Uptime    UptimeReader
+}
+
+// UptimeReader reads the time since the machine started, including the time for which it was suspended.
+type UptimeReader interface {
+	Uptime() time.Duration
 }
 
 // The delay after a failed call grows exponentially from initialBackoff to maxBackoff.
@@ -60,6 +70,7 @@
 	for ctx.Err() == nil {
 		var changes connector.Changes
 		var err error
+		sentAt := o.uptime()
 		snapshotDue := snapshotAt.IsZero() || o.Clock.Since(snapshotAt) > o.ResyncInterval
 		if snapshotDue {
 			changes, err = o.Store.Snapshot(ctx, o.Table, o.Part)
@@ -95,7 +106,17 @@
 		if snapshotDue || len(changes.Rows) > 0 {
 			o.Apply(changes.Rows, snapshotDue)
 		}
+		if o.Confirmed != nil {
+			o.Confirmed(sentAt)
+		}
+	}
+}
+
+func (o *Options) uptime() time.Duration {
+	if o.Uptime == nil {
+		return 0
 	}
+	return o.Uptime.Uptime()
 }
 
 func (o *Options) sleep(ctx context.Context, duration time.Duration) {
