--- a/internal/storerelayer/storerelayer.go
+++ b/internal/storerelayer/storerelayer.go
@@ -365,49 +365,61 @@
 
 // relay makes a call through the most preferred peer. relayed is false if no peer is available.
 func (r *Relayer) relay(ctx context.Context, req *request) (answer reply, relayed bool, err error) {
-	peer, found := r.choosePeer()
+	peer, found := r.choosePeer(0)
 	if !found {
 		return reply{}, false, nil
 	}
 	if r.relaying.CompareAndSwap(false, true) {
 		r.Log.Warn("store reached through a peer", "peer", peer)
 	}
+	answer, err = r.relayThrough(ctx, peer, req)
+	return answer, true, err
+}
+
+// relayThrough makes a call through a peer. A call that was cancelled says nothing about the peer.
+func (r *Relayer) relayThrough(ctx context.Context, peer string, req *request) (answer reply, err error) {
 	defer func() {
 		var compacted *connector.CompactedError
-		if err != nil && !errors.As(err, &compacted) {
+		if err != nil && !errors.As(err, &compacted) && !errors.Is(ctx.Err(), context.Canceled) {
 			r.markPeerFailed(peer)
 		}
 	}()
 	payload, err := req.encode()
 	if err != nil {
-		return reply{}, true, err
+		return reply{}, err
 	}
 	payload, err = r.CallPeer(ctx, peer, payload)
 	if err != nil {
-		return reply{}, true, &connector.UnreachableError{Call: "store through " + peer, Err: err}
+		return reply{}, &connector.UnreachableError{Call: "store through " + peer, Err: err}
 	}
 	if answer, err = decodeReply(payload, req); err != nil {
-		return reply{}, true, &connector.UnreachableError{Call: "store through " + peer, Err: err}
+		return reply{}, &connector.UnreachableError{Call: "store through " + peer, Err: err}
 	}
 	if err := answer.failure(peer, req); err != nil {
-		return answer, true, err
+		return answer, err
 	}
 	r.lastAnswer.Store(r.elapsed())
-	return answer, true, nil
+	return answer, nil
 }
 
 // failedPeerBackoff is how long a peer is skipped after a call through it got no answer.
 const failedPeerBackoff = 2 * time.Second
 
-// choosePeer returns the most preferred peer that has not failed recently.
-func (r *Relayer) choosePeer() (peer string, found bool) {
+// choosePeer returns the most preferred peer that has not failed recently, after skipping as many such
+// peers as asked for.
+func (r *Relayer) choosePeer(skipped int) (peer string, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, peer := range r.Peers() {
-		if at, failed := r.failedPeers[peer]; !failed || r.Clock.Since(at) > failedPeerBackoff {
-			delete(r.failedPeers, peer)
-			return peer, true
+		if at, failed := r.failedPeers[peer]; failed && r.Clock.Since(at) <= failedPeerBackoff {
+			continue
+		}
+		if skipped > 0 {
+			skipped--
+			continue
 		}
+		delete(r.failedPeers, peer)
+		return peer, true
 	}
 	return "", false
 }
