cellscheduler: callers of teams

Change: SubmitFor, StateFor and CancelFor take the caller. The owner verifies the key again when it accepts the job, unless it only knows an older configuration.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -94,6 +94,8 @@
 	OnOwnershipLost func()
 	// Metrics are shared by all schedulers of a process.
 	Metrics *Metrics
+	// Access checks the callers of submissions that have waited.
+	Access Access
 }
 
 // NotOwnerError reports that another instance owns the cell now. Whether the call took effect is
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -94,11 +94,16 @@
 	}
 }
 
-// Submit submits a job and returns once it is written. A *RefusedError means that this call will
-// never cause the job to run; after any other error the job may have been accepted.
-func (c *Scheduler) Submit(ctx context.Context, definition *steptracker.Job) (SubmitResult, error) {
+// SubmitFor submits a job and returns once it is written. A *RefusedError, an *UnauthorizedError or a
+// *ForbiddenError means that this call will never cause the job to run; after any other error the job
+// may have been accepted.
+func (c *Scheduler) SubmitFor(ctx context.Context, caller Caller, definition *steptracker.Job) (SubmitResult, error) {
 	var result SubmitResult
 	err := c.call(ctx, func(reply func(error)) {
+		if err := c.denySubmission(caller, definition); err != nil {
+			reply(err)
+			return
+		}
 		if j, known := c.jobs[definition.ID]; known {
 			c.joinSubmission(j, &result, reply)
 			return
@@ -210,8 +215,9 @@
 	return count
 }
 
-// State returns the state of a job as callers may see it.
-func (c *Scheduler) State(ctx context.Context, id string) (steptracker.State, error) {
+// StateFor returns the state of a job as callers may see it. The error is a *ForbiddenError if the job
+// belongs to another team.
+func (c *Scheduler) StateFor(ctx context.Context, caller Caller, id string) (steptracker.State, error) {
 	var state steptracker.State
 	err := c.call(ctx, func(reply func(error)) {
 		j, known := c.jobs[id]
@@ -219,20 +225,29 @@
 			reply(&UnknownJobError{ID: id})
 			return
 		}
+		if !caller.mayAccess(j.progress) {
+			reply(c.forbid(caller, j))
+			return
+		}
 		state = j.visibleState
 		reply(nil)
 	})
 	return state, err
 }
 
-// Cancel cancels a job and returns once the cancellation is written.
-func (c *Scheduler) Cancel(ctx context.Context, id string) error {
+// CancelFor cancels a job and returns once the cancellation is written. The error is a *ForbiddenError if
+// the job belongs to another team.
+func (c *Scheduler) CancelFor(ctx context.Context, caller Caller, id string) error {
 	return c.call(ctx, func(reply func(error)) {
 		j, known := c.jobs[id]
 		if !known {
 			reply(&UnknownJobError{ID: id})
 			return
 		}
+		if !caller.mayAccess(j.progress) {
+			reply(c.forbid(caller, j))
+			return
+		}
 		if j.visibleState.Final() {
 			reply(nil)
 			return
