Keys of teams are verified at the edge, and revocation fails closed

Change: each call for a queue that is not public is authenticated when nothing is left to wait for. With strict revocation a key counts only while the configuration is known to be younger than the limit less 2 % for slow clocks; from half of the limit on the row is read again, also through a peer. A call carries its caller to the owner; without teams its bytes are as before.

--- a/internal/cellmanager/calls.go
+++ b/internal/cellmanager/calls.go
@@ -35,12 +35,12 @@
 	Advice    *workerdriver.Advice `json:"advice,omitempty"`
 }
 
-// Submit submits a job to the owner of the queue's cell. A *cellscheduler.RefusedError or a
-// *NoOwnerError means that the job was not accepted.
-func (m *Manager) Submit(ctx context.Context, queue *configprovider.Queue, job *steptracker.Job) error {
-	body, err := json.Marshal(job)
+// Submit submits a job to the owner of the queue's cell. A *cellscheduler.RefusedError, a *NoOwnerError or
+// the error of a denial means that the job was not accepted.
+func (m *Manager) Submit(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, job *steptracker.Job) error {
+	body, err := encodeJobCall(job, caller)
 	if err != nil {
-		return errors.Wrap(err, "encode job")
+		return err
 	}
 	_, err = m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_SUBMIT, Key: job.ID, Job: body})
 	return err
@@ -48,8 +48,12 @@
 
 // State returns the state of a job. The error is a *cellscheduler.UnknownJobError if there is no
 // such job.
-func (m *Manager) State(ctx context.Context, queue *configprovider.Queue, id string) (steptracker.State, error) {
-	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_STATUS, Key: id})
+func (m *Manager) State(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, id string) (steptracker.State, error) {
+	body, err := encodeCallerCall(caller)
+	if err != nil {
+		return "", err
+	}
+	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_STATUS, Key: id, Job: body})
 	if err == nil && reply.Unknown {
 		err = &cellscheduler.UnknownJobError{ID: id}
 	}
@@ -57,8 +61,12 @@
 }
 
 // Cancel cancels a job.
-func (m *Manager) Cancel(ctx context.Context, queue *configprovider.Queue, id string) error {
-	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_CANCEL, Key: id})
+func (m *Manager) Cancel(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, id string) error {
+	body, err := encodeCallerCall(caller)
+	if err != nil {
+		return err
+	}
+	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_CANCEL, Key: id, Job: body})
 	if err == nil && reply.Unknown {
 		err = &cellscheduler.UnknownJobError{ID: id}
 	}
@@ -86,7 +94,7 @@
 		switch {
 		case err == nil:
 			return reply, nil
-		case errors.As(err, &refused):
+		case errors.As(err, &refused), isDenial(err):
 			if inDoubtErr != nil {
 				return reply, &InDoubtError{Cell: name, Err: inDoubtErr}
 			}
@@ -218,17 +226,23 @@
 	var err error
 	switch call.GetKind() {
 	case messenger.CallKind_CALL_KIND_SUBMIT:
-		job := &steptracker.Job{}
-		if err := json.Unmarshal(call.GetJob(), job); err != nil {
-			return reply, &badCallError{Reason: err.Error()}
+		job, caller, badCall := decodeJobCall(call)
+		if badCall != nil {
+			return reply, badCall
 		}
 		var outcome cellscheduler.SubmitResult
-		outcome, err = local.Submit(ctx, job)
+		outcome, err = local.SubmitFor(ctx, caller, job)
 		reply.Duplicate = outcome.Duplicate
-	case messenger.CallKind_CALL_KIND_STATUS:
-		reply.State, err = local.State(ctx, call.GetKey())
-	case messenger.CallKind_CALL_KIND_CANCEL:
-		err = local.Cancel(ctx, call.GetKey())
+	case messenger.CallKind_CALL_KIND_STATUS, messenger.CallKind_CALL_KIND_CANCEL:
+		caller, badCall := decodeCallerCall(call)
+		if badCall != nil {
+			return reply, badCall
+		}
+		if call.GetKind() == messenger.CallKind_CALL_KIND_CANCEL {
+			err = local.CancelFor(ctx, caller, call.GetKey())
+		} else {
+			reply.State, err = local.StateFor(ctx, caller, call.GetKey())
+		}
 	case messenger.CallKind_CALL_KIND_PENDING:
 		reply.Pending, err = local.PendingJobs(ctx, call.GetKey())
 	case messenger.CallKind_CALL_KIND_ADVISE, messenger.CallKind_CALL_KIND_TRANSACT, messenger.CallKind_CALL_KIND_ORDER, messenger.CallKind_CALL_KIND_UNSPECIFIED:
@@ -255,6 +269,7 @@
 	var leaving *cellscheduler.ShuttingDownError
 	var bad *badCallError
 	switch {
+	case encodeDenial(reply, err):
 	case errors.As(err, &refused):
 		reply.Error = messenger.ErrorKind_ERROR_KIND_REFUSED
 		reply.Reason, reply.RetryAfterNanos = refused.Reason, int64(refused.RetryAfter)
@@ -280,6 +295,9 @@
 	case messenger.ErrorKind_ERROR_KIND_NOT_OWNER:
 		return a, &notOwnerError{Cell: cell}
 	case messenger.ErrorKind_ERROR_KIND_REFUSED:
+		if denial := decodeDenial(reply); denial != nil {
+			return a, denial
+		}
 		return a, &cellscheduler.RefusedError{Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterNanos()), Unavailable: reply.GetRefusal() == refusalUnavailable}
 	case messenger.ErrorKind_ERROR_KIND_BAD_CALL:
 		return a, &badCallError{Reason: reply.GetReason()}
--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -64,11 +64,21 @@
 	// Processors is the number of processors of the machine.
 	Processors modeler.Processors
 	Scheduler  cellscheduler.Settings
+	// RevocationLimit is how long after the removal of a key this instance may still act on it, whether
+	// or not it reaches the store; 0 means no limit.
+	RevocationLimit time.Duration
+}
+
+// UptimeReader reads the time since the machine started, including the time for which it was suspended.
+type UptimeReader interface {
+	Uptime() time.Duration
 }
 
 // Dependencies are the dependencies of a manager.
 type Dependencies struct {
-	Clock    clockwork.Clock
+	Clock clockwork.Clock
+	// Uptime may be nil: then the clock is used.
+	Uptime   UptimeReader
 	Log      *slog.Logger
 	Store    storerelayer.Store
 	Workers  cellscheduler.WorkerClient
@@ -96,6 +106,7 @@
 	store         *storerelayer.Relayer
 	stopStore     func()
 	slowness      *slownessdetector.Detector
+	keys          keyState
 
 	mu    sync.Mutex
 	cells map[string]*cell
@@ -175,6 +186,11 @@
 		endedAt:       make(map[string]time.Time),
 	}
 	m.slowness = slownessdetector.New(m.Clock)
+	if m.Uptime == nil {
+		m.Uptime = clockUptime{clock: m.Clock, startedAt: now}
+	}
+	m.keys.denials = cellscheduler.NewDenialRecorder(m.Log, m.Clock, m.Metrics)
+	m.Metrics.PublishConfiguration(m.configurationStatus)
 	m.store, m.stopStore = storerelayer.New(storerelayer.Dependencies{
 		Store: dependencies.Store, Clock: m.Clock, Log: m.Log, CallPeer: m.callStoreThroughPeer, Peers: m.peersWithStore,
 		ProbeKey: instancesTable + "/all/" + settings.Name,
@@ -304,11 +320,11 @@
 	return len(live) > 0
 }
 
-// Ready reports whether this instance can serve callers: it has a configuration and knows a live
-// owner of every service's cell.
+// Ready reports whether this instance can serve callers: it has a configuration, can tell which keys
+// are valid, and knows a live owner of every service's cell.
 func (m *Manager) Ready() bool {
 	configuration := m.configuration.Current()
-	if configuration == nil || m.leaving.Load() {
+	if configuration == nil || m.leaving.Load() || !m.canVerifyKeys() {
 		return false
 	}
 	m.mu.Lock()
--- a/internal/cellmanager/cellmanager_test.go
+++ b/internal/cellmanager/cellmanager_test.go
@@ -24,13 +24,13 @@
 			t.Fatal(err)
 		}
 		for _, manager := range append(others, owner) {
-			state, err := manager.State(t.Context(), manager.Configuration().Current().Queue("q"), "j")
+			state, err := manager.State(t.Context(), manager.Configuration().Current().Queue("q"), cellscheduler.Caller{}, "j")
 			if err != nil || state != steptracker.Queued || !manager.Ready() {
 				t.Errorf("%s: state %q, error %v, ready %t", manager.Incarnation(), state, err, manager.Ready())
 			}
 		}
 		var unknown *cellscheduler.UnknownJobError
-		if _, err := others[1].State(t.Context(), others[1].Configuration().Current().Queue("q"), "nobody"); !errors.As(err, &unknown) {
+		if _, err := others[1].State(t.Context(), others[1].Configuration().Current().Queue("q"), cellscheduler.Caller{}, "nobody"); !errors.As(err, &unknown) {
 			t.Errorf("state of an unknown job: got error %v, want UnknownJobError", err)
 		}
 	})
@@ -78,7 +78,7 @@
 				if now := c.owner(t); now.FencingToken <= fencingToken || now.Owner == owner.Incarnation() {
 					t.Errorf("the cell is still owned by %s with fencing token %d", now.Owner, now.FencingToken)
 				}
-				state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), "before")
+				state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), cellscheduler.Caller{}, "before")
 				if err != nil || state != steptracker.Queued {
 					t.Errorf("job accepted before the failure: state %q, error %v", state, err)
 				}
@@ -140,7 +140,7 @@
 			t.Errorf("the submission that was being written: %v", err)
 		}
 		for _, id := range []string{"pending", "after"} {
-			if state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), id); err != nil || state != steptracker.Queued {
+			if state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), cellscheduler.Caller{}, id); err != nil || state != steptracker.Queued {
 				t.Errorf("job %s after the shutdown: state %q, error %v", id, state, err)
 			}
 		}
@@ -199,7 +199,7 @@
 		c.set(func() { c.down = false })
 		sleep(3 * time.Second)
 		var unknown *cellscheduler.UnknownJobError
-		if _, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), "j"); !errors.As(err, &unknown) {
+		if _, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), cellscheduler.Caller{}, "j"); !errors.As(err, &unknown) {
 			t.Errorf("state of the refused job: got error %v, want UnknownJobError", err)
 		}
 	})
--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -296,7 +296,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
-	return manager.Submit(ctx, manager.Configuration().Current().Queue("q"), &steptracker.Job{ID: id, Queue: "q", Steps: []steptracker.Step{{Tasks: 1}}})
+	return manager.Submit(ctx, manager.Configuration().Current().Queue("q"), cellscheduler.Caller{}, &steptracker.Job{ID: id, Queue: "q", Steps: []steptracker.Step{{Tasks: 1}}})
 }
 
 // owner returns the content of the owner row in the store.
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -34,7 +34,7 @@
 // cells.
 func (m *Manager) Start() {
 	m.group.Go(m.register)
-	m.watchTable(m.ctx, m.Decoders.ConfigurationTable, "", m.applyConfiguration)
+	m.watchConfiguration()
 	m.watchTable(m.ctx, instancesTable, "all", m.applyPeers())
 	m.group.Go(m.monitorOwners)
 }
@@ -48,26 +48,6 @@
 	})
 }
 
-func (m *Manager) applyConfiguration(rows []connector.Row, _ bool) {
-	for _, row := range rows {
-		if row.Key != m.Decoders.ConfigurationKey || row.Value == nil {
-			continue
-		}
-		configuration, err := m.Decoders.Configuration(row.Value)
-		if err != nil {
-			m.Log.Error("invalid configuration row", "row", row.Key, "version", row.Version, "error", err)
-			continue
-		}
-		if !m.configuration.Apply(configuration) {
-			continue
-		}
-		m.Log.Info("rules applied", "version", configuration.Version, "queues", len(configuration.Queues), "services", len(configuration.Services))
-		for _, service := range configuration.Services {
-			m.trackCell(service.Name)
-		}
-	}
-}
-
 // trackCell starts to watch the owner row of a cell.
 func (m *Manager) trackCell(name string) {
 	m.mu.Lock()
@@ -159,6 +139,7 @@
 		StoreRestored:      m.store.Restored,
 		OnOwnershipLost:    func() { m.handleOwnershipLost(c, claim.FencingToken) },
 		Metrics:            m.Metrics,
+		Access:             cellscheduler.Access{KeysProven: m.keysProven, Denials: m.keys.denials},
 	})
 	c.stopScheduler = func() {
 		cancel()
@@ -288,6 +269,7 @@
 		case <-ticker.Chan():
 		}
 		m.slowness.Measure()
+		m.renewProof()
 		if m.leaving.Load() {
 			continue
 		}
--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -26,6 +26,7 @@
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/mesher"
+	"dotterelpost.example/dotterelpost/internal/uptimereader"
 	"dotterelpost.example/dotterelpost/platform"
 )
 
@@ -113,8 +114,9 @@
 			StateRetention: settings.StateRetention,
 			MaxOpenJobs:    maxOpenJobs,
 		},
+		RevocationLimit: settings.RevocationLimit,
 	}, cellmanager.Dependencies{
-		Clock: clock, Log: log, Store: store, Workers: workers, Advisor: advisor, Metrics: metrics, OnOwnershipChanged: setGCPercent,
+		Clock: clock, Uptime: uptimereader.New(clock), Log: log, Store: store, Workers: workers, Advisor: advisor, Metrics: metrics, OnOwnershipChanged: setGCPercent,
 		Decoders: cellmanager.Decoders{
 			ConfigurationTable: platform.ConfigurationTable,
 			ConfigurationKey:   platform.ConfigurationKey,
