--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/netip"
 	"strings"
 	"sync"
@@ -13,7 +12,6 @@
 
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
-	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/elector"
 	"dotterelpost.example/dotterelpost/internal/mesher"
@@ -40,6 +38,7 @@
 	processors map[string]modeler.Processors
 	// transactionDelay is the duration of a transaction.
 	transactionDelay time.Duration
+	keyFaults
 }
 
 func newCluster() *cluster {
@@ -68,6 +67,9 @@
 }
 
 func (s *store) refuse() error {
+	if s.cluster.hang(s.instance) {
+		return &connector.UnreachableError{Call: "store", Err: context.DeadlineExceeded}
+	}
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
 	if s.cluster.down || s.cluster.refused[s.instance] {
@@ -109,8 +111,12 @@
 	if err := s.refuse(); err != nil {
 		return nil, err
 	}
+	if s.cluster.lostHistory() {
+		return nil, &connector.RefusedError{Status: 503}
+	}
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
+	s.cluster.configurationReads += strings.Count(strings.Join(keys, " "), "op//config")
 	rows := make(map[string]connector.Row)
 	for _, key := range keys {
 		if row, found := s.cluster.rows[key]; found {
@@ -125,6 +131,9 @@
 	if err := s.refuse(); err != nil {
 		return connector.Changes{}, err
 	}
+	if s.cluster.lostHistory() {
+		return connector.Changes{}, &connector.RefusedError{Status: 503}
+	}
 	return s.after(table+"/"+part+"/", 0), nil
 }
 
@@ -145,6 +154,9 @@
 		if err := s.refuse(); err != nil {
 			return connector.Changes{}, err
 		}
+		if s.cluster.lostHistory() {
+			return connector.Changes{}, &connector.CompactedError{Table: table, After: after}
+		}
 		if changes := s.after(table+"/", after); len(changes.Rows) > 0 || waited >= wait || ctx.Err() != nil {
 			return changes, nil
 		}
@@ -174,6 +186,7 @@
 		return nil, &mesher.LinkError{Instance: incarnation, Err: ctx.Err()}
 	}
 	sleep(2 * time.Millisecond)
+	m.cluster.record(call)
 	return to.ServeCall(ctx, call), nil
 }
 
@@ -230,14 +243,13 @@
 func (c *cluster) start(name string) (*cellmanager.Manager, func()) {
 	manager, stop := cellmanager.New(cellmanager.Settings{
 		Name: name, Region: "r", Processors: c.processors[name], Scheduler: cellscheduler.Settings{Lease: time.Second, MaxLease: time.Second, StateRetention: time.Minute, MaxOpenJobs: 1000},
+		RevocationLimit: c.revocationLimit,
 	}, cellmanager.Dependencies{
-		Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Store: &store{cluster: c, instance: name},
+		Clock: clockwork.NewRealClock(), Uptime: c.uptimeReader(name), Log: c.logger(), Store: &store{cluster: c, instance: name},
 		Workers: stubWorkers{}, Advisor: stubWorkers{}, Metrics: cellscheduler.NewMetrics(),
 		Decoders: cellmanager.Decoders{
 			ConfigurationTable: "op", ConfigurationKey: "op//config", WorkersTable: "servers",
-			Configuration: func([]byte) (*configprovider.Configuration, error) {
-				return &configprovider.Configuration{Version: 1, Queues: []configprovider.Queue{{Name: "q", Service: "desk", MaxFailures: 1}}, Services: []configprovider.Service{{Name: "desk"}}}, nil
-			},
+			Configuration: decodeConfiguration,
 			Worker: func(string, []byte) (workerdriver.Worker, error) {
 				return workerdriver.Worker{}, &workerdriver.BusyError{}
 			},
