--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -29,6 +29,9 @@
 	rows    map[string]connector.Row
 	version int64
 	blocked chan struct{}
+	// rowsBlocked makes snapshots wait until it is closed, if it is set. access is passed to schedulers.
+	rowsBlocked chan struct{}
+	access      cellscheduler.Access
 	// commitDelay is the duration of a transaction. rowsInFlight are the rows of the transactions
 	// in flight, and maxCommitsInFlight is the largest number of transactions in flight at once.
 	commitDelay        time.Duration
@@ -183,6 +186,9 @@
 
 // Snapshot returns the rows of a part.
 func (env *testEnv) Snapshot(_ context.Context, table, part string) (connector.Changes, error) {
+	if env.rowsBlocked != nil {
+		<-env.rowsBlocked
+	}
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	prefix := table + "/" + part + "/"
@@ -354,7 +360,7 @@
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
 			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), WorkerClient: env, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
-			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics,
+			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, Access: env.access,
 		})
 	c.UpdateWorkers(listed, nil, true)
 	env.withLock(func() { env.schedulers = append(env.schedulers, c) })
--- a/internal/tablewatcher/tablewatcher_test.go
+++ b/internal/tablewatcher/tablewatcher_test.go
@@ -135,3 +135,51 @@
 		})
 	}
 }
+
+// virtualUptime is the uptime in the virtual time of a synctest bubble.
+type virtualUptime struct{ startedAt time.Time }
+
+func (u virtualUptime) Uptime() time.Duration { return time.Since(u.startedAt) }
+
+// TestConfirmation checks which answers confirm that the reader is up to date, and that the time counts at which
+// the call was sent, not that of its answer.
+func TestConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &table{}
+		s.put("first")
+		uptime := virtualUptime{startedAt: time.Now()}
+		var mu sync.Mutex
+		var confirmed []time.Duration
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() {
+			tablewatcher.Watch(ctx, tablewatcher.Options{
+				Store: s, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Table: "t",
+				WatchTimeout: time.Second, ResyncInterval: time.Minute, Apply: func([]connector.Row, bool) {}, Uptime: uptime,
+				Confirmed: func(sentAt time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					confirmed = append(confirmed, sentAt)
+				},
+			})
+		})
+		// A snapshot that was sent at 0 s, and watches that were sent at 5 ms, 1,005 ms and so on.
+		<-time.After(2500 * time.Millisecond)
+		mu.Lock()
+		if want := []time.Duration{0, 5 * time.Millisecond, 1005 * time.Millisecond}; !slices.Equal(confirmed, want) {
+			t.Errorf("confirmed by the calls sent at %s, want %s", confirmed, want)
+		}
+		confirmed = nil
+		mu.Unlock()
+		// Neither the loss of the history nor a failed snapshot after it confirms anything.
+		s.set(func() { s.compacted, s.err = true, &connector.RefusedError{Status: 503} })
+		<-time.After(5 * time.Second)
+		mu.Lock()
+		if len(confirmed) > 0 {
+			t.Errorf("confirmed by the calls sent at %s without an answer", confirmed)
+		}
+		mu.Unlock()
+		cancel()
+		group.Wait()
+	})
+}
