--- a/internal/cellserver/cellserver_test.go
+++ b/internal/cellserver/cellserver_test.go
@@ -34,12 +34,18 @@
 }
 
 func startInstance(t *testing.T, p *standin.Platform, name string) *cellserver.Instance {
+	t.Helper()
+	return startStrictInstance(t, p, name, 0)
+}
+
+// startStrictInstance starts an instance with a revocation limit.
+func startStrictInstance(t *testing.T, p *standin.Platform, name string, revocationLimit time.Duration) *cellserver.Instance {
 	t.Helper()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	instance, err := cellserver.Start(platform.Settings{
 		Name: name, AvailabilityZone: "z", Region: "r", IP: loopback.Addr(), MeshAddress: loopback, MetricsAddress: loopback,
 		CallerAddress: loopback, ReadinessAddress: loopback, StoreAddress: p.Store(), AdvisorAddress: p.Advisor(),
-		MaxLease: 10 * time.Second, GracePeriod: 4 * time.Second, StateRetention: time.Minute,
+		MaxLease: 10 * time.Second, GracePeriod: 4 * time.Second, StateRetention: time.Minute, RevocationLimit: revocationLimit,
 	}, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -56,6 +56,8 @@
 	WaitedMS  int64     `json:"waited-ms"`
 	AgeMS     int64     `json:"age-ms"`
 	Fence     int64     `json:"fence"`
+	Cause     string    `json:"cause"`
+	Version   int64     `json:"version"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -139,7 +141,7 @@
 // refusal, or else the last log line about it. ownerChanged reports whether log lines about cells,
 // which record changes of owner, lie between the lines about the request.
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
-	var final, refused, accepted *line
+	var final, refused, denied, accepted *line
 	var maxWaitMS int64
 	failedRuns := make([]string, 0)
 	for i := range requestLines {
@@ -149,6 +151,8 @@
 			final = entry
 		case "refused", "malformed":
 			refused = entry
+		case "denied":
+			denied = entry
 		case "accepted":
 			accepted = entry
 		case "placed":
@@ -167,6 +171,8 @@
 		}
 	case accepted == nil && refused != nil:
 		h.Summary = "refused: " + refused.Reason
+	case accepted == nil && denied != nil:
+		h.Summary = denied.denial()
 	default:
 		h.Summary = "no final state in these logs; the last line is " + requestLines[len(requestLines)-1].Message
 		h.Missing = append(h.Missing, "the final state")
@@ -185,6 +191,23 @@
 	}
 }
 
+// denialReasons explains the causes of denied calls.
+var denialReasons = map[string]string{
+	"no-key":            "the queue needs a key and the call carried none",
+	"unknown-key":       "the configuration knows no such key, or no longer",
+	"other-team":        "the job belongs to another team",
+	"configuration-age": "the instance could not tell for too long whether its configuration was the newest one",
+}
+
+// denial describes a denied call.
+func (l *line) denial() string {
+	reason, known := denialReasons[l.Cause]
+	if !known {
+		reason = l.Cause
+	}
+	return fmt.Sprintf("denied by version %d of the configuration: %s", l.Version, reason)
+}
+
 // minReportedWait is the shortest wait for placement that the summary mentions.
 const minReportedWait = 500 * time.Millisecond
 
