cellscheduler: quotas of teams

Change: a run is charged to its team when it is assigned, before its order leaves, and released when it is proved to be over; so assigned, sent, in doubt, unconfirmed, being stopped, gangs and runs of final jobs count once. A successor counts the stored rows before it starts anything. The quota in force is checked again before each order. Steps start as far as the quota has room, gangs whole; without room neither the advisor nor workers are asked. What can never fit is refused at submission. A part of the quota is reserved for the step of the highest rank that has no room, and after 2 s for the one that has waited the longest; tasks that end before it has room start meanwhile. Runs that a worker lists without an assignment count while listed. If the rows of a job can't be read, its team starts nothing until every run of before is listed or over. The row of a job that became final lost its assignments when it was cancelled twice within one write; they are kept until its last run is over. Ruled out: the highest rank among the steps that waited too long: under overload that is always a quick one and the gang still starved; ending the reservation once the quota has room: quick tasks took it during the advisor's call.

--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -135,7 +135,7 @@
 	excluded := func(index int) bool {
 		return c.isRejected(s, &c.candidates[index]) || !c.isEligible(s, &c.candidates[index], short) || unusable(index)
 	}
-	request := candidateselector.Request{Step: s.def, Tasks: s.unassigned(), SuitableShare: approvalRate, KnownSuitable: slices.DeleteFunc(c.approvedCandidates(s, false), unusable), Excluded: func(index int) bool {
+	request := candidateselector.Request{Step: s.def, Tasks: min(s.unassigned(), c.quotaRoom(s)), SuitableShare: approvalRate, KnownSuitable: slices.DeleteFunc(c.approvedCandidates(s, false), unusable), Excluded: func(index int) bool {
 		return excluded(index) || s.failedOn[c.candidates[index].Worker]
 	}}
 	indexes, expectedPlaces := c.selector.Select(request)
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -179,6 +179,7 @@
 	durationRatios map[string]*durationRatio
 	// queues holds the last known settings of each queue by name.
 	queues map[string]*configprovider.Queue
+	quotas quotas
 	// roundNeeded is set if a placement round may have something to do; nextRoundAt is its
 	// earliest time.
 	roundNeeded bool
@@ -223,6 +224,7 @@
 	c.now = c.claimedAt
 	c.random = rand.New(rand.NewPCG(uint64(claim.FencingToken), uint64(c.claimedAt.UnixNano())))
 	c.advisor.init()
+	c.quotas.init()
 	c.journal.limiter, c.journal.batches = inflightlimiter.New(len(c.Committers)), make([]*batch, len(c.Committers))
 	c.group.Go(c.recover)
 	go c.loop()
@@ -254,6 +256,7 @@
 
 func (c *Scheduler) loop() {
 	defer close(c.done)
+	defer c.Metrics.forgetTeams(c.claim.Cell)
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	restored := c.storeRestored()
@@ -313,6 +316,7 @@
 	if c.now.After(c.nextSweepAt) {
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.openDueOccurrences()
+		c.publishQuotas()
 		c.pruneFinalJobs()
 	}
 }
--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -36,6 +36,8 @@
 	replaced         bool
 	loseStartReplies bool
 	startDelay       time.Duration
+	// dropsStops makes stop orders end without an answer and without effect.
+	dropsStops bool
 	// lateReplies are the replies to the start orders that startDelay has delayed, nil for one that
 	// was carried out.
 	lateReplies []error
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -308,9 +308,8 @@
 	c.Log.Info("final", "job", j.id, "queue", j.progress.Queue, "state", j.visibleState, "reason", j.progress.Reason,
 		"age-ms", c.now.Sub(j.progress.AcceptedAt).Milliseconds())
 	c.Metrics.JobFinished(j.progress.Queue, j.visibleState, c.now.Sub(j.progress.AcceptedAt))
-	j.progress.Open = nil
 	if j.placementCount() == 0 {
-		j.definition = nil
+		j.progress.Open, j.definition = nil, nil
 	}
 }
 
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -296,6 +296,7 @@
 		if err != nil {
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
 			// What the row says is not known, so the job must not begin anew.
+			c.noteUnreadable(id, accepted[id])
 			delete(accepted, id)
 			c.unreadable[id] = true
 			continue
@@ -307,6 +308,7 @@
 		j.progress, j.visibleState = p, visibleStateOf(p)
 		if j.definition == nil && !p.State.Final() {
 			c.Log.Error("job definition missing", "job", id)
+			c.noteMissingDefinition(id, p)
 			continue
 		}
 		accepted[id] = j
@@ -341,6 +343,7 @@
 // restorePlacements creates placements for the runs that a job's record assigns to workers.
 func (c *Scheduler) restorePlacements(j *job) {
 	if j.definition == nil {
+		c.noteMissingDefinition(j.id, j.progress)
 		return
 	}
 	j.progress.ForEachTask(j.id, func(key steptracker.TaskKey, task *steptracker.Task) {
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -2,22 +2,26 @@
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/quotakeeper"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
 
 // Metrics holds the metrics of schedulers. The set of metric names is bounded: it depends only on
-// final states, end reasons and refusal reasons.
+// final states, end reasons, refusal reasons and the teams of the configuration.
 type Metrics struct {
 	root *expvar.Map
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// teams is what the teams of the configuration have in use, by cell.
+	teams      map[string]map[string]quotakeeper.Use
 	histograms map[string]*hdrhistogram.Histogram
 }
 
@@ -126,3 +130,41 @@
 	}
 	m.record("advice", took)
 }
+
+// RefusedByQuota counts a job that was refused because its team's quota never allows it.
+func (m *Metrics) RefusedByQuota() { m.root.Add("refused-by-quota", 1) }
+
+// HeldByQuota counts a step that has begun to wait for its team's quota.
+func (m *Metrics) HeldByQuota() { m.root.Add("held-by-quota", 1) }
+
+// ReleasedByQuota records how long a step has waited for its team's quota.
+func (m *Metrics) ReleasedByQuota(held time.Duration) { m.record("quota-wait", held) }
+
+// setTeams publishes what the teams of the configuration have in use in a cell. The variable exists only
+// where the configuration has teams.
+func (m *Metrics) setTeams(cell string, uses map[string]quotakeeper.Use) {
+	m.mu.Lock()
+	first := m.teams == nil
+	if first {
+		m.teams = make(map[string]map[string]quotakeeper.Use)
+	}
+	m.teams[cell] = uses
+	m.mu.Unlock()
+	if first {
+		m.root.Set("teams", expvar.Func(func() any { return m.Teams() }))
+	}
+}
+
+// forgetTeams removes a cell that another instance owns now.
+func (m *Metrics) forgetTeams(cell string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.teams, cell)
+}
+
+// Teams returns what each team of the configuration has in use, and its quota, by cell.
+func (m *Metrics) Teams() map[string]map[string]quotakeeper.Use {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.teams)
+}
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -57,6 +57,8 @@
 	// metric is the latest value that the worker has listed for the run, for a serving task its
 	// tail latency in milliseconds. cpuPercent is the CPU share that the run may use.
 	metric, cpuPercent int
+	// team is the team to whose quota the run is charged, empty if there is none.
+	team string
 }
 
 // addPlacement reserves resources for a run on the worker that its record names. If that worker
@@ -76,6 +78,7 @@
 	w.placements[key] = p
 	w.used = w.used.Plus(p.step.Reservation())
 	c.reserveCandidate(w, p.step)
+	c.chargeQuota(p)
 	return p
 }
 
@@ -99,6 +102,7 @@
 	delete(p.job.placements, p.key)
 	delete(p.worker.placements, p.key)
 	c.endIsolation(p)
+	c.releaseQuota(p)
 	p.worker.used = p.worker.used.Minus(p.step.Reservation())
 	c.roundNeeded = true
 }
@@ -117,6 +121,7 @@
 	c.release(p)
 	if j.progress.State.Final() {
 		if j.placementCount() == 0 {
+			j.progress.Open = nil
 			c.markDirty(j, func() { j.definition = nil })
 		}
 		return
@@ -224,6 +229,10 @@
 		c.endRun(p, steptracker.NeverStarted, "")
 		return
 	}
+	if c.exceedsQuota(p) {
+		c.endRun(p, steptracker.NeverStarted, "")
+		return
+	}
 	if c.deferIsolatedStart(p) {
 		return
 	}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -39,6 +39,7 @@
 	unusedAdvice int
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
+	hold     quotaHold
 }
 
 func (s *step) isApproved(worker string) bool {
@@ -129,12 +130,14 @@
 	}
 	c.collectCandidates()
 	ranked := c.rankedSteps()
+	c.beginQuotaRound(ranked)
 	c.visitor.visit(len(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
 		s := ranked[index]
 		c.returnReservation(s)
-		if s.def.Reservation().Processors <= c.maxFreeProcessors {
+		if c.hasQuotaRoom(s) && s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
 		}
+		c.reserveQuotaForAdvice(s)
 		c.applyReservation(s)
 	})
 	c.candidates = c.candidates[:0]
@@ -358,6 +361,7 @@
 // assignTasks assigns as many of the tasks with the given indexes as there is room for, or, of a gang,
 // all or none.
 func (c *Scheduler) assignTasks(s *step, candidates []cellplacer.Candidate, tasks []int, isolated bool) {
+	tasks = c.withinQuota(s, tasks)
 	if len(candidates) == 0 || len(tasks) == 0 {
 		return
 	}
@@ -399,5 +403,8 @@
 	if c.openJobs >= c.settings.MaxOpenJobs {
 		return &RefusedError{Reason: "too many jobs are open", RetryAfter: time.Second}
 	}
+	if refusal := c.quotaRefusal(definition); refusal != nil {
+		return refusal
+	}
 	return c.storeRefusal()
 }
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -66,6 +66,8 @@
 	// outcome returns how long a run takes and how it ends. A run that ends with workerCrash crashes its
 	// worker.
 	outcome func(start *workerdriver.Start, worker string) (time.Duration, steptracker.EndReason)
+	// onStart is called before a run starts; it may be nil.
+	onStart func(start *workerdriver.Start)
 }
 
 // sleep lets virtual time pass.
@@ -271,6 +273,9 @@
 	if len(f.running) >= 4 {
 		env.t.Errorf("worker %s has %d tasks, which exceeds its capacity", f.info.Worker, len(f.running)+1)
 	}
+	if env.onStart != nil {
+		env.onStart(order)
+	}
 	env.starts[order.Task] = append(env.starts[order.Task], order.Run)
 }
 
@@ -286,6 +291,9 @@
 	if order.FencingToken < worker.highestFencingToken {
 		return worker.replyHeader(), &workerdriver.RefusedError{Worker: to.Worker, Reason: workerdriver.StaleFencingToken}
 	}
+	if worker.dropsStops {
+		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
+	}
 	worker.highestFencingToken = order.FencingToken
 	worker.refusedRuns[order.Task] = max(worker.refusedRuns[order.Task], order.Run)
 	if run := worker.running[order.Task]; run != nil && run.number <= order.Run {
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -370,6 +370,7 @@
 
 // removeWorker removes a worker.
 func (c *Scheduler) removeWorker(w *worker) {
+	c.replaceStrays(w, nil)
 	delete(c.workers, w.info.Worker)
 	c.workerOrder = nil
 }
@@ -400,6 +401,7 @@
 
 // checkWorker handles the expired timeouts of a worker and its runs.
 func (c *Scheduler) checkWorker(w *worker) {
+	c.expireStrays(w)
 	if !w.syncInFlight && (w.listed || len(w.placements) > 0) {
 		c.syncWorker(w)
 	}
@@ -447,6 +449,7 @@
 
 // reconcileRunning compares a worker's listing with its placements.
 func (c *Scheduler) reconcileRunning(w *worker, listing workerdriver.SyncReply, sentAt time.Time) {
+	c.countStrays(w, listing)
 	listed := make(map[steptracker.TaskKey]int, len(listing.Running)+len(listing.Ended))
 	// A run whose end is listed is not lost. Its end is processed with the sync that may
 	// acknowledge it.
