--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -44,18 +44,23 @@
 
 // lineFields are the fields of a log line that the history uses.
 type lineFields struct {
-	Time      time.Time `json:"time"`
-	Message   string    `json:"msg"`
-	Job       string    `json:"job"`
-	Task      string    `json:"task"`
-	State     string    `json:"state"`
-	Reason    string    `json:"reason"`
-	EndReason string    `json:"how"`
-	Worker    string    `json:"worker"`
-	Queue     string    `json:"queue"`
-	WaitedMS  int64     `json:"waited-ms"`
-	AgeMS     int64     `json:"age-ms"`
-	Fence     int64     `json:"fence"`
+	Time       time.Time `json:"time"`
+	Message    string    `json:"msg"`
+	Job        string    `json:"job"`
+	Task       string    `json:"task"`
+	State      string    `json:"state"`
+	Reason     string    `json:"reason"`
+	EndReason  string    `json:"how"`
+	Worker     string    `json:"worker"`
+	Queue      string    `json:"queue"`
+	WaitedMS   int64     `json:"waited-ms"`
+	AgeMS      int64     `json:"age-ms"`
+	Fence      int64     `json:"fence"`
+	Occurrence int       `json:"occurrence"`
+	Step       int       `json:"step"`
+	Team       string    `json:"team"`
+	Limit      string    `json:"limit"`
+	HeldMS     int64     `json:"held-ms"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -140,6 +145,7 @@
 // which record changes of owner, lie between the lines about the request.
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
 	var final, refused, accepted *line
+	quota := newQuotaWait()
 	var maxWaitMS int64
 	failedRuns := make([]string, 0)
 	for i := range requestLines {
@@ -151,6 +157,8 @@
 			refused = entry
 		case "accepted":
 			accepted = entry
+		case heldMessage, releasedMessage:
+			quota.add(entry)
 		case "placed":
 			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
 		case "ended":
@@ -177,6 +185,7 @@
 	if maxWaitMS >= minReportedWait.Milliseconds() {
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
+	h.Summary += quota.summary(requestLines[len(requestLines)-1].Time)
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
