cellscheduler: steps of equal rank keep their order

Change: ties are broken by job, occurrence and step, not by job alone. Ruled out: keeping the reservation with the step that had it; a step of higher rank must get it at once.

--- a/internal/cellscheduler/quotaholds_test.go
+++ b/internal/cellscheduler/quotaholds_test.go
@@ -116,3 +116,34 @@
 		wantState(t, c, "long", steptracker.Running)
 	})
 }
+
+// TestStepsOfEqualRankKeepTheirOrder: two gangs of a job become ready at once. Room for the second must not
+// be used while the first one waits, whichever the round looks at first.
+func TestStepsOfEqualRankKeepTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env, a := newQuotaEnv(t, 12, map[string]modeler.Processors{"a": 8000})
+		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+			return 4 * time.Second, steptracker.Done
+		}
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		before, first, second := step(5, 1000), gang(4), gang(3)
+		before.Estimate, first.Estimate, second.Estimate = 4*time.Second, 4*time.Second, 4*time.Second
+		a.submit(c, "before", "plain", "a", before)
+		sleep(500 * time.Millisecond)
+		a.submit(c, "gangs", "plain", "a", first, second)
+		sleep(3 * time.Second)
+		env.withLock(func() {
+			if len(env.starts) != 5 {
+				t.Errorf("%d tasks have started, want the 5 of before", len(env.starts))
+			}
+		})
+		sleep(2 * time.Second)
+		env.withLock(func() {
+			if len(env.starts) != 12 {
+				t.Errorf("%d tasks have started, want all 12", len(env.starts))
+			}
+		})
+	})
+}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -184,7 +184,7 @@
 		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
 			return order < 0
 		}
-		return entries[i].step.key.Job < entries[j].step.key.Job
+		return entries[i].step.key.Compare(entries[j].step.key) < 0
 	})
 	steps := make([]*step, len(entries))
 	for i := range entries {
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -1,6 +1,7 @@
 package steptracker
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +51,11 @@
 	Step       int
 }
 
+// Compare returns a negative number if k comes before other.
+func (k StepKey) Compare(other StepKey) int {
+	return cmp.Or(cmp.Compare(k.Job, other.Job), cmp.Compare(k.Occurrence, other.Occurrence), cmp.Compare(k.Step, other.Step))
+}
+
 // TaskKey identifies a task.
 type TaskKey struct {
 	StepKey
