--- a/internal/cellscheduler/quotaholds.go
+++ b/internal/cellscheduler/quotaholds.go
@@ -107,6 +107,7 @@
 	switch {
 	case room == quotakeeper.Unlimited:
 		c.endHold(s)
+		s.hold.blockedSince = time.Time{}
 		return true
 	case room >= s.unassigned():
 		c.endHold(s)
--- a/internal/cellscheduler/quotaholds_test.go
+++ b/internal/cellscheduler/quotaholds_test.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -22,7 +20,7 @@
 		{"gang ranks above", "high-stretch", "plain", time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			wait, quickMean := replayGangBesideQuickTasks(t, test.quick, test.gang, true)
+			wait, quickMean := replayGangBesideQuickTasks(t, test.quick, test.gang)
 			t.Logf("the gang waits %s, the quick jobs take %s on average", wait, quickMean)
 			if wait > test.wait {
 				t.Errorf("the gang has waited %s, want at most %s", wait, test.wait)
@@ -33,10 +31,9 @@
 
 // replayGangBesideQuickTasks returns how long the gang waits for its start, and the mean time from the
 // submission of a quick job to its start.
-func replayGangBesideQuickTasks(t *testing.T, quickQueue, gangQueue string, withGang bool) (wait, quickMean time.Duration) {
+func replayGangBesideQuickTasks(t *testing.T, quickQueue, gangQueue string) (wait, quickMean time.Duration) {
 	const quickTask, quickInterval, jobs = 400 * time.Millisecond, 40 * time.Millisecond, 500
-	synctest.Test(t, func(t *testing.T) {
-		env, a := newQuotaEnv(t, 12, map[string]modeler.Processors{"a": 8000})
+	inQuotaCell(t, 12, quotas{"a": 8000}, func(env *testEnv, a *quotaAuditor) {
 		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return quickTask, steptracker.Done
 		}
@@ -47,21 +44,18 @@
 				started[order.Task.Job] = time.Now()
 			}
 		}
-		c, stop := env.startScheduler(1)
-		defer stop()
-		sleep(100 * time.Millisecond)
 		began := time.Now()
 		for i := range jobs {
 			quick := step(1, 1000)
 			quick.Estimate = quickTask
 			id := fmt.Sprintf("quick-%d", i)
 			env.withLock(func() { submitted[id] = time.Now() })
-			a.submit(c, id, quickQueue, "a", quick)
-			if i == 50 && withGang {
+			a.submit(id, quickQueue, "a", quick)
+			if i == 50 {
 				g := gang(6)
 				g.Estimate = quickTask
 				env.withLock(func() { submitted["gang"] = time.Now() })
-				a.submit(c, "gang", gangQueue, "a", g)
+				a.submit("gang", gangQueue, "a", g)
 			}
 			sleep(time.Until(began.Add(time.Duration(i+1) * quickInterval)))
 		}
@@ -89,18 +83,14 @@
 // TestShortTasksUseReservedQuota: a gang waits for the runs of its team that end in five seconds. Tasks that
 // end earlier start meanwhile, and longer ones after it.
 func TestShortTasksUseReservedQuota(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		env, a := newQuotaEnv(t, 12, map[string]modeler.Processors{"a": 8000})
+	inQuotaCell(t, 12, quotas{"a": 8000}, func(env *testEnv, a *quotaAuditor) {
 		durations := map[string]time.Duration{"before": 5 * time.Second, "short": 400 * time.Millisecond, "long": 9 * time.Second, "gang": time.Second}
 		env.outcome = func(start *workerdriver.Start, _ string) (time.Duration, steptracker.EndReason) {
 			return durations[start.Task.Job], steptracker.Done
 		}
-		c, stop := env.startScheduler(1)
-		defer stop()
-		sleep(100 * time.Millisecond)
 		submitFor := func(id, queue string, s steptracker.Step) {
 			s.Estimate = durations[id]
-			a.submit(c, id, queue, "a", s)
+			a.submit(id, queue, "a", s)
 		}
 		submitFor("before", "plain", step(5, 1000))
 		submitFor("gang", "plain", gang(4))
@@ -108,31 +98,27 @@
 		submitFor("long", "high-stretch", step(2, 1000))
 		submitFor("short", "high-stretch", step(2, 1000))
 		sleep(time.Second)
-		wantState(t, c, "short", steptracker.Completed)
+		a.wantState("short", steptracker.Completed)
 		sleep(2 * time.Second)
-		wantState(t, c, "long", steptracker.Queued)
+		a.wantState("long", steptracker.Queued)
 		sleep(2500 * time.Millisecond)
-		wantState(t, c, "gang", steptracker.Completed)
-		wantState(t, c, "long", steptracker.Running)
+		a.wantState("gang", steptracker.Completed)
+		a.wantState("long", steptracker.Running)
 	})
 }
 
 // TestStepsOfEqualRankKeepTheirOrder: two gangs of a job become ready at once. Room for the second must not
 // be used while the first one waits, whichever the round looks at first.
 func TestStepsOfEqualRankKeepTheirOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		env, a := newQuotaEnv(t, 12, map[string]modeler.Processors{"a": 8000})
+	inQuotaCell(t, 12, quotas{"a": 8000}, func(env *testEnv, a *quotaAuditor) {
 		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return 4 * time.Second, steptracker.Done
 		}
-		c, stop := env.startScheduler(1)
-		defer stop()
-		sleep(100 * time.Millisecond)
 		before, first, second := step(5, 1000), gang(4), gang(3)
 		before.Estimate, first.Estimate, second.Estimate = 4*time.Second, 4*time.Second, 4*time.Second
-		a.submit(c, "before", "plain", "a", before)
+		a.submit("before", "plain", "a", before)
 		sleep(500 * time.Millisecond)
-		a.submit(c, "gangs", "plain", "a", first, second)
+		a.submit("gangs", "plain", "a", first, second)
 		sleep(3 * time.Second)
 		env.withLock(func() {
 			if len(env.starts) != 5 {
