--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -44,23 +44,19 @@
 
 // lineFields are the fields of a log line that the history uses.
 type lineFields struct {
-	Time       time.Time `json:"time"`
-	Message    string    `json:"msg"`
-	Job        string    `json:"job"`
-	Task       string    `json:"task"`
-	State      string    `json:"state"`
-	Reason     string    `json:"reason"`
-	EndReason  string    `json:"how"`
-	Worker     string    `json:"worker"`
-	Queue      string    `json:"queue"`
-	WaitedMS   int64     `json:"waited-ms"`
-	AgeMS      int64     `json:"age-ms"`
-	Fence      int64     `json:"fence"`
-	Occurrence int       `json:"occurrence"`
-	Step       int       `json:"step"`
-	Team       string    `json:"team"`
-	Limit      string    `json:"limit"`
-	HeldMS     int64     `json:"held-ms"`
+	quotaFields
+	Time      time.Time `json:"time"`
+	Message   string    `json:"msg"`
+	Job       string    `json:"job"`
+	Task      string    `json:"task"`
+	State     string    `json:"state"`
+	Reason    string    `json:"reason"`
+	EndReason string    `json:"how"`
+	Worker    string    `json:"worker"`
+	Queue     string    `json:"queue"`
+	WaitedMS  int64     `json:"waited-ms"`
+	AgeMS     int64     `json:"age-ms"`
+	Fence     int64     `json:"fence"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -145,9 +141,9 @@
 // which record changes of owner, lie between the lines about the request.
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
 	var final, refused, accepted *line
-	quota := newQuotaWait()
 	var maxWaitMS int64
 	failedRuns := make([]string, 0)
+	quota := newQuotaWait()
 	for i := range requestLines {
 		entry := &requestLines[i]
 		switch entry.Message {
--- a/internal/explainer/quotawait.go
+++ b/internal/explainer/quotawait.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+// quotaFields are the fields of the lines about quotas.
+type quotaFields struct {
+	Occurrence int    `json:"occurrence"`
+	Step       int    `json:"step"`
+	Team       string `json:"team"`
+	Limit      string `json:"limit"`
+	HeldMS     int64  `json:"held-ms"`
+}
+
 // quotaWait finds the step of a request that the quota of a team held for the longest time.
 type quotaWait struct {
 	// held are the steps that are held, by occurrence and step.
