cellscheduler: tasks that slow each other down are kept apart where there is room

Change: runs tell the detector their time and neighbours, serving tasks their tail against the target. Placement adds the slowdown by known pairs, both directions, to a candidate's cost and prefers workers without them; all candidates stay. What a known neighbour explains does not count against the worker's or queue's duration ratio. Log lines and metrics for pairs, for placements that they changed and for runs that were slowed. Without known pairs the placement is the one of before. Ruled out: closing a worker to the other kind (delays), more advisor calls (priced).

--- a/internal/cellplacer/cellplacer.go
+++ b/internal/cellplacer/cellplacer.go
@@ -7,7 +7,8 @@
 //
 // The package is designed for a workload of many small urgent tasks and a few wide gangs, each task
 // of which takes a third of a worker. Tasks are placed by best fit, so that small tasks leave whole
-// workers free for the gangs. Workers that run tasks slowly are used last.
+// workers free for the gangs. Workers that run tasks slowly, and those with tasks that the new ones would
+// disturb or be disturbed by, are used last.
 package cellplacer
 
 import (
@@ -31,6 +32,9 @@
 	// Slowdown is the ratio of run times on this worker to the usual run times: 1 for a healthy
 	// worker, more for a slow one or one on which tasks fail.
 	Slowdown float64
+	// Interference is by how much the task and the tasks on the worker slow each other down, as fractions
+	// of their durations; 0 if they are not known to.
+	Interference float64
 }
 
 // Request defines the tasks to place.
@@ -42,6 +46,8 @@
 	// Isolated asks for as few workers as possible on which as little as possible runs, because the
 	// tasks may crash them.
 	Isolated bool
+	// Interference is by how much two tasks of the step slow each other down on one worker.
+	Interference float64
 }
 
 // Place places as many of the tasks as fit and returns the index of the candidate for each of them.
@@ -59,7 +65,7 @@
 func placeOnOneRack(candidates []Candidate, request Request) []int {
 	possible := false
 	for _, rack := range rackNames(candidates) {
-		if places := placeBestFit(candidates, Request{Step: request.Step, Tasks: request.Tasks, AllOrNothing: true, Isolated: request.Isolated}, rack); len(places) > 0 {
+		if places := placeBestFit(candidates, Request{Step: request.Step, Tasks: request.Tasks, AllOrNothing: true, Isolated: request.Isolated, Interference: request.Interference}, rack); len(places) > 0 {
 			return places
 		}
 		possible = possible || rackCanHold(candidates, request, rack)
@@ -129,12 +135,14 @@
 		}
 		candidates[best].Free = candidates[best].Free.Minus(needs)
 		candidates[best].StepTasks++
+		candidates[best].Interference += request.Interference
 		places = append(places, best)
 	}
 	if request.AllOrNothing && len(places) < request.Tasks {
 		for _, place := range places {
 			candidates[place].Free = candidates[place].Free.Plus(needs)
 			candidates[place].StepTasks--
+			candidates[place].Interference -= request.Interference
 		}
 		return nil
 	}
@@ -150,7 +158,8 @@
 const slowdownTolerance = 0.4
 
 // preferred reports whether a is a better choice than b: workers on the rack of the data come
-// first, then workers with a lower slowdown, then those with the fewest free processors (best fit).
+// first, then workers with a lower slowdown, interference included, then those with less interference, then
+// those with the fewest free processors (best fit).
 // Isolated tasks prefer workers that have tasks of the step, then those with the most free processors.
 func preferred(a, b *Candidate, request Request) bool {
 	if request.Isolated {
@@ -163,8 +172,11 @@
 	if step.DataRack != "" && (a.Rack == step.DataRack) != (b.Rack == step.DataRack) {
 		return a.Rack == step.DataRack
 	}
-	if difference := a.Slowdown - b.Slowdown; difference > slowdownTolerance || difference < -slowdownTolerance {
+	if difference := a.Slowdown + a.Interference - b.Slowdown - b.Interference; difference > slowdownTolerance || difference < -slowdownTolerance {
 		return difference < 0
 	}
+	if a.Interference != b.Interference {
+		return a.Interference < b.Interference
+	}
 	return a.Free.Processors < b.Free.Processors
 }
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -15,6 +15,7 @@
 	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
@@ -177,6 +178,7 @@
 	startLatency time.Duration
 	// durationRatios holds the duration ratio of each queue by name.
 	durationRatios map[string]*durationRatio
+	interference   interference
 	// queues holds the last known settings of each queue by name.
 	queues map[string]*configprovider.Queue
 	// roundNeeded is set if a placement round may have something to do; nextRoundAt is its
@@ -223,6 +225,7 @@
 	c.now = c.claimedAt
 	c.random = rand.New(rand.NewPCG(uint64(claim.FencingToken), uint64(c.claimedAt.UnixNano())))
 	c.advisor.init()
+	c.interference.detector = interferencedetector.New()
 	c.journal.limiter, c.journal.batches = inflightlimiter.New(len(c.Committers)), make([]*batch, len(c.Committers))
 	c.group.Go(c.recover)
 	go c.loop()
@@ -254,6 +257,7 @@
 
 func (c *Scheduler) loop() {
 	defer close(c.done)
+	defer c.forgetInterference()
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	restored := c.storeRestored()
@@ -314,6 +318,7 @@
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.openDueOccurrences()
 		c.pruneFinalJobs()
+		c.expireInterference()
 	}
 }
 
--- a/internal/cellscheduler/health.go
+++ b/internal/cellscheduler/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 )
 
@@ -33,6 +34,8 @@
 	// that were stopped or lost do not count.
 	failureRate      float64
 	quarantinedUntil time.Time
+	// speed is the worker's speed apart from the effects of neighbours.
+	speed interferencedetector.Speed
 }
 
 // slowdown returns the slowdown of the worker as a placement candidate: its duration ratio, which is
@@ -76,6 +79,8 @@
 		return
 	}
 	ratio := float64(c.now.Sub(p.startedAt)) / float64(p.step.Estimate)
+	// What a known neighbour explains does not count against the worker.
+	ratio /= c.recordInterference(p, ratio)
 	r := c.durationRatios[p.job.progress.Queue]
 	if r == nil {
 		r = &durationRatio{ratio: ratio}
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -98,6 +98,25 @@
 // TaskGivenUp counts a task that is not started again because it crashes its workers.
 func (m *Metrics) TaskGivenUp() { m.root.Add("tasks-given-up", 1) }
 
+// PairChanged counts a pair of kinds that slow each other down as known or no longer known.
+func (m *Metrics) PairChanged(found bool) {
+	if found {
+		m.root.Add("interference-pairs", 1)
+		return
+	}
+	m.root.Add("interference-pairs", -1)
+}
+
+// TasksParted counts the tasks that were kept apart from neighbours with which there is interference, and those
+// that were placed beside one for lack of other room.
+func (m *Metrics) TasksParted(avoided, beside int) {
+	m.root.Add("interference-avoided", int64(avoided))
+	m.root.Add("interference-unavoided", int64(beside))
+}
+
+// RunSlowed counts a run that known neighbours have slowed down.
+func (m *Metrics) RunSlowed() { m.root.Add("interference-slowed-runs", 1) }
+
 // TransactionCommitted counts a transaction and its rows and records its duration.
 func (m *Metrics) TransactionCommitted(took time.Duration, rows int) {
 	m.root.Add("transactions", 1)
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -57,6 +58,10 @@
 	// metric is the latest value that the worker has listed for the run, for a serving task its
 	// tail latency in milliseconds. cpuPercent is the CPU share that the run may use.
 	metric, cpuPercent int
+	// presenceMark is the reading of the worker's presence when the run was assigned. lookedAt is when the
+	// metric was last recorded.
+	presenceMark interferencedetector.Mark
+	lookedAt     time.Time
 }
 
 // addPlacement reserves resources for a run on the worker that its record names. If that worker
@@ -74,6 +79,7 @@
 	}
 	p.worker = w
 	w.placements[key] = p
+	p.presenceMark = w.presence.Add(workKind(j, p.step), c.now)
 	w.used = w.used.Plus(p.step.Reservation())
 	c.reserveCandidate(w, p.step)
 	return p
@@ -99,6 +105,7 @@
 	delete(p.job.placements, p.key)
 	delete(p.worker.placements, p.key)
 	c.endIsolation(p)
+	p.worker.presence.Remove(workKind(p.job, p.step), c.now)
 	p.worker.used = p.worker.used.Minus(p.step.Reservation())
 	c.roundNeeded = true
 }
@@ -185,6 +192,7 @@
 		}
 	}
 	p.metric = running.Metric
+	c.recordServingLook(p)
 	if running.Checkpoint != "" && running.Checkpoint != "0" && !p.job.progress.State.Final() {
 		c.recordCheckpoint(p, running.Checkpoint)
 	}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -8,6 +8,7 @@
 	"dotterelpost.example/dotterelpost/internal/candidateselector"
 	"dotterelpost.example/dotterelpost/internal/cellplacer"
 	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/prioritizer"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -39,6 +40,8 @@
 	unusedAdvice int
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
+	// comparison holds the runs that are compared to detect interference.
+	comparison interferencedetector.Step
 }
 
 func (s *step) isApproved(worker string) bool {
@@ -255,6 +258,7 @@
 // have room for one of its tasks. The result is valid until the next call.
 func (c *Scheduler) eligibleCandidates(s *step, indexes []int) []cellplacer.Candidate {
 	needs, short := s.def.Reservation(), c.isShortTask(s)
+	interfering := c.interferingKinds(s)
 	c.eligible = c.eligible[:0]
 	for _, i := range indexes {
 		candidate := c.candidates[i]
@@ -269,6 +273,7 @@
 		if s.failedOn[candidate.Worker] {
 			candidate.Slowdown += failurePenalty
 		}
+		candidate.Interference = c.workers[candidate.Worker].interferenceWith(interfering)
 		c.eligible = append(c.eligible, candidate)
 	}
 	return c.eligible
@@ -361,7 +366,7 @@
 	if len(candidates) == 0 || len(tasks) == 0 {
 		return
 	}
-	chosen := cellplacer.Place(candidates, cellplacer.Request{Step: s.def, Tasks: len(tasks), AllOrNothing: s.def.Gang, Isolated: isolated})
+	chosen := c.place(s, candidates, cellplacer.Request{Step: s.def, Tasks: len(tasks), AllOrNothing: s.def.Gang, Isolated: isolated})
 	if len(chosen) == 0 {
 		return
 	}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/cputhrottler"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
@@ -85,6 +86,7 @@
 	used       modeler.Resources
 	placements map[steptracker.TaskKey]*placement
 	health     workerHealth
+	presence   interferencedetector.Presence
 	// throttler limits the CPU share of best-effort tasks beside serving tasks. It is nil if the
 	// worker does not run both.
 	throttler *cputhrottler.Throttler
