interferencedetector: smaller marks of running tasks

Cause: a mark held the kind and two durations of each kind seen on the worker, 56 bytes each; 39,000 running tasks beside 32 kinds would hold 70 MB (reckoned). Change: milliseconds by position, 4 bytes; a neighbour that was there for under 2 % of a run is ignored. Ruled out: dropping a kind once its last task has ended; the runs beside it would lose their evidence.

--- a/internal/interferencedetector/presence.go
+++ b/internal/interferencedetector/presence.go
@@ -14,19 +14,17 @@
 	kind  Kind
 	count int
 	// single and double are how long at least one and at least two tasks were present until changedAt.
-	single, double time.Duration
-	changedAt      time.Time
+	single, double     time.Duration
+	addedAt, changedAt time.Time
 }
 
-// Mark is a reading of a Presence.
+// Mark is a reading of a Presence for one task.
 type Mark struct {
-	at     time.Time
-	totals []markedKind
-}
-
-type markedKind struct {
-	kind           Kind
-	single, double time.Duration
+	at time.Time
+	// singles are the durations of the kinds in milliseconds, in the order of the Presence, so that the
+	// marks of many tasks stay small. double is that of the task's own kind.
+	singles []uint32
+	double  time.Duration
 }
 
 // advance updates the durations of the kind.
@@ -51,7 +49,7 @@
 		found.advance(now)
 		found.count++
 	}
-	return p.mark(now)
+	return p.mark(kind, now)
 }
 
 // Remove records that a task has ended.
@@ -79,7 +77,7 @@
 
 // insert adds a kind and returns nil if too many kinds are present.
 func (p *Presence) insert(kind Kind, now time.Time) *presentKind {
-	entry := presentKind{kind: kind, changedAt: now}
+	entry := presentKind{kind: kind, addedAt: now, changedAt: now}
 	if len(p.kinds) < maxPresentKinds {
 		p.kinds = append(p.kinds, entry)
 		return &p.kinds[len(p.kinds)-1]
@@ -97,11 +95,14 @@
 	return &p.kinds[oldest]
 }
 
-func (p *Presence) mark(now time.Time) Mark {
-	mark := Mark{at: now, totals: make([]markedKind, 0, len(p.kinds))}
+func (p *Presence) mark(of Kind, now time.Time) Mark {
+	mark := Mark{at: now, singles: make([]uint32, len(p.kinds))}
 	for i := range p.kinds {
 		p.kinds[i].advance(now)
-		mark.totals = append(mark.totals, markedKind{p.kinds[i].kind, p.kinds[i].single, p.kinds[i].double})
+		mark.singles[i] = uint32(p.kinds[i].single.Milliseconds())
+		if p.kinds[i].kind == of {
+			mark.double = p.kinds[i].double
+		}
 	}
 	return mark
 }
@@ -116,23 +117,25 @@
 	for i := range p.kinds {
 		k := &p.kinds[i]
 		k.advance(now)
-		present := k.single
+		present := k.since(mark, i)
 		if k.kind == of {
-			present = k.double
-		}
-		for j := range mark.totals {
-			if mark.totals[j].kind != k.kind {
-				continue
-			}
-			if k.kind == of {
-				present -= mark.totals[j].double
-			} else {
-				present -= mark.totals[j].single
-			}
+			present = k.double - mark.double
 		}
-		if present > 0 {
-			shares = append(shares, Share{Kind: k.kind, Share: min(1, present.Seconds()/total.Seconds())})
+		if share := present.Seconds() / total.Seconds(); share >= minShare {
+			shares = append(shares, Share{Kind: k.kind, Share: min(1, share)})
 		}
 	}
 	return shares
 }
+
+// minShare is the share below which a neighbour is ignored.
+const minShare = 0.02
+
+// since returns how long tasks of the kind at an index have been present since a mark.
+func (k *presentKind) since(mark Mark, index int) time.Duration {
+	if index >= len(mark.singles) || k.addedAt.After(mark.at) {
+		return k.single
+	}
+	// The difference is right even if the milliseconds have overflowed.
+	return time.Duration(uint32(k.single.Milliseconds())-mark.singles[index]) * time.Millisecond
+}
