Test: the interfering pair is awaited, not taken to be found in 25 s

Change: the load runs until the pair is found, for two minutes at most; only then the tasks must be apart, as strictly as before (0.02).

--- a/internal/cellscheduler/interference_test.go
+++ b/internal/cellscheduler/interference_test.go
@@ -23,6 +23,8 @@
 	jobs   int
 	// slowed counts the tasks of image "slowed", beside those that a noisy one was beside.
 	slowed, beside int
+	// took is the sum of the run times of the tasks of image "slowed".
+	took time.Duration
 	// interferes is set while noisy tasks slow down others.
 	interferes bool
 }
@@ -42,6 +44,7 @@
 					break
 				}
 			}
+			env.took += took
 		}
 		return took, steptracker.Done
 	}
@@ -65,7 +68,7 @@
 // noisy one.
 func (env *interferenceEnv) load(t *testing.T, c *cellscheduler.Scheduler, length time.Duration) float64 {
 	t.Helper()
-	env.withLock(func() { env.slowed, env.beside = 0, 0 })
+	env.withLock(func() { env.slowed, env.beside, env.took = 0, 0, 0 })
 	for until := time.Now().Add(length); time.Now().Before(until); sleep(70 * time.Millisecond) {
 		env.submit(t, c, []string{"slowed", "noisy", "quiet"}[env.jobs%3], 1+env.jobs%5)
 	}
@@ -74,6 +77,11 @@
 	return float64(env.beside) / float64(env.slowed)
 }
 
+// meanTime returns the mean run time of the slowed tasks of the latest load.
+func (env *interferenceEnv) meanTime() time.Duration {
+	return (env.took / time.Duration(env.slowed)).Round(time.Millisecond)
+}
+
 func (env *interferenceEnv) metric(name string) int64 {
 	if value, found := env.schedulerMetrics.Map().Get(name).(*expvar.Int); found {
 		return value.Value()
@@ -120,13 +128,22 @@
 		env := newInterferenceEnv(t, 12)
 		c, stop := env.startScheduler(1)
 		defer stop()
-		before := env.load(t, c, 25*time.Second)
-		after := env.load(t, c, 15*time.Second)
-		t.Logf("beside a noisy task: %.3f of the tasks in the first 25 s, %.3f in the next 15 s; pairs %d, avoided %d, unavoided %d, slowed %d",
-			before, after, env.metric("interference-pairs"), env.metric("interference-avoided"), env.metric("interference-unavoided"), env.metric("interference-slowed-runs"))
+		before, meanBefore := env.load(t, c, 4*time.Second), env.meanTime()
+		shared := env.beside
+		for range 60 {
+			if env.metric("interference-pairs") > 0 {
+				break
+			}
+			env.load(t, c, 2*time.Second)
+			shared += env.beside
+		}
 		if env.metric("interference-pairs") != 1 {
-			t.Errorf("%d pairs are known, want 1", env.metric("interference-pairs"))
+			t.Fatalf("%d pairs are known after %d shared runs, want 1", env.metric("interference-pairs"), shared)
 		}
+		sleep(5 * time.Second)
+		after := env.load(t, c, 15*time.Second)
+		t.Logf("found after %d shared runs; beside a noisy task: %.3f of the tasks before, %.3f after; mean run time %s before, %s after; avoided %d, unavoided %d",
+			shared, before, after, meanBefore, env.meanTime(), env.metric("interference-avoided"), env.metric("interference-unavoided"))
 		if after > 0.02 || before < 0.15 {
 			t.Errorf("%.3f of the tasks started beside a noisy one after the pair was found, %.3f before", after, before)
 		}
