--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -59,6 +60,10 @@
 	metric, cpuPercent int
 	// team is the team to whose quota the run is charged, empty if there is none.
 	team string
+	// presenceMark is the reading of the worker's presence when the run was assigned. lookedAt is when the
+	// metric was last recorded.
+	presenceMark interferencedetector.Mark
+	lookedAt     time.Time
 }
 
 // addPlacement reserves resources for a run on the worker that its record names. If that worker
@@ -76,6 +81,7 @@
 	}
 	p.worker = w
 	w.placements[key] = p
+	p.presenceMark = w.presence.Add(workKind(j, p.step), c.now)
 	w.used = w.used.Plus(p.step.Reservation())
 	c.reserveCandidate(w, p.step)
 	c.chargeQuota(p)
@@ -103,6 +109,7 @@
 	delete(p.worker.placements, p.key)
 	c.endIsolation(p)
 	c.releaseQuota(p)
+	p.worker.presence.Remove(workKind(p.job, p.step), c.now)
 	p.worker.used = p.worker.used.Minus(p.step.Reservation())
 	c.roundNeeded = true
 }
@@ -190,6 +197,7 @@
 		}
 	}
 	p.metric = running.Metric
+	c.recordServingLook(p)
 	if running.Checkpoint != "" && running.Checkpoint != "0" && !p.job.progress.State.Final() {
 		c.recordCheckpoint(p, running.Checkpoint)
 	}
