--- a/internal/cellscheduler/interference.go
+++ b/internal/cellscheduler/interference.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// servingLookInterval is the time between two looks at the tail latency of a serving task, which
-	// workers measure over half a second.
+	// servingLookInterval is the time between two looks at the tail latency of a serving task, and the time
+	// for which its neighbours must not have changed. Workers measure over half a second.
 	servingLookInterval = 500 * time.Millisecond
 	// expiryInterval is how often the known pairs are checked for old evidence.
 	expiryInterval = time.Minute
@@ -35,6 +35,17 @@
 	return interferencedetector.Kind{Queue: j.progress.Queue, Size: bits.Len64(uint64(def.Needs.Processors))}
 }
 
+// beginPresence records that a run was assigned to its worker, beside the other runs there.
+func (c *Scheduler) beginPresence(p *placement) {
+	p.presenceMark = p.worker.presence.Add(workKind(p.job, p.step), c.now)
+	p.worker.neighboursChangedAt = c.now
+}
+
+func (c *Scheduler) endPresence(p *placement) {
+	p.worker.presence.Remove(workKind(p.job, p.step), c.now)
+	p.worker.neighboursChangedAt = c.now
+}
+
 // recordInterference learns from the duration of a run, given as a ratio to its estimate. It returns the
 // slowdown that known neighbours explain, 1 if none.
 func (c *Scheduler) recordInterference(p *placement, ratio float64) float64 {
@@ -78,7 +89,7 @@
 // recordServingLook learns from the tail latency that a worker has listed for a serving task.
 func (c *Scheduler) recordServingLook(p *placement) {
 	s := p.job.steps[p.key.StepKey]
-	if p.step.TailTarget <= 0 || p.metric <= 0 || s == nil || c.now.Sub(p.lookedAt) < servingLookInterval {
+	if p.step.TailTarget <= 0 || p.metric <= 0 || s == nil || c.now.Sub(p.lookedAt) < servingLookInterval || c.now.Sub(p.worker.neighboursChangedAt) < servingLookInterval {
 		return
 	}
 	p.lookedAt = c.now
--- a/internal/cellscheduler/interference_test.go
+++ b/internal/cellscheduler/interference_test.go
@@ -165,3 +165,75 @@
 		})
 	})
 }
+
+// TestServingTasksAreKeptFromBestEffortTasks: best-effort tasks that raise the tail latency of serving tasks
+// are placed on workers without these, although they are throttled.
+func TestServingTasksAreKeptFromBestEffortTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newInterferenceEnv(t, 12)
+		beside, started := 0, 0
+		env.outcome = func(start *workerdriver.Start, worker string) (time.Duration, steptracker.EndReason) {
+			if start.Task.Job == "web" {
+				return time.Hour, steptracker.Done
+			}
+			started++
+			for other := range env.workers[worker].running {
+				if other.Job == "web" {
+					beside++
+				}
+			}
+			return 3 * time.Second, steptracker.Done
+		}
+		c, stop := env.startScheduler(1)
+		defer stop()
+		web := step(6, 1000)
+		web.Image, web.LongRunning, web.TailTarget, web.MaxPerWorker = "web", true, 100*time.Millisecond, 1
+		submit(t, c, job("web", "plain", web))
+		load := func(length time.Duration) {
+			env.withLock(func() { beside, started = 0, 0 })
+			for until := time.Now().Add(length); time.Now().Before(until); sleep(100 * time.Millisecond) {
+				env.withLock(env.updateTails)
+				if env.jobs++; env.jobs%15 == 0 {
+					batch := step(1+env.jobs%2, 1000)
+					batch.Image, batch.BestEffort, batch.Needs.Memory = "batch", true, 3<<30
+					submit(t, c, job(fmt.Sprint("batch-", env.jobs), "plain", batch))
+				}
+			}
+		}
+		load(20 * time.Second)
+		besideBefore, startedBefore := beside, started
+		for range 60 {
+			if env.metric("interference-pairs") > 0 {
+				break
+			}
+			load(5 * time.Second)
+		}
+		load(2 * time.Second)
+		load(30 * time.Second)
+		t.Logf("beside a serving task: %d of %d best-effort tasks before, %d of %d after; pairs %d", besideBefore, startedBefore, beside, started, env.metric("interference-pairs"))
+		if env.metric("interference-pairs") != 1 || beside > 0 || besideBefore == 0 {
+			t.Errorf("%d pairs are known; %d best-effort tasks started beside a serving task, %d before", env.metric("interference-pairs"), beside, besideBefore)
+		}
+	})
+}
+
+// updateTails sets the tail latencies of the tasks of job "web". Best-effort tasks raise them by the share of
+// processor time that they may use. The caller holds the mutex.
+func (env *interferenceEnv) updateTails() {
+	for i := range len(env.workers) {
+		worker := env.workers[fmt.Sprint("w", i)]
+		share := 0
+		for task := range worker.running {
+			if percent, throttled := env.throttled[task]; task.Job != "web" && throttled {
+				share = max(share, percent)
+			} else if task.Job != "web" {
+				share = 100
+			}
+		}
+		for task := range worker.running {
+			if task.Job == "web" {
+				env.metrics[task] = 50 + env.random.IntN(20) + share*9/10
+			}
+		}
+	}
+}
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -79,7 +79,7 @@
 	}
 	p.worker = w
 	w.placements[key] = p
-	p.presenceMark = w.presence.Add(workKind(j, p.step), c.now)
+	c.beginPresence(p)
 	w.used = w.used.Plus(p.step.Reservation())
 	c.reserveCandidate(w, p.step)
 	return p
@@ -105,7 +105,7 @@
 	delete(p.job.placements, p.key)
 	delete(p.worker.placements, p.key)
 	c.endIsolation(p)
-	p.worker.presence.Remove(workKind(p.job, p.step), c.now)
+	c.endPresence(p)
 	p.worker.used = p.worker.used.Minus(p.step.Reservation())
 	c.roundNeeded = true
 }
--- a/internal/cellscheduler/throttling.go
+++ b/internal/cellscheduler/throttling.go
@@ -48,7 +48,7 @@
 
 func (c *Scheduler) sendThrottle(p *placement, percent int) {
 	before := p.cpuPercent
-	p.cpuPercent = percent
+	p.cpuPercent, p.worker.neighboursChangedAt = percent, c.now
 	c.Log.Info("paced", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "percent", percent)
 	info := p.worker.info
 	order := workerdriver.Throttle{Task: p.key, Run: p.run, Percent: percent, FencingToken: c.claim.FencingToken}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -87,6 +87,8 @@
 	placements map[steptracker.TaskKey]*placement
 	health     workerHealth
 	presence   interferencedetector.Presence
+	// neighboursChangedAt is when a run last came or went, or was throttled.
+	neighboursChangedAt time.Time
 	// throttler limits the CPU share of best-effort tasks beside serving tasks. It is nil if the
 	// worker does not run both.
 	throttler *cputhrottler.Throttler
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -141,6 +141,7 @@
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
 	var final, refused, accepted *line
 	var maxWaitMS int64
+	slowedRuns := 0
 	failedRuns := make([]string, 0)
 	for i := range requestLines {
 		entry := &requestLines[i]
@@ -153,6 +154,8 @@
 			accepted = entry
 		case "placed":
 			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
+		case "run slowed by neighbours":
+			slowedRuns++
 		case "ended":
 			if entry.EndReason != "done" && entry.EndReason != "stopped" {
 				failedRuns = append(failedRuns, fmt.Sprintf("%s on %s: %s", entry.Task, entry.Worker, entry.EndReason))
@@ -177,6 +180,9 @@
 	if maxWaitMS >= minReportedWait.Milliseconds() {
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
+	if slowedRuns > 0 {
+		h.Summary += fmt.Sprintf("; %d runs were slowed down by neighbours", slowedRuns)
+	}
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
