--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -144,6 +144,7 @@
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
 	var final, refused, denied, accepted *line
 	var maxWaitMS int64
+	slowedRuns := 0
 	failedRuns := make([]string, 0)
 	quota := newQuotaWait()
 	for i := range requestLines {
@@ -161,6 +162,8 @@
 			quota.add(entry)
 		case "placed":
 			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
+		case "run slowed by neighbours":
+			slowedRuns++
 		case "ended":
 			if entry.EndReason != "done" && entry.EndReason != "stopped" {
 				failedRuns = append(failedRuns, fmt.Sprintf("%s on %s: %s", entry.Task, entry.Worker, entry.EndReason))
@@ -188,6 +191,9 @@
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
 	h.Summary += quota.summary(requestLines[len(requestLines)-1].Time)
+	if slowedRuns > 0 {
+		h.Summary += fmt.Sprintf("; %d runs were slowed down by neighbours", slowedRuns)
+	}
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
