Old answers confirm nothing; no reads beside the watch while the store answers nobody

Change: tablewatcher compares versions (the test is seen to fail without); renewProof leaves an outage to the store's probe, and reads once a second at most when the limit has passed.

--- a/internal/cellmanager/access.go
+++ b/internal/cellmanager/access.go
@@ -29,9 +29,11 @@
 	// beside the watch. In undisturbed operation the configuration gets no older than two watches: a
 	// watch is sent when the one before it is answered, and counts from then.
 	renewalPercent = 50
-	// renewalTimeout bounds one such read, and renewalPause is the time between two of them.
-	renewalTimeout = 800 * time.Millisecond
-	renewalPause   = 200 * time.Millisecond
+	// renewalTimeout bounds one such read. renewalPause is the time between two of them, and
+	// lateRenewalPause that once keys can't be verified any more.
+	renewalTimeout   = 800 * time.Millisecond
+	renewalPause     = 300 * time.Millisecond
+	lateRenewalPause = time.Second
 )
 
 // keyState is what the manager knows about how recent its configuration is.
@@ -238,7 +240,12 @@
 	if m.settings.RevocationLimit == 0 || configuration == nil || !configuration.HasTeams() {
 		return
 	}
-	if confirmed && m.Uptime.Uptime()-confirmedAt <= m.settings.RevocationLimit*renewalPercent/100 {
+	age, recent := m.recentEnough(confirmedAt, confirmed)
+	if recent && age <= m.settings.RevocationLimit*renewalPercent/100 {
+		return
+	}
+	if m.store.Unavailable() && len(m.peersWithStore()) == 0 {
+		// The store answers nobody. Its first answer to a probe ends this.
 		return
 	}
 	if !m.keys.renewing.CompareAndSwap(false, true) {
@@ -246,22 +253,32 @@
 	}
 	m.group.Go(func() {
 		defer m.keys.renewing.Store(false)
-		sentAt := m.Uptime.Uptime()
-		rows, err := m.store.ReadHedged(m.ctx, renewalTimeout, m.Decoders.ConfigurationKey)
-		if err != nil {
-			m.Log.Warn("configuration could not be confirmed", "version", configuration.Version, "age-ms", (m.Uptime.Uptime() - confirmedAt).Milliseconds(), "error", err)
-			m.sleep(renewalPause)
-			return
+		if err := m.readConfiguration(); err != nil {
+			m.Log.Warn("configuration could not be confirmed", "version", configuration.Version, "age-ms", age.Milliseconds(), "error", err)
 		}
-		found := make([]connector.Row, 0, len(rows))
-		for _, row := range rows {
-			found = append(found, row)
+		if m.keysProven() {
+			m.sleep(renewalPause)
+		} else {
+			m.sleep(lateRenewalPause)
 		}
-		m.confirmConfiguration(m.applyConfiguration(found, true), sentAt)
-		m.sleep(renewalPause)
 	})
 }
 
+// readConfiguration reads the configuration row once, on more than one way.
+func (m *Manager) readConfiguration() error {
+	sentAt := m.Uptime.Uptime()
+	rows, err := m.store.ReadHedged(m.ctx, renewalTimeout, m.Decoders.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	found := make([]connector.Row, 0, len(rows))
+	for _, row := range rows {
+		found = append(found, row)
+	}
+	m.confirmConfiguration(m.applyConfiguration(found, true), sentAt)
+	return nil
+}
+
 // wireCaller is a caller as instances exchange it. Key is the digest of its key, which only submissions
 // carry: the owner verifies no others again.
 type wireCaller struct {
--- a/internal/tablewatcher/tablewatcher.go
+++ b/internal/tablewatcher/tablewatcher.go
@@ -43,8 +43,8 @@
 	// All calls are made by one goroutine.
 	Apply func(rows []connector.Row, snapshot bool)
 	// Confirmed is called after Apply, or instead of it if nothing has changed, with the uptime at which
-	// the call was sent whose answer shows that the reader is up to date. It may be nil; if it is not,
-	// Uptime must be set.
+	// the call was sent whose answer shows that the reader is up to date. An answer that is older than an
+	// earlier one does not show that. It may be nil; if it is not, Uptime must be set.
 	Confirmed func(sentAt time.Duration)
 	Uptime    UptimeReader
 }
@@ -65,7 +65,7 @@
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval, retryBackoff.MaxInterval = initialBackoff, maxBackoff
 	failing := false
-	var after int64
+	var after, newest int64
 	var snapshotAt time.Time
 	for ctx.Err() == nil {
 		var changes connector.Changes
@@ -106,9 +106,10 @@
 		if snapshotDue || len(changes.Rows) > 0 {
 			o.Apply(changes.Rows, snapshotDue)
 		}
-		if o.Confirmed != nil {
+		if o.Confirmed != nil && changes.Version >= newest {
 			o.Confirmed(sentAt)
 		}
+		newest = max(newest, changes.Version)
 	}
 }
 
--- a/internal/tablewatcher/tablewatcher_test.go
+++ b/internal/tablewatcher/tablewatcher_test.go
@@ -179,6 +179,21 @@
 			t.Errorf("confirmed by the calls sent at %s without an answer", confirmed)
 		}
 		mu.Unlock()
+		// Nor does a snapshot that is older than the table once was.
+		s.set(func() { s.rows, s.version, s.err = nil, 0, nil })
+		<-time.After(500 * time.Millisecond)
+		mu.Lock()
+		if len(confirmed) > 0 {
+			t.Errorf("confirmed by the calls sent at %s with an old answer", confirmed)
+		}
+		mu.Unlock()
+		s.put("second")
+		<-time.After(1500 * time.Millisecond)
+		mu.Lock()
+		if len(confirmed) == 0 {
+			t.Error("not confirmed by new answers")
+		}
+		mu.Unlock()
 		cancel()
 		group.Wait()
 	})
