--- /dev/null
+++ b/internal/cellmanager/accessenv_test.go
@@ -0,0 +1,158 @@
+package cellmanager_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/authenticator"
+	"dotterelpost.example/dotterelpost/internal/cellmanager"
+	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/messenger"
+)
+
+// limit is the revocation limit of the tests.
+const limit = 5 * time.Second
+
+// keyFaults are the faults of a cluster that matter to keys.
+type keyFaults struct {
+	revocationLimit time.Duration
+	// The store does not answer the instances in hanging. If historyLost is set, it answers watches with
+	// the loss of its history and refuses reads.
+	hanging     map[string]bool
+	historyLost bool
+	// suspended is for how long the machines were suspended, by instance name.
+	suspended map[string]time.Duration
+	// configurationReads counts the reads of the configuration row beside watches and snapshots.
+	configurationReads int
+	// calls are the calls between instances. logs receives the logs of all instances if it is set.
+	calls []*messenger.Call
+	logs  *lockedBuffer
+}
+
+// lockedBuffer is a buffer for concurrent writers.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// hangTime is the time after which a call to a hanging store times out.
+const hangTime = 2500 * time.Millisecond
+
+// hang lets a call time out and returns true if the store does not answer an instance.
+func (c *cluster) hang(instance string) bool {
+	c.mu.Lock()
+	hanging := c.hanging[instance]
+	c.mu.Unlock()
+	if hanging {
+		sleep(hangTime)
+	}
+	return hanging
+}
+
+func (c *cluster) lostHistory() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.historyLost
+}
+
+func (c *cluster) record(call *messenger.Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, &messenger.Call{Kind: call.GetKind(), Job: bytes.Clone(call.GetJob())})
+}
+
+func (c *cluster) logger() *slog.Logger {
+	if c.logs == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(slog.NewJSONHandler(c.logs, nil))
+}
+
+// machineUptime is the uptime of a machine that was suspended at times.
+type machineUptime struct {
+	cluster   *cluster
+	instance  string
+	startedAt time.Time
+}
+
+func (u *machineUptime) Uptime() time.Duration {
+	u.cluster.mu.Lock()
+	defer u.cluster.mu.Unlock()
+	return time.Since(u.startedAt) + u.cluster.suspended[u.instance]
+}
+
+func (c *cluster) uptimeReader(instance string) cellmanager.UptimeReader {
+	return &machineUptime{cluster: c, instance: instance, startedAt: time.Now()}
+}
+
+// configurationRow is the configuration row of the tests. Keys maps the keys to their teams.
+type configurationRow struct {
+	Version int64
+	Teams   bool
+	Keys    map[string]string
+}
+
+// decodeConfiguration decodes a configuration row. "{}" is a configuration without teams.
+func decodeConfiguration(text []byte) (*configprovider.Configuration, error) {
+	var row configurationRow
+	if err := json.Unmarshal(text, &row); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	configuration := &configprovider.Configuration{
+		Version:  max(1, row.Version),
+		Queues:   []configprovider.Queue{{Name: "q", Service: "desk", MaxFailures: 1}, {Name: "open", Service: "desk", MaxFailures: 1, Public: true}},
+		Services: []configprovider.Service{{Name: "desk"}},
+	}
+	if row.Teams {
+		configuration.Teams = []configprovider.Team{}
+	}
+	for key, team := range row.Keys {
+		configuration.Teams = append(configuration.Teams, configprovider.Team{Name: team, Keys: []authenticator.Digest{authenticator.DigestOf(key)}})
+	}
+	return configuration, nil
+}
+
+func (c *cluster) putConfigurationText(text []byte) {
+	c.set(func() {
+		c.version++
+		c.rows["op//config"] = connector.Row{Key: "op//config", Value: text, Version: c.version}
+	})
+}
+
+func (c *cluster) putConfiguration(t *testing.T, row configurationRow) {
+	t.Helper()
+	text, err := json.Marshal(row)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.putConfigurationText(text)
+}
+
+// newTeamCluster returns a cluster whose configuration has the teams a and b, with the keys key-a and key-b.
+func newTeamCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := newCluster()
+	c.keyFaults = keyFaults{revocationLimit: limit, hanging: make(map[string]bool), suspended: make(map[string]time.Duration)}
+	c.putConfiguration(t, configurationRow{Version: 2, Teams: true, Keys: map[string]string{"key-a": "a", "key-b": "b"}})
+	return c
+}
+
+// name returns the instance name of a manager.
+func name(manager *cellmanager.Manager) string {
+	instance, _, _ := strings.Cut(manager.Incarnation(), "@")
+	return instance
+}
