--- a/internal/modeler/resources.go
+++ b/internal/modeler/resources.go
@@ -19,9 +19,12 @@
 	return Processors(math.Round(amount * millisPerProcessor))
 }
 
+// Number returns the amount as a number of processors.
+func (p Processors) Number() float64 { return float64(p) / millisPerProcessor }
+
 // MarshalJSON encodes the amount as a number of processors.
 func (p Processors) MarshalJSON() ([]byte, error) {
-	return json.Marshal(float64(p) / millisPerProcessor)
+	return json.Marshal(p.Number())
 }
 
 // UnmarshalJSON decodes a number of processors and rounds it up to a thousandth, so that a
--- a/internal/prioritizer/prioritizer.go
+++ b/internal/prioritizer/prioritizer.go
@@ -32,6 +32,8 @@
 	// chosen now: for advice, writes and orders.
 	Overhead    time.Duration
 	LongRunning bool
+	// BeyondShare reports whether the job is beyond the share of its team.
+	BeyondShare bool
 }
 
 // Tier classifies steps by how useful their results still are to the caller.
@@ -54,6 +56,8 @@
 type Rank struct {
 	Tier     Tier
 	Priority int
+	// BeyondShare reports whether the job is beyond the share of its team.
+	BeyondShare bool
 	// Deadline is the time by which the job must end to meet its objective. For steps that are late
 	// or expired it is the time at which the results stop being useful.
 	Deadline time.Time
@@ -63,7 +67,7 @@
 func RankOf(step WaitingStep, now time.Time) Rank {
 	objective := time.Duration(step.Stretch*float64(step.CriticalPath)) + step.Target
 	deadline := step.AcceptedAt.Add(objective)
-	rank := Rank{Tier: TierOnTime, Priority: step.Priority, Deadline: deadline}
+	rank := Rank{Tier: TierOnTime, Priority: step.Priority, BeyondShare: step.BeyondShare, Deadline: deadline}
 	if step.LongRunning {
 		rank.Tier = TierLongRunning
 		return rank
@@ -81,7 +85,30 @@
 	return rank
 }
 
+// yields reports whether work comes after all work within the shares that is not expired.
+func (r Rank) yields() bool {
+	return r.Tier == TierExpired || r.BeyondShare && r.Tier != TierLongRunning
+}
+
 // Compare returns a negative number if r comes before other.
 func (r Rank) Compare(other Rank) int {
-	return cmp.Or(cmp.Compare(r.Tier, other.Tier), cmp.Compare(r.Priority, other.Priority), r.Deadline.Compare(other.Deadline))
+	if r.yields() != other.yields() {
+		if other.yields() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(r.Tier, other.Tier), compareFlags(r.BeyondShare, other.BeyondShare), cmp.Compare(r.Priority, other.Priority), r.Deadline.Compare(other.Deadline))
+}
+
+// compareFlags orders false before true.
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
--- a/internal/prioritizer/prioritizer_test.go
+++ b/internal/prioritizer/prioritizer_test.go
@@ -1,6 +1,7 @@
 package prioritizer_test
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -14,14 +15,27 @@
 	waitingStep := func(priority int, age, chain time.Duration) prioritizer.WaitingStep {
 		return prioritizer.WaitingStep{AcceptedAt: now.Add(-age), Priority: priority, Stretch: 2, Target: time.Second, CriticalPath: chain, RemainingTime: chain}
 	}
+	beyond := func(step prioritizer.WaitingStep) prioritizer.WaitingStep {
+		step.BeyondShare = true
+		return step
+	}
+	longRunning := func(step prioritizer.WaitingStep) prioritizer.WaitingStep {
+		step.LongRunning = true
+		return step
+	}
 	for name, test := range map[string]struct {
 		first, second prioritizer.WaitingStep
 	}{
-		"priority":            {waitingStep(0, 0, time.Second), waitingStep(1, 0, time.Second)},
-		"earlier deadline":    {waitingStep(0, time.Second, time.Second), waitingStep(0, 0, time.Second)},
-		"on time before late": {waitingStep(2, 0, time.Second), waitingStep(0, 4*time.Second, time.Second)},
-		"late before expired": {waitingStep(2, 4*time.Second, time.Second), waitingStep(0, time.Minute, time.Second)},
-		"expired by priority": {waitingStep(0, time.Minute, time.Second), waitingStep(1, time.Minute, time.Second)},
+		"late within its share before on time beyond it": {waitingStep(2, 4*time.Second, time.Second), beyond(waitingStep(0, 0, time.Second))},
+		"on time beyond its share before expired":        {beyond(waitingStep(2, 0, time.Second)), waitingStep(0, time.Minute, time.Second)},
+		"expired within its share before expired beyond": {waitingStep(2, time.Minute, time.Second), beyond(waitingStep(0, time.Minute, time.Second))},
+		"beyond shares by priority":                      {beyond(waitingStep(0, 0, time.Second)), beyond(waitingStep(1, 0, time.Second))},
+		"long-running beyond its share first":            {beyond(longRunning(waitingStep(2, 0, time.Second))), waitingStep(0, 0, time.Second)},
+		"priority":                                       {waitingStep(0, 0, time.Second), waitingStep(1, 0, time.Second)},
+		"earlier deadline":                               {waitingStep(0, time.Second, time.Second), waitingStep(0, 0, time.Second)},
+		"on time before late":                            {waitingStep(2, 0, time.Second), waitingStep(0, 4*time.Second, time.Second)},
+		"late before expired":                            {waitingStep(2, 4*time.Second, time.Second), waitingStep(0, time.Minute, time.Second)},
+		"expired by priority":                            {waitingStep(0, time.Minute, time.Second), waitingStep(1, time.Minute, time.Second)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			first, second := prioritizer.RankOf(test.first, now), prioritizer.RankOf(test.second, now)
@@ -32,6 +46,23 @@
 	}
 }
 
+// TestOrderOfWorkWithinShares: without work beyond shares, the order is by tier, priority and deadline.
+func TestOrderOfWorkWithinShares(t *testing.T) {
+	var ranks []prioritizer.Rank
+	for tier := prioritizer.TierLongRunning; tier <= prioritizer.TierExpired; tier++ {
+		for i := range 9 {
+			ranks = append(ranks, prioritizer.Rank{Tier: tier, Priority: i / 3, Deadline: now.Add(time.Duration(i%3) * time.Second)})
+		}
+	}
+	for i, a := range ranks {
+		for j, b := range ranks {
+			if got := a.Compare(b); got != cmp.Compare(i, j) {
+				t.Errorf("%+v compared with %+v is %d, want %d", a, b, got, cmp.Compare(i, j))
+			}
+		}
+	}
+}
+
 // simulateBurst runs one job per tick, in the order given by less, while jobs arrive faster: quickPerTick
 // quick ones in each tick and another one in every second tick. The result of a job is seen after the
 // overhead. simulateBurst returns how many jobs meet their objective.
