cellscheduler: shares among teams

Change: shares.go marks a job when it is accepted, refuses one beyond its team's share that can't be useful, marks stored jobs anew in the order of their acceptance after a take-over, and counts per team. Reservations of work beyond shares yield while work within shares waits: the order of the round alone did not give that. Without teams in the configuration nothing changes (TestOrderWithoutTeams).

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -185,6 +185,7 @@
 	nextRoundAt time.Time
 	nextSweepAt time.Time
 	visitor     visitor
+	shares      shareState
 	random      *rand.Rand
 	// candidates are the usable workers of the current round, eligible those that one step may
 	// use.
@@ -314,6 +315,7 @@
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.openDueOccurrences()
 		c.pruneFinalJobs()
+		c.countWaiting()
 	}
 }
 
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/sharekeeper"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 )
 
@@ -41,6 +42,10 @@
 	steps map[steptracker.StepKey]*step
 	// finalizing is set once the final state has been added to the changes to write.
 	finalizing bool
+	// beyondShare is set if the job is beyond the share of its team; workAhead is the work that went before
+	// it when it was accepted.
+	beyondShare bool
+	workAhead   sharekeeper.Work
 	// cancelling is set if a caller waits for the job's cancellation to be written.
 	cancelling bool
 }
@@ -149,10 +154,11 @@
 	j.replacesRow = c.journal.cancelRemoval(j.id) || c.unreadable[j.id]
 	c.jobs[j.id] = j
 	c.openJobs++
+	c.acceptShare(j)
 	c.markDirty(j, func() {
 		j.stored = true
 		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "steps", len(definition.Steps), "tasks", countTasks(definition),
-			"took-ms", c.now.Sub(j.submittedAt).Milliseconds())
+			"took-ms", c.now.Sub(j.submittedAt).Milliseconds(), j.shareAttr())
 		c.Metrics.JobAccepted(definition.Queue, c.now.Sub(j.submittedAt))
 		j.replyAll(nil)
 	})
@@ -191,6 +197,7 @@
 		c.removeSteps(j)
 		delete(c.jobs, j.id)
 		c.openJobs--
+		c.returnShare(j)
 		c.recordRefusal(j.definition, refusal)
 		j.replyAll(refusal)
 	}
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -324,6 +324,7 @@
 		}
 	}
 	c.recovered = true
+	c.restoreShares()
 	for _, j := range c.jobs {
 		c.restorePlacements(j)
 		c.updateSteps(j)
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -169,13 +169,25 @@
 
 // rankedSteps returns the pending steps, highest rank first.
 func (c *Scheduler) rankedSteps() []*step {
-	type entry struct {
-		step *step
-		rank prioritizer.Rank
+	entries := c.rankPendingSteps()
+	steps := make([]*step, len(entries))
+	for i := range entries {
+		steps[i] = entries[i].step
 	}
-	entries := make([]entry, 0, len(c.pendingSteps))
+	return steps
+}
+
+// rankedStep is a pending step and its rank.
+type rankedStep struct {
+	step *step
+	rank prioritizer.Rank
+}
+
+// rankPendingSteps returns the pending steps and their ranks, highest rank first.
+func (c *Scheduler) rankPendingSteps() []rankedStep {
+	entries := make([]rankedStep, 0, len(c.pendingSteps))
 	for _, s := range c.pendingSteps {
-		entries = append(entries, entry{s, c.rank(s)})
+		entries = append(entries, rankedStep{s, c.rank(s)})
 	}
 	sort.Slice(entries, func(i, j int) bool {
 		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
@@ -183,11 +195,7 @@
 		}
 		return entries[i].step.key.Job < entries[j].step.key.Job
 	})
-	steps := make([]*step, len(entries))
-	for i := range entries {
-		steps[i] = entries[i].step
-	}
-	return steps
+	return entries
 }
 
 // rank returns the rank of a pending step.
@@ -205,6 +213,7 @@
 	waiting.RemainingTime = j.definition.RemainingPath(s.key.Step, estimate)
 	waiting.Overhead = c.expectedOverhead(s)
 	waiting.LongRunning = s.def.LongRunning
+	waiting.BeyondShare = j.beyondShare
 	return prioritizer.RankOf(waiting, c.Clock.Now())
 }
 
@@ -399,5 +408,8 @@
 	if c.openJobs >= c.settings.MaxOpenJobs {
 		return &RefusedError{Reason: "too many jobs are open", RetryAfter: time.Second}
 	}
-	return c.storeRefusal()
+	if refusal := c.storeRefusal(); refusal != nil {
+		return refusal
+	}
+	return c.shareRefusal(definition)
 }
