Shares: work beyond a share makes way only where work within one would be late

Change: work beyond shares goes after all other only while the forecast shows that work within a share would wait for more than half of its slack; the same for its reservations.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -315,7 +315,7 @@
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.openDueOccurrences()
 		c.pruneFinalJobs()
-		c.countWaiting()
+		c.sweepShares()
 	}
 }
 
--- a/internal/cellscheduler/reservations.go
+++ b/internal/cellscheduler/reservations.go
@@ -27,13 +27,12 @@
 // applyReservations subtracts the reservations of all pending steps from the candidates of a new
 // round.
 func (c *Scheduler) applyReservations() {
-	yield := c.beyondSharesYield()
 	for _, s := range c.pendingSteps {
 		s.reservedInRound = nil
 		if !c.keepsReservation(s) {
 			s.reserved = nil
 		}
-		if !yield || !s.job.beyondShare {
+		if !c.shares.yielding || !s.job.beyondShare {
 			c.applyReservation(s)
 		}
 	}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -189,13 +189,20 @@
 	for _, s := range c.pendingSteps {
 		entries = append(entries, rankedStep{s, c.rank(s)})
 	}
+	sortByRank(entries)
+	if c.updateSharesYield(entries) {
+		sortByRank(entries)
+	}
+	return entries
+}
+
+func sortByRank(entries []rankedStep) {
 	sort.Slice(entries, func(i, j int) bool {
 		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
 			return order < 0
 		}
 		return entries[i].step.key.Job < entries[j].step.key.Job
 	})
-	return entries
 }
 
 // rank returns the rank of a pending step.
@@ -213,7 +220,6 @@
 	waiting.RemainingTime = j.definition.RemainingPath(s.key.Step, estimate)
 	waiting.Overhead = c.expectedOverhead(s)
 	waiting.LongRunning = s.def.LongRunning
-	waiting.BeyondShare = j.beyondShare
 	return prioritizer.RankOf(waiting, c.Clock.Now())
 }
 
--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -22,7 +22,11 @@
 	configuration *configprovider.Configuration
 	weights       map[string]float64
 	// waiting is the number of waiting steps by team as the metrics show it.
-	waiting  map[string]int64
+	waiting map[string]int64
+	// refused holds when the jobs that were refused as beyond their share were refused last, by ID.
+	refused map[string]time.Time
+	// yielding is set while work beyond shares has to make way for work within shares.
+	yielding bool
 	forecast forecast
 }
 
@@ -43,6 +47,9 @@
 	forecastInterval = 100 * time.Millisecond
 	// openJobsDivisor keeps this fraction of the open jobs for jobs within the shares.
 	openJobsDivisor = 4
+	// refusalMemory is how long a refused job stays beyond its share when it is sent again: it must not use
+	// up the share of the jobs that are sent meanwhile.
+	refusalMemory = 30 * time.Second
 )
 
 // teamWeight returns the weight of a team. limited is false for jobs without a team, and for teams that
@@ -59,7 +66,7 @@
 			shares.weights[configuration.Teams[i].Name] = configuration.Teams[i].Weight
 		}
 		if shares.keeper == nil {
-			shares.keeper = sharekeeper.New()
+			shares.keeper, shares.refused = sharekeeper.New(), make(map[string]time.Time)
 		}
 		known := func(name string) bool { _, found := shares.weights[name]; return found }
 		shares.keeper.Prune(known)
@@ -71,7 +78,12 @@
 
 // markShare marks an accepted job as within or beyond the share of its team.
 func (c *Scheduler) markShare(j *job) {
-	if weight, limited := c.teamWeight(j.progress.Team); limited {
+	if weight, limited := c.teamWeight(j.progress.Team); !limited {
+		return
+	} else if _, refused := c.shares.refused[j.id]; refused {
+		delete(c.shares.refused, j.id)
+		j.beyondShare = true
+	} else {
 		j.beyondShare = c.shares.keeper.Mark(j.progress.Team, weight, j.progress.AcceptedAt) == sharekeeper.Beyond
 	}
 }
@@ -85,7 +97,7 @@
 	if j.beyondShare {
 		c.Metrics.countTeam(j.progress.Team, jobsBeyondShare)
 		c.refreshForecast()
-		j.workAhead = c.shares.forecast.workAhead(c.rank(firstStep(j)))
+		j.workAhead = c.workAhead(firstStep(j))
 	} else {
 		c.Metrics.countTeam(j.progress.Team, jobsWithinShare)
 	}
@@ -115,11 +127,15 @@
 // is within the share.
 func (c *Scheduler) shareRefusal(definition *steptracker.Job) *RefusedError {
 	weight, limited := c.teamWeight(definition.Team)
-	if !limited || c.shares.keeper.Peek(definition.Team, weight, c.Clock.Now()) == sharekeeper.Within {
+	if !limited {
+		return nil
+	}
+	_, refused := c.shares.refused[definition.ID]
+	if !refused && c.shares.keeper.Peek(definition.Team, weight, c.Clock.Now()) == sharekeeper.Within {
 		return nil
 	}
 	if c.openJobs >= c.settings.MaxOpenJobs-c.settings.MaxOpenJobs/openJobsDivisor {
-		c.Metrics.countTeam(definition.Team, jobsRefusedBeyondShare)
+		c.countShareRefusal(definition)
 		return &RefusedError{Reason: fmt.Sprintf("team %s is beyond its share and too many jobs are open", definition.Team), RetryAfter: c.jittered(time.Second)}
 	}
 	if definition.Scheduled() || definition.IsLongRunning() {
@@ -128,14 +144,14 @@
 	c.refreshForecast()
 	j := &job{id: definition.ID, definition: definition, progress: steptracker.NewProgress(definition, c.Clock.Now()), beyondShare: true}
 	s := firstStep(j)
-	ahead := c.shares.forecast.workAhead(c.rank(s))
+	ahead := c.workAhead(s)
 	estimate := func(number int) time.Duration { return c.expectedDuration(j, number) }
 	request := sharekeeper.Request{Work: c.widestStep(j), Duration: definition.CriticalPath(estimate) + c.expectedOverhead(s), Objective: c.objective(j)}
 	decision := c.shares.forecast.pool.Admit(ahead, request, c.random.Float64())
 	if !decision.Refused {
 		return nil
 	}
-	c.Metrics.countTeam(definition.Team, jobsRefusedBeyondShare)
+	c.countShareRefusal(definition)
 	return &RefusedError{
 		Reason: fmt.Sprintf("team %s is beyond its share of %g jobs a second, and room is expected in %.1f s behind work for %g processors",
 			definition.Team, weight, decision.Wait.Seconds(), ahead.Processors.Number()),
@@ -143,6 +159,13 @@
 	}
 }
 
+func (c *Scheduler) countShareRefusal(definition *steptracker.Job) {
+	c.Metrics.countTeam(definition.Team, jobsRefusedBeyondShare)
+	if len(c.shares.refused) < c.settings.MaxOpenJobs {
+		c.shares.refused[definition.ID] = c.now
+	}
+}
+
 func (c *Scheduler) jittered(duration time.Duration) time.Duration {
 	return duration + time.Duration(c.random.Int64N(int64(duration)/2))
 }
@@ -178,43 +201,85 @@
 		return
 	}
 	made := forecast{madeAt: c.now, ranks: make([]prioritizer.Rank, 0, len(c.pendingSteps)), ahead: make([]sharekeeper.Work, 1, len(c.pendingSteps)+1)}
+	made.pool = c.pool()
+	for _, ranked := range c.rankPendingSteps() {
+		made.ranks = append(made.ranks, ranked.rank)
+		made.ahead = append(made.ahead, made.ahead[len(made.ahead)-1].Plus(c.waitingWork(ranked.step)))
+	}
+	c.shares.forecast = made
+}
+
+// pool returns what all workers have together.
+func (c *Scheduler) pool() sharekeeper.Pool {
+	var pool sharekeeper.Pool
 	for _, w := range c.workers {
 		if !w.listed || w.info.Draining {
 			continue
 		}
-		made.pool.Capacity += w.info.Capacity.Processors
+		pool.Capacity += w.info.Capacity.Processors
 		if c.usable(w) {
-			made.pool.Free += w.free().Processors
+			pool.Free += w.free().Processors
 		}
 	}
-	for _, ranked := range c.rankPendingSteps() {
-		s := ranked.step
-		work := sharekeeper.WorkOf(s.unassigned(), s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
-		made.ranks = append(made.ranks, ranked.rank)
-		made.ahead = append(made.ahead, made.ahead[len(made.ahead)-1].Plus(work))
+	for _, s := range c.pendingSteps {
+		if s.job.beyondShare {
+			for _, count := range s.reserved {
+				pool.ReservedBeyond += s.def.Reservation().Times(count).Processors
+			}
+		}
 	}
-	c.shares.forecast = made
+	pool.ReservedBeyond = min(pool.ReservedBeyond, pool.Free)
+	pool.Free -= pool.ReservedBeyond
+	return pool
+}
+
+// waitingWork returns the work of the tasks of a step that wait.
+func (c *Scheduler) waitingWork(s *step) sharekeeper.Work {
+	return sharekeeper.WorkOf(s.unassigned(), s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
 }
 
-// workAhead returns the waiting work that goes before a step of the given rank, and all work that was
-// accepted since the forecast was made.
-func (f *forecast) workAhead(rank prioritizer.Rank) sharekeeper.Work {
+// workAhead returns the waiting work that goes before a step of a new job beyond its share, and all work
+// that was accepted since the forecast was made.
+func (c *Scheduler) workAhead(s *step) sharekeeper.Work {
+	f, rank := &c.shares.forecast, c.rank(s)
+	rank.BeyondShare = c.shares.yielding
 	count := sort.Search(len(f.ranks), func(i int) bool { return f.ranks[i].Compare(rank) > 0 })
 	return f.ahead[count].Plus(f.accepted)
 }
 
-// beyondSharesYield reports whether work within the shares waits for room, so that work beyond them must
-// not reserve any.
-func (c *Scheduler) beyondSharesYield() bool {
+// updateSharesYield decides whether work beyond shares has to make way for work within shares, and changes
+// the ranks accordingly. steps are all pending steps in order. It reports whether ranks have changed.
+func (c *Scheduler) updateSharesYield(steps []rankedStep) bool {
 	if c.shares.keeper == nil {
 		return false
 	}
-	for _, s := range c.pendingSteps {
-		if !s.job.beyondShare {
-			return true
+	yielding := c.mustYield(steps)
+	if yielding != c.shares.yielding {
+		c.shares.yielding = yielding
+		c.Log.Info("work beyond shares yields", "cell", c.claim.Cell, "yields", yielding, "steps", len(steps))
+	}
+	if !yielding {
+		return false
+	}
+	for i := range steps {
+		steps[i].rank.BeyondShare = steps[i].step.job.beyondShare
+	}
+	return true
+}
+
+func (c *Scheduler) mustYield(steps []rankedStep) bool {
+	beyond := slices.IndexFunc(steps, func(r rankedStep) bool { return r.step.job.beyondShare })
+	if beyond < 0 {
+		return false
+	}
+	waiting := make([]sharekeeper.Waiting, len(steps))
+	for i, ranked := range steps {
+		waiting[i] = sharekeeper.Waiting{Work: c.waitingWork(ranked.step), Slack: ranked.rank.Slack}
+		if ranked.step.job.beyondShare {
+			waiting[i].Standing = sharekeeper.Beyond
 		}
 	}
-	return false
+	return c.pool().BeyondMustYield(waiting)
 }
 
 // shareAttr returns what the log line of an accepted job tells about the share of its team. It is empty
@@ -238,11 +303,16 @@
 	stepsWaiting           = "waiting"
 )
 
-// countWaiting updates the metrics of the waiting steps of each team.
-func (c *Scheduler) countWaiting() {
+// sweepShares forgets old refusals and updates the metrics of the waiting steps of each team.
+func (c *Scheduler) sweepShares() {
 	if c.shares.keeper == nil {
 		return
 	}
+	for id, at := range c.shares.refused {
+		if c.now.Sub(at) > refusalMemory {
+			delete(c.shares.refused, id)
+		}
+	}
 	waiting := make(map[string]int64, len(c.shares.waiting))
 	for _, s := range c.pendingSteps {
 		if _, known := c.shares.weights[s.job.progress.Team]; known {
--- a/internal/prioritizer/prioritizer.go
+++ b/internal/prioritizer/prioritizer.go
@@ -9,6 +9,8 @@
 // of work that exceed the capacity for some seconds. Steps that can still meet their objective come
 // first, by priority and then by deadline. Next come steps that are late but whose results are
 // still useful, and then all others, which are still run to their end.
+// Work beyond the share of its team that has to make way comes after all work within shares whose results
+// are still useful.
 package prioritizer
 
 import (
@@ -32,8 +34,6 @@
 	// chosen now: for advice, writes and orders.
 	Overhead    time.Duration
 	LongRunning bool
-	// BeyondShare reports whether the job is beyond the share of its team.
-	BeyondShare bool
 }
 
 // Tier classifies steps by how useful their results still are to the caller.
@@ -56,18 +56,21 @@
 type Rank struct {
 	Tier     Tier
 	Priority int
-	// BeyondShare reports whether the job is beyond the share of its team.
+	// BeyondShare is set by the caller for work beyond the share of its team that has to make way for
+	// work within shares.
 	BeyondShare bool
 	// Deadline is the time by which the job must end to meet its objective. For steps that are late
 	// or expired it is the time at which the results stop being useful.
 	Deadline time.Time
+	// Slack is how long the step can wait and still meet Deadline; it is negative if it can't.
+	Slack time.Duration
 }
 
 // RankOf returns the rank of a step.
 func RankOf(step WaitingStep, now time.Time) Rank {
 	objective := time.Duration(step.Stretch*float64(step.CriticalPath)) + step.Target
 	deadline := step.AcceptedAt.Add(objective)
-	rank := Rank{Tier: TierOnTime, Priority: step.Priority, BeyondShare: step.BeyondShare, Deadline: deadline}
+	rank := Rank{Tier: TierOnTime, Priority: step.Priority, Deadline: deadline}
 	if step.LongRunning {
 		rank.Tier = TierLongRunning
 		return rank
@@ -82,6 +85,7 @@
 			rank.Tier = TierExpired
 		}
 	}
+	rank.Slack = rank.Deadline.Sub(earliestEnd)
 	return rank
 }
 
--- a/internal/sharekeeper/pool.go
+++ b/internal/sharekeeper/pool.go
@@ -26,6 +26,8 @@
 // Pool describes the workers as a whole.
 type Pool struct {
 	Capacity, Free modeler.Processors
+	// ReservedBeyond is what is reserved for work beyond shares, and not free for that reason.
+	ReservedBeyond modeler.Processors
 }
 
 // Wait returns how long new work is expected to wait for room behind the work ahead of it. It assumes that
@@ -41,6 +43,35 @@
 	return time.Duration(meanDuration * float64(missing) / float64(p.Capacity))
 }
 
+// waitMargin is the part of its slack that work within a share may be expected to wait because of work
+// beyond shares. The rest is for work that arrives later and for room that does not suit.
+const waitMargin = 0.5
+
+// Waiting describes a step that waits for room.
+type Waiting struct {
+	Work
+	Standing Standing
+	// Slack is how long the step can wait until its result is late or, if it is late, no longer useful.
+	Slack time.Duration
+}
+
+// BeyondMustYield reports whether work beyond shares has to make way for work within shares. steps are all
+// waiting steps in the order in which they go if it doesn't. While all work within shares can be expected to
+// be in time, this order stays, because it serves everybody best.
+func (p Pool) BeyondMustYield(steps []Waiting) bool {
+	var ahead Work
+	beyondAhead := p.ReservedBeyond > 0
+	for _, step := range steps {
+		if step.Standing == Beyond {
+			beyondAhead = true
+		} else if beyondAhead && step.Slack > 0 && p.Wait(ahead, step.Work) > time.Duration(waitMargin*float64(step.Slack)) {
+			return true
+		}
+		ahead = ahead.Plus(step.Work)
+	}
+	return false
+}
+
 // Request describes a new job beyond the share of its team.
 type Request struct {
 	// Work is the work of the job's widest step.
--- a/internal/sharekeeper/sharekeeper.go
+++ b/internal/sharekeeper/sharekeeper.go
@@ -8,11 +8,13 @@
 //		if decision := pool.Admit(ahead, request, random.Float64()); decision.Refused { … }
 //	}
 //	standing := keeper.Mark(team, weight, now)
+//	…
+//	if pool.BeyondMustYield(steps) { … }
 //
 // A team's share is a number of jobs a second, its weight. Each job is marked once, when it is
-// accepted. Jobs within the shares go before jobs beyond them (package prioritizer) and are never refused
-// here. A job beyond the share uses what the others leave: it is accepted if its result can be
-// expected to be useful, and refused with a time to come back otherwise.
+// accepted. Jobs within the shares are never refused here. Jobs beyond them use what the others leave:
+// they go after all jobs within shares as soon as one of those would be late otherwise, and one whose
+// result can't be expected to be useful is refused with a time to come back.
 //
 // The package is designed for 20 to 2,000 teams that send 300 jobs a second together, of which some
 // send up to eight times their share for several seconds.
--- a/internal/sharekeeper/sharekeeper_test.go
+++ b/internal/sharekeeper/sharekeeper_test.go
@@ -93,6 +93,30 @@
 	}
 }
 
+func TestBeyondMustYield(t *testing.T) {
+	pool := sharekeeper.Pool{Capacity: 8000}
+	step := func(standing sharekeeper.Standing, slack time.Duration) sharekeeper.Waiting {
+		return sharekeeper.Waiting{Work: sharekeeper.WorkOf(8, 1000, time.Second), Standing: standing, Slack: slack}
+	}
+	const within, beyond = sharekeeper.Within, sharekeeper.Beyond
+	for name, test := range map[string]struct {
+		steps []sharekeeper.Waiting
+		want  bool
+	}{
+		"nothing waits":      {nil, false},
+		"in time":            {[]sharekeeper.Waiting{step(beyond, 0), step(within, 5*time.Second)}, false},
+		"would be late":      {[]sharekeeper.Waiting{step(beyond, 0), step(within, 3*time.Second)}, true},
+		"behind work within": {[]sharekeeper.Waiting{step(within, 0), step(within, 3*time.Second), step(beyond, 0)}, false},
+		"expired":            {[]sharekeeper.Waiting{step(beyond, 0), step(within, -time.Second)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := pool.BeyondMustYield(test.steps); got != test.want {
+				t.Errorf("work beyond shares has to yield: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 func BenchmarkMark(b *testing.B) {
 	for _, teams := range []int{20, 2000} {
 		b.Run(fmt.Sprint(teams), func(b *testing.B) {
