Shares: work beyond a share makes way only if it is the cause

Change: BeyondMustYield compares the wait of each step with what it would be without work beyond shares.

--- a/internal/sharekeeper/pool.go
+++ b/internal/sharekeeper/pool.go
@@ -43,9 +43,15 @@
 	return time.Duration(meanDuration * float64(missing) / float64(p.Capacity))
 }
 
-// waitMargin is the part of its slack that work within a share may be expected to wait because of work
-// beyond shares. The rest is for work that arrives later and for room that does not suit.
-const waitMargin = 0.5
+const (
+	// waitMargin is the part of its slack that work within a share may be expected to wait. The rest is for
+	// work that arrives later and for room that does not suit.
+	waitMargin = 0.5
+	// causeMargin is the part of its slack, and minDelay the time, that work beyond shares must account for
+	// in that wait.
+	causeMargin = 0.25
+	minDelay    = 100 * time.Millisecond
+)
 
 // Waiting describes a step that waits for room.
 type Waiting struct {
@@ -57,21 +63,33 @@
 
 // BeyondMustYield reports whether work beyond shares has to make way for work within shares. steps are all
 // waiting steps in the order in which they go if it doesn't. While all work within shares can be expected to
-// be in time, this order stays, because it serves everybody best.
+// be in time, or is late for other causes, this order stays, because it serves everybody best.
 func (p Pool) BeyondMustYield(steps []Waiting) bool {
-	var ahead Work
-	beyondAhead := p.ReservedBeyond > 0
+	without := Pool{Capacity: p.Capacity, Free: p.Free + p.ReservedBeyond}
+	var ahead, withinAhead Work
 	for _, step := range steps {
-		if step.Standing == Beyond {
-			beyondAhead = true
-		} else if beyondAhead && step.Slack > 0 && p.Wait(ahead, step.Work) > time.Duration(waitMargin*float64(step.Slack)) {
-			return true
+		if step.Standing == Within {
+			if delays(p.Wait(ahead, step.Work), without.Wait(withinAhead, step.Work), step.Slack) {
+				return true
+			}
+			withinAhead = withinAhead.Plus(step.Work)
 		}
 		ahead = ahead.Plus(step.Work)
 	}
 	return false
 }
 
+// delays reports whether work beyond shares makes a step late that waits so long with it, and so long
+// without it.
+func delays(with, without, slack time.Duration) bool {
+	delay := with - without
+	return without <= slack && with > part(slack, waitMargin) && delay > part(slack, causeMargin) && delay > minDelay
+}
+
+func part(whole time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(whole) * fraction)
+}
+
 // Request describes a new job beyond the share of its team.
 type Request struct {
 	// Work is the work of the job's widest step.
@@ -110,6 +128,6 @@
 	}
 	decision.Refused = true
 	retryAfter := min(max(decision.Wait, minRetryAfter), maxRetryAfter)
-	decision.RetryAfter = retryAfter + time.Duration(jitter*retryJitter*float64(retryAfter))
+	decision.RetryAfter = retryAfter + part(retryAfter, jitter*retryJitter)
 	return decision
 }
