Shares: a job beyond its share is refused only if it could not be served anyway

Change: the forecast for admission counts the work ahead in the order that holds when nothing yields. Ruled out: the order in force as the base of the forecast; it changes many times a second near full load.

--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -170,6 +170,9 @@
 // rankedSteps returns the pending steps, highest rank first.
 func (c *Scheduler) rankedSteps() []*step {
 	entries := c.rankPendingSteps()
+	if c.updateSharesYield(entries) {
+		sortByRank(entries)
+	}
 	steps := make([]*step, len(entries))
 	for i := range entries {
 		steps[i] = entries[i].step
@@ -183,16 +186,14 @@
 	rank prioritizer.Rank
 }
 
-// rankPendingSteps returns the pending steps and their ranks, highest rank first.
+// rankPendingSteps returns the pending steps and their ranks, highest rank first, whatever the shares of
+// teams are.
 func (c *Scheduler) rankPendingSteps() []rankedStep {
 	entries := make([]rankedStep, 0, len(c.pendingSteps))
 	for _, s := range c.pendingSteps {
 		entries = append(entries, rankedStep{s, c.rank(s)})
 	}
 	sortByRank(entries)
-	if c.updateSharesYield(entries) {
-		sortByRank(entries)
-	}
 	return entries
 }
 
--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -238,11 +238,10 @@
 	return sharekeeper.WorkOf(s.unassigned(), s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
 }
 
-// workAhead returns the waiting work that goes before a step of a new job beyond its share, and all work
-// that was accepted since the forecast was made.
+// workAhead returns the waiting work that goes before a step of a new job even if work beyond shares need not
+// yield, and all work that was accepted since the forecast was made.
 func (c *Scheduler) workAhead(s *step) sharekeeper.Work {
 	f, rank := &c.shares.forecast, c.rank(s)
-	rank.BeyondShare = c.shares.yielding
 	count := sort.Search(len(f.ranks), func(i int) bool { return f.ranks[i].Compare(rank) > 0 })
 	return f.ahead[count].Plus(f.accepted)
 }
--- a/internal/sharekeeper/pool.go
+++ b/internal/sharekeeper/pool.go
@@ -119,7 +119,8 @@
 )
 
 // Admit decides whether a job beyond the share of its team is accepted: with room for it always, and
-// otherwise if its result can be expected to be useful behind the work that goes before it. jitter is a
+// otherwise if its result can be expected to be useful behind the work that goes before it even if work
+// beyond shares need not yield: order, not refusal, protects the others. jitter is a
 // random number from 0 up to 1, which spreads the callers that are refused at the same time.
 func (p Pool) Admit(ahead Work, request Request, jitter float64) Decision {
 	decision := Decision{Wait: p.Wait(ahead, request.Work)}
