sharekeeper: long-running steps without slack make nothing yield

Long-running steps that wait have no deadline, so that a slack of 0 counted as used up by any reservation. Change: a step without slack makes nothing yield. The test's new line failed first.

--- a/internal/prioritizer/prioritizer.go
+++ b/internal/prioritizer/prioritizer.go
@@ -62,7 +62,8 @@
 	// Deadline is the time by which the job must end to meet its objective. For steps that are late
 	// or expired it is the time at which the results stop being useful.
 	Deadline time.Time
-	// Slack is how long the step can wait and still meet Deadline; it is negative if it can't.
+	// Slack is how long the step can wait and still meet Deadline; it is negative if it can't, and 0 for
+	// long-running tasks.
 	Slack time.Duration
 }
 
--- a/internal/sharekeeper/pool.go
+++ b/internal/sharekeeper/pool.go
@@ -57,7 +57,8 @@
 type Waiting struct {
 	Work
 	Standing Standing
-	// Slack is how long the step can wait until its result is late or, if it is late, no longer useful.
+	// Slack is how long the step can wait until its result is late or, if it is late, no longer useful. It is
+	// 0 for steps without a deadline, such as long-running ones.
 	Slack time.Duration
 }
 
@@ -83,7 +84,7 @@
 // without it.
 func delays(with, without, slack time.Duration) bool {
 	delay := with - without
-	return without <= slack && with > part(slack, waitMargin) && delay > part(slack, causeMargin) && delay > minDelay
+	return slack > 0 && without <= slack && with > part(slack, waitMargin) && delay > part(slack, causeMargin) && delay > minDelay
 }
 
 func part(whole time.Duration, fraction float64) time.Duration {
--- a/internal/sharekeeper/sharekeeper_test.go
+++ b/internal/sharekeeper/sharekeeper_test.go
@@ -108,6 +108,7 @@
 		"would be late":      {[]sharekeeper.Waiting{step(beyond, 0), step(within, 3*time.Second)}, true},
 		"behind work within": {[]sharekeeper.Waiting{step(within, 0), step(within, 3*time.Second), step(beyond, 0)}, false},
 		"late in any case":   {[]sharekeeper.Waiting{step(within, 0), step(within, 0), step(beyond, 0), step(within, time.Second)}, false},
+		"without a deadline": {[]sharekeeper.Waiting{step(beyond, 0), step(within, 0)}, false},
 		"expired":            {[]sharekeeper.Waiting{step(beyond, 0), step(within, -time.Second)}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
