--- a/internal/sharekeeper/sharekeeper_test.go
+++ b/internal/sharekeeper/sharekeeper_test.go
@@ -108,7 +108,6 @@
 		"would be late":      {[]sharekeeper.Waiting{step(beyond, 0), step(within, 3*time.Second)}, true},
 		"behind work within": {[]sharekeeper.Waiting{step(within, 0), step(within, 3*time.Second), step(beyond, 0)}, false},
 		"late in any case":   {[]sharekeeper.Waiting{step(within, 0), step(within, 0), step(beyond, 0), step(within, time.Second)}, false},
-		"without a deadline": {[]sharekeeper.Waiting{step(beyond, 0), step(within, 0)}, false},
 		"expired":            {[]sharekeeper.Waiting{step(beyond, 0), step(within, -time.Second)}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -119,6 +118,18 @@
 	}
 }
 
+// TestReservedRoomYields: room that is reserved for work beyond shares is given up for a step that would be late
+// otherwise, but not for one without a deadline.
+func TestReservedRoomYields(t *testing.T) {
+	pool := sharekeeper.Pool{Capacity: 8000, ReservedBeyond: 8000}
+	for slack, want := range map[time.Duration]bool{0: false, time.Second: true, time.Minute: false} {
+		step := sharekeeper.Waiting{Work: sharekeeper.WorkOf(8, 1000, time.Second), Slack: slack}
+		if got := pool.BeyondMustYield([]sharekeeper.Waiting{step}); got != want {
+			t.Errorf("with a slack of %s, work beyond shares has to yield: %t, want %t", slack, got, want)
+		}
+	}
+}
+
 func BenchmarkMark(b *testing.B) {
 	for _, teams := range []int{20, 2000} {
 		b.Run(fmt.Sprint(teams), func(b *testing.B) {
