--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -56,6 +56,11 @@
 	WaitedMS  int64     `json:"waited-ms"`
 	AgeMS     int64     `json:"age-ms"`
 	Fence     int64     `json:"fence"`
+	Team      string    `json:"team"`
+	// BeyondShare and ProcessorsAhead say of an accepted job that it was beyond the share of its team, and how
+	// much work went before it.
+	BeyondShare     bool    `json:"beyond-share"`
+	ProcessorsAhead float64 `json:"processors-ahead"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -177,6 +182,9 @@
 	if maxWaitMS >= minReportedWait.Milliseconds() {
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
+	if accepted != nil && accepted.BeyondShare {
+		h.Summary += fmt.Sprintf("; it was beyond the share of team %s, and work for %g processors went before it", accepted.Team, accepted.ProcessorsAhead)
+	}
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
