--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -190,6 +190,7 @@
 	nextRoundAt time.Time
 	nextSweepAt time.Time
 	visitor     visitor
+	shares      shareState
 	random      *rand.Rand
 	// candidates are the usable workers of the current round, eligible those that one step may
 	// use.
@@ -325,6 +326,7 @@
 		c.publishQuotas()
 		c.pruneFinalJobs()
 		c.expireInterference()
+		c.sweepShares()
 	}
 }
 
--- a/internal/cellscheduler/reservations.go
+++ b/internal/cellscheduler/reservations.go
@@ -32,7 +32,9 @@
 		if !c.keepsReservation(s) {
 			s.reserved = nil
 		}
-		c.applyReservation(s)
+		if !c.shares.yielding || !s.job.beyondShare {
+			c.applyReservation(s)
+		}
 	}
 }
 
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -175,25 +175,41 @@
 
 // rankedSteps returns the pending steps, highest rank first.
 func (c *Scheduler) rankedSteps() []*step {
-	type entry struct {
-		step *step
-		rank prioritizer.Rank
+	entries := c.rankPendingSteps()
+	if c.updateSharesYield(entries) {
+		sortByRank(entries)
 	}
-	entries := make([]entry, 0, len(c.pendingSteps))
+	steps := make([]*step, len(entries))
+	for i := range entries {
+		steps[i] = entries[i].step
+	}
+	return steps
+}
+
+// rankedStep is a pending step and its rank.
+type rankedStep struct {
+	step *step
+	rank prioritizer.Rank
+}
+
+// rankPendingSteps returns the pending steps and their ranks, highest rank first, whatever the shares of
+// teams are.
+func (c *Scheduler) rankPendingSteps() []rankedStep {
+	entries := make([]rankedStep, 0, len(c.pendingSteps))
 	for _, s := range c.pendingSteps {
-		entries = append(entries, entry{s, c.rank(s)})
+		entries = append(entries, rankedStep{s, c.rank(s)})
 	}
+	sortByRank(entries)
+	return entries
+}
+
+func sortByRank(entries []rankedStep) {
 	sort.Slice(entries, func(i, j int) bool {
 		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
 			return order < 0
 		}
 		return entries[i].step.key.Compare(entries[j].step.key) < 0
 	})
-	steps := make([]*step, len(entries))
-	for i := range entries {
-		steps[i] = entries[i].step
-	}
-	return steps
 }
 
 // rank returns the rank of a pending step.
@@ -411,5 +427,8 @@
 	if refusal := c.quotaRefusal(definition); refusal != nil {
 		return refusal
 	}
-	return c.storeRefusal()
+	if refusal := c.storeRefusal(); refusal != nil {
+		return refusal
+	}
+	return c.shareRefusal(definition)
 }
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -59,6 +59,10 @@
 	Fence     int64     `json:"fence"`
 	Cause     string    `json:"cause"`
 	Version   int64     `json:"version"`
+	// BeyondShare and ProcessorsAhead say of an accepted job that it was beyond the share of its team, and how
+	// much work went before it.
+	BeyondShare     bool    `json:"beyond-share"`
+	ProcessorsAhead float64 `json:"processors-ahead"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -194,6 +198,9 @@
 	if slowedRuns > 0 {
 		h.Summary += fmt.Sprintf("; %d runs were slowed down by neighbours", slowedRuns)
 	}
+	if accepted != nil && accepted.BeyondShare {
+		h.Summary += fmt.Sprintf("; it was beyond the share of team %s, and work for %g processors went before it", accepted.Team, accepted.ProcessorsAhead)
+	}
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
--- a/internal/prioritizer/prioritizer.go
+++ b/internal/prioritizer/prioritizer.go
@@ -9,6 +9,8 @@
 // of work that exceed the capacity for some seconds. Steps that can still meet their objective come
 // first, by priority and then by deadline. Next come steps that are late but whose results are
 // still useful, and then all others, which are still run to their end.
+// Work beyond the share of its team that has to make way comes after all work within shares whose results
+// are still useful.
 package prioritizer
 
 import (
@@ -54,9 +56,15 @@
 type Rank struct {
 	Tier     Tier
 	Priority int
+	// BeyondShare is set by the caller for work beyond the share of its team that has to make way for
+	// work within shares.
+	BeyondShare bool
 	// Deadline is the time by which the job must end to meet its objective. For steps that are late
 	// or expired it is the time at which the results stop being useful.
 	Deadline time.Time
+	// Slack is how long the step can wait and still meet Deadline; it is negative if it can't, and 0 for
+	// long-running tasks.
+	Slack time.Duration
 }
 
 // RankOf returns the rank of a step.
@@ -78,10 +86,34 @@
 			rank.Tier = TierExpired
 		}
 	}
+	rank.Slack = rank.Deadline.Sub(earliestEnd)
 	return rank
 }
 
+// yields reports whether work comes after all work within the shares that is not expired.
+func (r Rank) yields() bool {
+	return r.Tier == TierExpired || r.BeyondShare && r.Tier != TierLongRunning
+}
+
 // Compare returns a negative number if r comes before other.
 func (r Rank) Compare(other Rank) int {
-	return cmp.Or(cmp.Compare(r.Tier, other.Tier), cmp.Compare(r.Priority, other.Priority), r.Deadline.Compare(other.Deadline))
+	if r.yields() != other.yields() {
+		if other.yields() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(r.Tier, other.Tier), compareFlags(r.BeyondShare, other.BeyondShare), cmp.Compare(r.Priority, other.Priority), r.Deadline.Compare(other.Deadline))
+}
+
+// compareFlags orders false before true.
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
