--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -15,7 +15,7 @@
 {"time":"2026-12-04T10:00:00.2Z","level":"INFO","msg":"accepted","job":"bb","queue":"q","tasks":2}
 {"time":"2026-12-04T10:00:01.4Z","level":"INFO","msg":"placed","job":"aa","step":0,"waited-ms":1300,"worker":"w1"}
 {"time":"2026-12-04T10:00:01.5Z","level":"INFO","msg":"started","task":"aa.0.0.0","run":1,"worker":"w1"}
-{"time":"2026-12-04T10:00:00.3Z","level":"INFO","msg":"accepted","job":"ee","queue":"q","tasks":2,"team":"desk","beyond-share":true,"processors-ahead":12.5}
+{"time":"2026-12-04T10:00:00.3Z","level":"INFO","msg":"accepted","job":"hh","queue":"q","tasks":2,"team":"desk","beyond-share":true,"processors-ahead":12.5}
 {"time":"2026-12-04T10:00:01.6Z","level":"INFO","msg":"refused","job":"cc","queue":"q","reason":"the store does not answer","retry-after-ms":900}`
 
 const successorLog = `{"time":"2026-12-04T10:00:03Z","level":"INFO","msg":"cell taken over","cell":"desk","fence":2}
@@ -26,7 +26,7 @@
 	for id, want := range map[string]string{
 		"aa": "completed 7.9 s after it was accepted; 1 runs did not complete, the first aa.0.0.0 on w1: lost; a step waited 1.3 s for advice and free capacity; the owner of the cell changed in the meantime",
 		"bb": "no final state in these logs; the last line is accepted",
-		"ee": "no final state in these logs; the last line is accepted; it was beyond the share of team desk, and work for 12.5 processors went before it",
+		"hh": "no final state in these logs; the last line is accepted; it was beyond the share of team desk, and work for 12.5 processors went before it",
 		"cc": "refused: the store does not answer",
 	} {
 		history, err := explainer.Read(id, strings.NewReader(successorLog), strings.NewReader(ownerLog))
