Admission by the forecast of writes while the store is slow

Causes, in the order of their weight:

- The stall detector: 0.4 s after calm, 1.2 s at most, less than a transaction of the slow store takes.
It flipped between slow and silent (2,254 refusals 'the store does not answer' in seconds 8 to 14 while it answered every write), refused all that waited with one and the same time to return, so that they came back at once together, and stopped placing.
- Jobs were held to their callers' deadline and then answered 504: 1,035 'undecided' in seconds 10 to 14.
Attempts of 1.2 s hid the caller's deadline from the owner.
- Rows and order: acceptances, assignments and ends of some tasks shared 95 rows a transaction in the order of arrival: 210 acceptances in 6 s.
The window (two) is not it: the store handles a part's transactions in sequence.

Now writeforecaster learns the time of a transaction and forecasts when a row queued now is written. While the store is slow, the owner orders writes (results, what can be in time, late assignments, late acceptances, updates that nobody waits for), refuses what can't be written before its caller's deadline before it is sent, and leaves definitions of ended jobs for later. Silent is only a store that answers no other call either. Times to return follow the queue or the age of the outage, and are drawn for each caller. A submission lasts until its caller's deadline as long as the owner answers.

--- a/internal/cellmanager/calls.go
+++ b/internal/cellmanager/calls.go
@@ -165,7 +165,7 @@
 	if owner == "" || owner == m.incarnation {
 		return answer{}, &NoOwnerError{Cell: name}
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := m.attemptContext(ctx, owner, call)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	call.PatienceNanos = int64(deadline.Sub(m.Clock.Now()))
--- a/internal/cellmanager/cellmanager_test.go
+++ b/internal/cellmanager/cellmanager_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,3 +230,41 @@
 		}
 	})
 }
+
+// TestOwnerLearnsCallersPatience: while the store takes a second for a transaction, the owner accepts what can be
+// written within the three seconds of callers of another instance, and refuses the rest. None of them may be
+// left in doubt by a second attempt.
+func TestOwnerLearnsCallersPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		_, others, stop := startThree(t, c)
+		defer stopAll(stop)
+		c.set(func() { c.transactionDelay = time.Second })
+		var group sync.WaitGroup
+		var accepted, refusals, inDoubt atomic.Int64
+		for i := range 600 {
+			group.Go(func() {
+				err := submit(t, others[0], fmt.Sprintf("j%d", i))
+				var refused *cellscheduler.RefusedError
+				var doubt *cellmanager.InDoubtError
+				switch {
+				case errors.As(err, &refused):
+					refusals.Add(1)
+				case errors.As(err, &doubt):
+					inDoubt.Add(1)
+				case err != nil:
+					t.Errorf("job %d: %v", i, err)
+				default:
+					accepted.Add(1)
+				}
+			})
+			sleep(time.Millisecond)
+		}
+		group.Wait()
+		// The first transaction holds one job, and the next one is full.
+		if accepted.Load() < 90 || refusals.Load() == 0 || inDoubt.Load() > 0 {
+			t.Errorf("%d accepted, %d refused, %d in doubt; want none in doubt", accepted.Load(), refusals.Load(), inDoubt.Load())
+		}
+		t.Logf("%d accepted, %d refused", accepted.Load(), refusals.Load())
+	})
+}
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -157,6 +157,7 @@
 		Configuration:      m.configuration,
 		OwnershipConfirmed: m.mayGrantLeases,
 		StoreRestored:      m.store.Restored,
+		StoreSilence:       m.store.SinceAnswer,
 		OnOwnershipLost:    func() { m.handleOwnershipLost(c, claim.FencingToken) },
 		Metrics:            m.Metrics,
 	})
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -18,6 +18,7 @@
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
+	"dotterelpost.example/dotterelpost/internal/writeforecaster"
 )
 
 // WorkerClient sends orders to workers. Its errors are *workerdriver.RefusedError or
@@ -90,6 +91,9 @@
 	// StoreRestored returns a channel that is closed when the store answers again after an outage.
 	// It may be nil.
 	StoreRestored func() <-chan struct{}
+	// StoreSilence returns how long the store has answered no call of this instance, of any kind. It may be
+	// nil.
+	StoreSilence func() time.Duration
 	// OnOwnershipLost is called once when another instance has become the owner of the cell.
 	OnOwnershipLost func()
 	// Metrics are shared by all schedulers of a process.
@@ -121,6 +125,8 @@
 	RetryAfter time.Duration
 	// Unavailable is set if the reason is a store outage and not load.
 	Unavailable bool
+	// Forecast is after which time the job would have been written, 0 if that is not the reason.
+	Forecast time.Duration
 }
 
 func (e *RefusedError) Error() string {
@@ -224,6 +230,7 @@
 	c.random = rand.New(rand.NewPCG(uint64(claim.FencingToken), uint64(c.claimedAt.UnixNano())))
 	c.advisor.init()
 	c.journal.limiter, c.journal.batches = inflightlimiter.New(len(c.Committers)), make([]*batch, len(c.Committers))
+	c.journal.forecaster = writeforecaster.New(len(c.Committers), maxTransactionRows)
 	c.group.Go(c.recover)
 	go c.loop()
 	return c, c.stop
@@ -265,6 +272,7 @@
 			c.now = c.Clock.Now()
 			restored = c.storeRestored()
 			c.journal.limiter.Restored(c.now)
+			c.journal.forecaster.Restored(c.now)
 			c.roundNeeded = true
 		case message := <-c.mailbox:
 			c.now = c.Clock.Now()
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -35,6 +35,11 @@
 	// replies are called when it is known whether the job was accepted.
 	replies     []func(error)
 	submittedAt time.Time
+	// deadline is until when a caller waits for the acceptance, expectedWrite when it was forecast to be
+	// written. changedAt is since when the job is dirty, and writeClass its place among the others; a job that
+	// has changed since they were ordered has the place that it had.
+	deadline, expectedWrite, changedAt time.Time
+	writeClass                         writeClass
 	// placements are the runs that hold resources on workers.
 	placements map[steptracker.TaskKey]*placement
 	// steps are the steps whose preceding steps have ended.
@@ -100,6 +105,7 @@
 	var result SubmitResult
 	err := c.call(ctx, func(reply func(error)) {
 		if j, known := c.jobs[definition.ID]; known {
+			j.deadline = later(j.deadline, c.deadlineOf(ctx))
 			c.joinSubmission(j, &result, reply)
 			return
 		}
@@ -112,7 +118,7 @@
 			reply(refusal)
 			return
 		}
-		c.accept(definition, reply)
+		c.accept(ctx, definition, reply)
 	})
 	return result, err
 }
@@ -136,7 +142,7 @@
 	j.replies = append(j.replies, reply)
 }
 
-func (c *Scheduler) accept(definition *steptracker.Job, reply func(error)) {
+func (c *Scheduler) accept(ctx context.Context, definition *steptracker.Job, reply func(error)) {
 	j := &job{
 		id:                  definition.ID,
 		definition:          definition,
@@ -152,11 +158,13 @@
 	c.markDirty(j, func() {
 		j.stored = true
 		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "steps", len(definition.Steps), "tasks", countTasks(definition),
-			"took-ms", c.now.Sub(j.submittedAt).Milliseconds())
+			"took-ms", c.now.Sub(j.submittedAt).Milliseconds(), "forecast-ms", j.expectedWrite.Sub(j.submittedAt).Milliseconds())
+		c.Metrics.WriteForecast(c.now.Sub(j.expectedWrite))
 		c.Metrics.JobAccepted(definition.Queue, c.now.Sub(j.submittedAt))
 		j.replyAll(nil)
 	})
 	c.updateSteps(j)
+	c.forecastWrite(ctx, j)
 }
 
 // replyAll answers all callers that wait for the job's acceptance.
@@ -167,39 +175,10 @@
 	j.replies = nil
 }
 
-// refuseUnwritten refuses the jobs that wait to be written while the store does not answer. Their
-// rows have not been sent, so they cannot become accepted later.
-func (c *Scheduler) refuseUnwritten() {
-	refusal := c.storeRefusal()
-	if refusal == nil {
-		return
-	}
-	remaining := c.journal.dirty[:0]
-	for _, j := range c.journal.dirty {
-		if !j.definitionUnwritten || j.cancelling {
-			remaining = append(remaining, j)
-			continue
-		}
-		for _, p := range j.placements {
-			// The assignment has not been sent to the store, so no start order was sent either.
-			c.release(p)
-		}
-		j.dirty = false
-		for _, b := range j.barriers {
-			b.writeDone()
-		}
-		c.removeSteps(j)
-		delete(c.jobs, j.id)
-		c.openJobs--
-		c.recordRefusal(j.definition, refusal)
-		j.replyAll(refusal)
-	}
-	c.journal.dirty = remaining
-}
-
 func (c *Scheduler) recordRefusal(definition *steptracker.Job, refusal *RefusedError) {
-	c.Log.Info("refused", "job", definition.ID, "queue", definition.Queue, "reason", refusal.Reason, "retry-after-ms", refusal.RetryAfter.Milliseconds())
-	c.Metrics.JobRefused(definition.Queue)
+	c.Log.Info("refused", "job", definition.ID, "queue", definition.Queue, "reason", refusal.Reason, "retry-after-ms", refusal.RetryAfter.Milliseconds(),
+		"forecast-ms", refusal.Forecast.Milliseconds())
+	c.Metrics.JobRefused(refusal.Reason)
 }
 
 func countTasks(definition *steptracker.Job) int {
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -3,11 +3,11 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/writeforecaster"
 )
 
 // These limits keep a transaction within what the store accepts: a hundred entries, of which the owner's
@@ -30,6 +30,8 @@
 	// ID.
 	removals []string
 	limiter  *inflightlimiter.Limiter
+	// forecaster forecasts when what is queued will be written.
+	forecaster *writeforecaster.Forecaster
 	// batches are the batches in flight by committer index, nil where there is none.
 	batches []*batch
 	// exclusive is set while rows are being removed.
@@ -66,25 +68,6 @@
 	}
 }
 
-const (
-	// storeRetryMin is the minimum time after which refused callers should retry, and
-	// storeRetryJitter the maximum random addition. The store's usual outages last a few seconds,
-	// and callers must not all retry at the same time.
-	storeRetryMin    = 900 * time.Millisecond
-	storeRetryJitter = 800 * time.Millisecond
-)
-
-// storeRefusal returns the error for new jobs while the store does not answer, and nil otherwise.
-func (c *Scheduler) storeRefusal() *RefusedError {
-	if !c.journal.limiter.Stalled(c.now) {
-		return nil
-	}
-	return &RefusedError{
-		Reason: "the store does not answer", Unavailable: true,
-		RetryAfter: storeRetryMin + time.Duration(c.random.Int64N(int64(storeRetryJitter))),
-	}
-}
-
 func definitionKey(cell, id string) string { return "jobs/" + cell + "/" + id }
 func progressKey(cell, id string) string   { return "progress/" + cell + "/" + id }
 
@@ -94,7 +77,7 @@
 		j.afterWrite = append(j.afterWrite, after)
 	}
 	if !j.dirty {
-		j.dirty = true
+		j.dirty, j.changedAt = true, c.now
 		c.journal.dirty = append(c.journal.dirty, j)
 	}
 }
@@ -124,12 +107,14 @@
 		if !free {
 			return
 		}
+		c.refuseUnwritten()
 		b, transaction := c.buildBatch()
 		if b == nil {
 			return
 		}
 		c.journal.batches[slot] = b
 		c.journal.limiter.Acquire(slot, c.now)
+		c.journal.forecaster.Sent(slot, c.now)
 		c.group.Go(func() { c.sendTransaction(slot, b, transaction) })
 	}
 }
@@ -200,7 +185,7 @@
 			// While the store is slow, rows are what limits the jobs that can be accepted.
 			return size
 		}
-	case over && !j.definitionDeleted:
+	case over && !j.definitionDeleted && !c.deletionDeferred(j):
 		j.definitionDeleted = true
 		transaction.Deletes = append(transaction.Deletes, definitionKey(c.claim.Cell, j.id))
 	}
@@ -226,6 +211,7 @@
 	c.post(func() {
 		c.journal.batches[slot], c.journal.exclusive = nil, false
 		c.journal.limiter.Release(slot, c.now)
+		c.journal.forecaster.Done(slot, c.now)
 		for _, j := range sent.jobs {
 			j.inFlight = false
 		}
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -77,8 +77,21 @@
 	m.record("acceptance", took)
 }
 
-// JobRefused counts a refused job.
-func (m *Metrics) JobRefused(string) { m.root.Add("refused", 1) }
+// JobRefused counts a refused job by cause.
+func (m *Metrics) JobRefused(reason string) {
+	m.root.Add("refused", 1)
+	switch reason {
+	case reasonStoreSlow:
+		m.root.Add("refused-store-slow", 1)
+	case reasonStoreSilent:
+		m.root.Add("refused-store-silent", 1)
+	}
+}
+
+// WriteForecast records by how much an acceptance was written later or sooner than forecast.
+func (m *Metrics) WriteForecast(late time.Duration) {
+	m.record("write-forecast-error", late.Abs())
+}
 
 // JobFinished counts a job that became final and records its age.
 func (m *Metrics) JobFinished(_ string, state steptracker.State, took time.Duration) {
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -118,7 +118,7 @@
 	if !c.roundNeeded || c.shuttingDown || c.now.Before(c.nextRoundAt) {
 		return
 	}
-	if c.storeRefusal() != nil {
+	if c.storeSilent() {
 		// Tasks placed now could not be started before the store answers.
 		return
 	}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -31,6 +31,9 @@
 	blocked chan struct{}
 	// commitDelay is the duration of a transaction. rowsInFlight are the rows of the transactions
 	// in flight, and maxCommitsInFlight is the largest number of transactions in flight at once.
+	// With serialStore set, transactions are handled one after the other until busyUntil.
+	serialStore        bool
+	busyUntil          time.Time
 	commitDelay        time.Duration
 	rowsInFlight       map[string]bool
 	commitsInFlight    int
@@ -63,6 +66,10 @@
 	keepIDs bool
 	// crashes counts the crashes of workers by the task that caused them.
 	crashes map[steptracker.TaskKey]int
+	// storeSilence is how long the store has answered no call, nil if that is not known. sentKeys are the keys
+	// of all rows that were in a transaction.
+	storeSilence func() time.Duration
+	sentKeys     map[string]bool
 	// outcome returns how long a run takes and how it ends. A run that ends with workerCrash crashes its
 	// worker.
 	outcome func(start *workerdriver.Start, worker string) (time.Duration, steptracker.EndReason)
@@ -79,7 +86,7 @@
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
 		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
-		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), schedulerMetrics: cellscheduler.NewMetrics(),
+		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), sentKeys: make(map[string]bool), schedulerMetrics: cellscheduler.NewMetrics(),
 		outcome: func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return time.Second, steptracker.Done
 		},
@@ -123,7 +130,7 @@
 		}
 	}
 	env.beginCommit(transaction)
-	sleep(env.commitDelay)
+	sleep(env.commitTime())
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.endCommit(transaction)
@@ -142,6 +149,21 @@
 	return connector.Outcome{Committed: true, Version: env.version}, nil
 }
 
+// commitTime returns how long a transaction that is sent now takes.
+func (env *testEnv) commitTime() time.Duration {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	if !env.serialStore {
+		return env.commitDelay
+	}
+	now := time.Now()
+	if env.busyUntil.Before(now) {
+		env.busyUntil = now
+	}
+	env.busyUntil = env.busyUntil.Add(env.commitDelay)
+	return env.busyUntil.Sub(now)
+}
+
 // beginCommit records the rows that a transaction writes. Concurrent transactions that write the
 // same row could take effect in either order, so they fail the test.
 func (env *testEnv) beginCommit(transaction connector.Transaction) {
@@ -155,7 +177,7 @@
 		if env.rowsInFlight[key] {
 			env.t.Errorf("row %s is in two concurrent transactions", key)
 		}
-		env.rowsInFlight[key] = true
+		env.rowsInFlight[key], env.sentKeys[key] = true, true
 	}
 	env.commitsInFlight++
 	env.maxCommitsInFlight = max(env.maxCommitsInFlight, env.commitsInFlight)
@@ -354,7 +376,7 @@
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
 			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), WorkerClient: env, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
-			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics,
+			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, StoreSilence: env.storeSilence,
 		})
 	c.UpdateWorkers(listed, nil, true)
 	env.withLock(func() { env.schedulers = append(env.schedulers, c) })
--- /dev/null
+++ b/internal/writeforecaster/writeforecaster.go
@@ -0,0 +1,148 @@
+// Package writeforecaster forecasts when a row that is queued now will be written, and recommends when
+// callers that are turned away should return. It does no I/O and reads no clock: the time is passed in.
+//
+// # Usage
+//
+//	f := writeforecaster.New(slots, maxRows)
+//	f.Sent(slot, now)
+//	…
+//	f.Done(slot, now)
+//	if f.Slow(now) && now.Add(f.WrittenIn(now, rowsAhead)).After(deadline) {
+//		refuse(f.ReturnAfter(now, rowsAhead, patience, random))
+//	}
+//
+// It is designed for a store that handles the transactions of an owner one after the other, in 10 to 20 ms
+// each as a rule and in 0.4 to 0.7 s for several seconds at a time, while a hundred to two hundred and fifty
+// jobs a second arrive whose callers wait three seconds and return four times at most. The store can write
+// a hundred rows in a transaction, so that a slow store writes fewer rows than are queued: those that can't be
+// written in time are known as soon as they arrive.
+package writeforecaster
+
+import "time"
+
+const (
+	// slowThreshold is the time for a transaction from which the store counts as slow: several times the
+	// time of a healthy store, and too short to make any caller late.
+	slowThreshold = 100 * time.Millisecond
+	// averageDivisor is the inverse of the weight of the latest transaction in the moving average.
+	averageDivisor = 3
+	// changeFactor is the ratio to the average from which the latest transaction replaces it: the store has
+	// turned slow or is well again.
+	changeFactor = 2
+	// overdueDivisor is the inverse of the part of its age that an overdue transaction is expected to take
+	// longer.
+	overdueDivisor = 2
+)
+
+// Forecaster learns how long the store takes for a transaction.
+type Forecaster struct {
+	maxRows int
+	// sentAt is when the transaction in each slot was sent, or the zero time if the slot is free.
+	sentAt []time.Time
+	// idleSince is when the store last ended a transaction or an outage: before that it can't have begun
+	// with those in flight.
+	idleSince time.Time
+	// average is the moving average of the time that the store takes for a transaction.
+	average time.Duration
+}
+
+// New returns a forecaster for a number of transactions in flight, each of maxRows rows at most.
+func New(slots, maxRows int) *Forecaster {
+	return &Forecaster{maxRows: maxRows, sentAt: make([]time.Time, slots)}
+}
+
+// Sent records that a transaction was sent in a slot.
+func (f *Forecaster) Sent(slot int, now time.Time) { f.sentAt[slot] = now }
+
+// Done records that the outcome of the transaction in a slot is known.
+func (f *Forecaster) Done(slot int, now time.Time) {
+	took := now.Sub(f.begun(f.sentAt[slot]))
+	if took > changeFactor*f.average || changeFactor*took < f.average {
+		f.average = took
+	} else {
+		f.average += (took - f.average) / averageDivisor
+	}
+	f.sentAt[slot], f.idleSince = time.Time{}, now
+}
+
+// Restored records that an outage of the store has ended.
+func (f *Forecaster) Restored(now time.Time) { f.idleSince = now }
+
+// begun returns when the store can have begun with a transaction at the earliest.
+func (f *Forecaster) begun(sentAt time.Time) time.Time {
+	if f.idleSince.After(sentAt) {
+		return f.idleSince
+	}
+	return sentAt
+}
+
+// inFlight returns how many transactions are in flight and how long the store has been at work on the
+// first of them.
+func (f *Forecaster) inFlight(now time.Time) (count int, age time.Duration) {
+	for _, sentAt := range f.sentAt {
+		if !sentAt.IsZero() {
+			count++
+			age = max(age, now.Sub(f.begun(sentAt)))
+		}
+	}
+	return count, age
+}
+
+// Average returns how long the store has lately taken for a transaction.
+func (f *Forecaster) Average() time.Duration { return f.average }
+
+// TransactionTime returns how long the store takes for a transaction. One that is in flight for longer than
+// the average shows that the store has become slower.
+func (f *Forecaster) TransactionTime(now time.Time) time.Duration {
+	_, age := f.inFlight(now)
+	return max(f.average, age)
+}
+
+// Slow reports whether the store takes so long that admission and the order of writes matter.
+func (f *Forecaster) Slow(now time.Time) bool { return f.TransactionTime(now) >= slowThreshold }
+
+// WrittenIn returns the time until a row is written that is queued now behind a number of others. Of a
+// transaction that is overdue nothing is known but its age, so it is expected to take half as long again.
+func (f *Forecaster) WrittenIn(now time.Time, rowsAhead int) time.Duration {
+	count, age := f.inFlight(now)
+	each := max(f.average, age)
+	queued := time.Duration(1+rowsAhead/f.maxRows) * each
+	if count == 0 {
+		return queued
+	}
+	remaining := f.average - age
+	if remaining < 0 {
+		remaining = age / overdueDivisor
+	}
+	return remaining + time.Duration(count-1)*each + queued
+}
+
+// Random returns a random duration from 0 up to a limit.
+type Random func(limit time.Duration) time.Duration
+
+const (
+	// minReturn is the shortest time to come back: a caller that returns sooner meets the same queue.
+	minReturn = 300 * time.Millisecond
+	// minOutageReturn is the shortest time to come back during an outage, which as a rule lasts seconds.
+	minOutageReturn = 900 * time.Millisecond
+	// maxReturn bounds the time to come back: outages of the store are over after a few seconds, and
+	// callers do not wait longer.
+	maxReturn = 5 * time.Second
+)
+
+// ReturnAfter returns when a caller should come back whose row can't be written within its patience behind
+// the rows that are queued: when enough of them have been written, and no later than twice that, so that
+// the callers arrive spread over the time that the queue needs.
+func (f *Forecaster) ReturnAfter(now time.Time, rowsAhead int, patience time.Duration, random Random) time.Duration {
+	needed := f.WrittenIn(now, rowsAhead)
+	earliest := min(max(minReturn, needed-max(0, patience)), maxReturn/2)
+	return earliest + random(max(minReturn, min(needed, maxReturn/2)))
+}
+
+// ReturnAfterOutage returns when a caller should come back that is turned away in an outage of a given age.
+// The longer an outage has lasted, the longer it goes on, so callers are told to stay away for half of its
+// age at least and all of it at most: their few tries then reach past its end.
+func ReturnAfterOutage(age time.Duration, random Random) time.Duration {
+	earliest := min(max(minOutageReturn, age/2), maxReturn/2)
+	return earliest + random(earliest)
+}
