Renew placement tokens of written assignments instead of assigning anew

Now the owner asks the advisor again for the workers of the written assignments, and sends the start orders when it answers. A gang's members start together.

TestAssignmentOutlivesToken fails without it: the job never completes.

--- a/internal/cellscheduler/admission_test.go
+++ b/internal/cellscheduler/admission_test.go
@@ -151,3 +151,31 @@
 		}
 	})
 }
+
+// TestAssignmentOutlivesToken: the store takes longer for a transaction than a placement token is valid. The
+// tokens of runs whose assignments are written are renewed, so that each task needs one assignment only.
+func TestAssignmentOutlivesToken(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			env := slowStoreEnv(t, 4)
+			env.requireTokens = true
+			c, stop := env.startScheduler(1)
+			defer stop()
+			submit(t, c, job("before", "plain", step(1, 1000)))
+			sleep(2 * time.Second)
+			env.withLock(func() { env.commitDelay = 1600 * time.Millisecond })
+			tasks := step(3, 1000)
+			tasks.Gang = gang
+			submit(t, c, job("j", "advised", tasks))
+			sleep(7 * time.Second)
+			wantState(t, c, "j", steptracker.Completed)
+			env.withLock(func() {
+				for task, runs := range env.starts {
+					if task.Job == "j" && (len(runs) != 1 || runs[0] != 1) {
+						t.Errorf("gang %t: task %s was started as runs %v, want run 1 only", gang, task, runs)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -106,6 +106,7 @@
 			// The tokens are taken to be valid for as long as the advisor says, but for at least half
 			// of the configured lifetime and at most all of it.
 			c.adviceAnswered(s, queueName, answer, err, startMillis, sentAt, min(valid, max(answer.Valid, valid/2)))
+			c.resumeStarts(s)
 		})
 	})
 	return true
@@ -181,7 +182,7 @@
 		s.rejected[id] = incarnation
 		delete(s.approved, id)
 	}
-	if named := len(startMillis) + len(answer.Tickets); named > 0 {
+	if named := len(startMillis) + len(answer.Tickets); named > 0 && !s.renewing {
 		rate := float64(len(answer.Tickets)) / float64(named)
 		if previous := c.advisor.approvalRates[queue]; previous > 0 {
 			rate = previous + approvalRateWeight*(rate-previous)
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -51,6 +51,10 @@
 	// isolated is set while no run of another job may start on the worker. startDeferred is set while
 	// the start order waits until the worker has outlived the starts of the runs beside it.
 	isolated, startDeferred bool
+	// assigned is set once the assignment is written. awaitsToken is set while the start order waits for a new
+	// placement token, renewals counts the requests for one.
+	assigned, awaitsToken bool
+	renewals              int
 	// survivalRequested is set once a listing has been requested to learn whether the worker has outlived
 	// the start of the isolated run.
 	survivalRequested bool
@@ -214,6 +218,9 @@
 	}
 	w := p.worker
 	token, valid := c.placementToken(p.key.StepKey, w)
+	if (!valid || p.step.Gang && !c.hasGangTokens(p)) && c.renewForStart(p) {
+		return
+	}
 	if w.clockAt.IsZero() || !w.synced || !valid {
 		c.endRun(p, steptracker.NeverStarted, "")
 		return
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -37,6 +37,8 @@
 	reserved, reservedInRound map[string]int
 	// unusedAdvice counts the consecutive token renewals whose tokens were not used.
 	unusedAdvice int
+	// renewing is set while tokens are renewed for runs that wait for their start order.
+	renewing bool
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
 }
@@ -387,11 +389,7 @@
 	}
 	c.Log.Info("placed", "job", s.key.Job, "occurrence", s.key.Occurrence, "step", s.key.Step, "tasks", len(placed), "left", len(tasks)-len(placed),
 		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(candidates), "isolated", isolated, "waited-ms", c.now.Sub(s.pendingSince).Milliseconds())
-	c.markDirty(s.job, func() {
-		for _, p := range placed {
-			c.sendStart(p)
-		}
-	})
+	c.markDirty(s.job, func() { c.sendStarts(placed) })
 }
 
 // admit returns why a new job cannot be accepted, or nil if it can.
