Gangs start with all tokens or not at all; a line for each slow transaction

Now no member starts before all have valid tokens, runs that wait are tried again with each check, and give up after three seconds. TestGangWaitsForAllTokens holds the rule.

Lines 'slow transaction' say what the rows of a slow store go to.

--- a/internal/cellscheduler/admission.go
+++ b/internal/cellscheduler/admission.go
@@ -248,3 +248,17 @@
 func (c *Scheduler) deletionDeferred(j *job) bool {
 	return c.journal.forecaster.Slow(c.now) && c.now.Sub(j.progress.EndedAt) <= c.settings.StateRetention
 }
+
+// logSlowTransaction logs what a transaction of a slow store held and what is left to be written.
+func (c *Scheduler) logSlowTransaction(sent *batch, rows int) {
+	took := c.now.Sub(sent.sentAt)
+	if !c.journal.forecaster.Slow(c.now) && took < slowTransaction {
+		return
+	}
+	c.Log.Info("slow transaction", "cell", c.claim.Cell, "took-ms", took.Milliseconds(), "rows", rows, "results", sent.classes[writeResult],
+		"in-time", sent.classes[writeInTime], "late-assignments", sent.classes[writeLateAssignment], "late-acceptances", sent.classes[writeLateAcceptance],
+		"updates", sent.classes[writeUpdate], "queued", len(c.journal.dirty))
+}
+
+// slowTransaction is the time from which a transaction is logged.
+const slowTransaction = 300 * time.Millisecond
--- a/internal/cellscheduler/admission_test.go
+++ b/internal/cellscheduler/admission_test.go
@@ -167,7 +167,7 @@
 			tasks := step(3, 1000)
 			tasks.Gang = gang
 			submit(t, c, job("j", "advised", tasks))
-			sleep(7 * time.Second)
+			sleep(10 * time.Second)
 			wantState(t, c, "j", steptracker.Completed)
 			env.withLock(func() {
 				for task, runs := range env.starts {
@@ -179,3 +179,33 @@
 		})
 	}
 }
+
+// TestGangWaitsForAllTokens: the tokens of a gang run out while its assignment is written, and the advisor no
+// longer approves one of its workers. No member may be started without the others.
+func TestGangWaitsForAllTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := slowStoreEnv(t, 4)
+		env.requireTokens = true
+		var withdrawn bool
+		env.approves = func(_ steptracker.StepKey, worker string) bool { return !withdrawn || worker != "w0" }
+		c, stop := env.startScheduler(1)
+		defer stop()
+		submit(t, c, job("before", "plain", step(1, 1000)))
+		sleep(2 * time.Second)
+		env.withLock(func() { env.commitDelay = 1600 * time.Millisecond })
+		gang := step(14, 1000)
+		gang.Gang = true
+		submit(t, c, job("j", "advised", gang))
+		sleep(time.Second)
+		env.withLock(func() { withdrawn = true })
+		sleep(6 * time.Second)
+		env.withLock(func() {
+			for task, runs := range env.starts {
+				if task.Job == "j" {
+					t.Errorf("task %s was started as runs %v without the member whose worker is not approved", task, runs)
+				}
+			}
+			withdrawn = false
+		})
+	})
+}
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
@@ -54,6 +55,9 @@
 	jobs     []*job
 	after    []func()
 	barriers []*barrier
+	// sentAt is when the transaction was sent, classes the number of its jobs by write class.
+	sentAt  time.Time
+	classes [writeUpdate + 1]int
 }
 
 // barrier calls a function once a number of jobs and transactions have been written.
@@ -113,6 +117,7 @@
 			return
 		}
 		c.journal.batches[slot] = b
+		b.sentAt = c.now
 		c.journal.limiter.Acquire(slot, c.now)
 		c.journal.forecaster.Sent(slot, c.now)
 		c.group.Go(func() { c.sendTransaction(slot, b, transaction) })
@@ -134,7 +139,7 @@
 		}
 		size += c.appendRows(&transaction, j)
 		b.after, b.barriers = append(b.after, j.afterWrite...), append(b.barriers, j.barriers...)
-		b.jobs = append(b.jobs, j)
+		b.jobs, b.classes[j.writeClass] = append(b.jobs, j), b.classes[j.writeClass]+1
 		j.afterWrite, j.barriers, j.dirty, j.inFlight = nil, nil, false, true
 	}
 	clear(c.journal.dirty[len(remaining):])
@@ -212,6 +217,7 @@
 		c.journal.batches[slot], c.journal.exclusive = nil, false
 		c.journal.limiter.Release(slot, c.now)
 		c.journal.forecaster.Done(slot, c.now)
+		c.logSlowTransaction(sent, rowCount(&transaction))
 		for _, j := range sent.jobs {
 			j.inFlight = false
 		}
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -51,10 +51,10 @@
 	// isolated is set while no run of another job may start on the worker. startDeferred is set while
 	// the start order waits until the worker has outlived the starts of the runs beside it.
 	isolated, startDeferred bool
-	// assigned is set once the assignment is written. awaitsToken is set while the start order waits for a new
-	// placement token, renewals counts the requests for one.
-	assigned, awaitsToken bool
-	renewals              int
+	// assignedAt is when the assignment was written. awaitsToken is set while the start order waits for a new
+	// placement token.
+	assignedAt  time.Time
+	awaitsToken bool
 	// survivalRequested is set once a listing has been requested to learn whether the worker has outlived
 	// the start of the isolated run.
 	survivalRequested bool
@@ -218,7 +218,9 @@
 	}
 	w := p.worker
 	token, valid := c.placementToken(p.key.StepKey, w)
-	if (!valid || p.step.Gang && !c.hasGangTokens(p)) && c.renewForStart(p) {
+	// A member of a gang waits for the tokens of the others.
+	valid = valid && (!p.step.Gang || c.hasGangTokens(p))
+	if !valid && c.renewForStart(p) {
 		return
 	}
 	if w.clockAt.IsZero() || !w.synced || !valid {
@@ -421,6 +423,8 @@
 		c.requestListing(p.worker)
 	case p.startDeferred:
 		c.sendStart(p)
+	case p.awaitsToken:
+		c.resumeStart(p)
 	case p.isolated:
 		c.checkIsolatedRun(p)
 	}
--- a/internal/cellscheduler/renewals.go
+++ b/internal/cellscheduler/renewals.go
@@ -3,41 +3,40 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
-// maxRenewals is how often new placement tokens are requested for a run whose assignment is written.
-const maxRenewals = 3
+// maxTokenWait is how long after its assignment was written a run may wait for a new placement token. The
+// longest calls of the advisor take half of that.
+const maxTokenWait = 3 * time.Second
 
 // renewForStart requests new placement tokens for a run whose assignment has taken longer to write than its
-// token was valid, so that the write is not in vain. All runs of the step that wait for their start order are
-// renewed together, those of a gang even if their tokens are valid, because they start together. It reports
-// false if the run can't wait for a token.
+// token was valid, so that the write is not in vain. All runs of the step that wait for their start orders are
+// renewed together. It reports false if the run can't wait for a token.
 func (c *Scheduler) renewForStart(p *placement) bool {
 	s, queue := p.job.steps[p.key.StepKey], c.queueOf(p.job)
-	granted, approved := approval{}, false
-	if s != nil {
-		granted, approved = s.approved[p.worker.info.Worker]
+	if s == nil || queue == nil || queue.Advisor == nil || p.assignedAt.IsZero() || c.now.Sub(p.assignedAt) > maxTokenWait {
+		return false
 	}
-	if queue == nil || queue.Advisor == nil || !approved || granted.startMillis != p.worker.info.StartMillis || p.renewals >= maxRenewals {
+	granted, approved := s.approved[p.worker.info.Worker]
+	if !approved || granted.startMillis != p.worker.info.StartMillis {
 		return false
 	}
 	p.awaitsToken = true
-	if s.adviceInFlight {
+	if s.adviceInFlight || c.now.Before(s.nextAdviceAt) {
 		return true
 	}
 	workers := make(map[string]bool)
 	for _, other := range p.job.placements {
-		if other.key.StepKey == p.key.StepKey && other.run == p.run && other.state == runUnsent && other.assigned {
-			other.awaitsToken = true
-			other.renewals++
+		if other.key.StepKey == p.key.StepKey && other.state == runUnsent && !other.assignedAt.IsZero() {
 			workers[other.worker.info.Worker] = true
 		}
 	}
-	if !c.requestAdvice(s, queue, slices.Sorted(maps.Keys(workers))) {
-		return false
+	if c.requestAdvice(s, queue, slices.Sorted(maps.Keys(workers))) {
+		s.renewing = true
+		c.Log.Info("tokens renewed before the start", "job", p.key.Job, "step", p.key.Step, "workers", len(workers),
+			"written-ms-ago", c.now.Sub(p.assignedAt).Milliseconds())
 	}
-	s.renewing = true
-	c.Log.Info("tokens renewed before the start", "job", p.key.Job, "step", p.key.Step, "workers", len(workers), "renewals", p.renewals)
 	return true
 }
 
@@ -58,12 +57,10 @@
 // sendStarts sends the start orders of runs whose assignments have been written.
 func (c *Scheduler) sendStarts(placed []*placement) {
 	for _, p := range placed {
-		p.assigned = true
+		p.assignedAt = c.now
 	}
 	for _, p := range placed {
-		if !p.awaitsToken {
-			c.sendStart(p)
-		}
+		c.sendStart(p)
 	}
 }
 
@@ -72,8 +69,17 @@
 	s.renewing = false
 	for _, p := range s.job.placements {
 		if p.key.StepKey == s.key && p.awaitsToken {
-			p.awaitsToken = false
-			c.sendStart(p)
+			c.resumeStart(p)
 		}
 	}
 }
+
+// resumeStart sends the start order of a run that has waited for a placement token, unless it has to wait
+// for another answer.
+func (c *Scheduler) resumeStart(p *placement) {
+	if s := p.job.steps[p.key.StepKey]; s != nil && s.adviceInFlight && p.stopReason == "" {
+		return
+	}
+	p.awaitsToken = false
+	c.sendStart(p)
+}
