Write order: a job whose result is visible waits behind others

Transactions of the slow store held 17 to 53 results among 95 rows: jobs whose last place is given back after their result is written were written twice as results.

--- a/internal/cellscheduler/admission.go
+++ b/internal/cellscheduler/admission.go
@@ -134,9 +134,9 @@
 // classify returns the write class of a changed job.
 func (c *Scheduler) classify(j *job) writeClass {
 	switch {
-	case j.progress.State.Final() || j.cancelling:
+	case j.cancelling || j.progress.State.Final() && !j.visibleState.Final():
 		return writeResult
-	case !j.definitionUnwritten && !j.hasUnsentRun():
+	case j.visibleState.Final(), !j.definitionUnwritten && !j.hasUnsentRun():
 		if c.now.Sub(j.changedAt) > maxUpdateDelay {
 			return writeInTime
 		}
