--- a/internal/cellscheduler/admission_test.go
+++ b/internal/cellscheduler/admission_test.go
@@ -22,6 +22,7 @@
 	mu                           sync.Mutex
 	accepted, refused, undecided int
 	reasons                      map[string]int
+	refusedIDs                   []string
 	slowest                      time.Duration
 }
 
@@ -45,6 +46,7 @@
 		s.slowest = max(s.slowest, took)
 	case errors.As(err, &refused):
 		s.refused++
+		s.refusedIDs = append(s.refusedIDs, j.ID)
 		s.reasons[refused.Reason]++
 		if sent || refused.RetryAfter <= 0 || !refused.Unavailable {
 			t.Errorf("%s: %v; rows sent: %t", j.ID, err, sent)
@@ -104,6 +106,11 @@
 					t.Errorf("job %s ran and was never written", task.Job)
 				}
 			}
+			for _, id := range during.refusedIDs {
+				if env.sentKeys["jobs/cell/"+id] || env.sentKeys["progress/cell/"+id] {
+					t.Errorf("job %s was refused, and its rows were in a transaction", id)
+				}
+			}
 		})
 		t.Logf("accepted %d, refused %d, undecided %d", during.accepted, during.refused, during.undecided)
 	})
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -56,6 +56,10 @@
 	WaitedMS  int64     `json:"waited-ms"`
 	AgeMS     int64     `json:"age-ms"`
 	Fence     int64     `json:"fence"`
+	// ForecastMS is after which time a refused job would have been written, RetryAfterMS when its caller was
+	// told to return.
+	ForecastMS   int64 `json:"forecast-ms"`
+	RetryAfterMS int64 `json:"retry-after-ms"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -167,6 +171,10 @@
 		}
 	case accepted == nil && refused != nil:
 		h.Summary = "refused: " + refused.Reason
+		if refused.ForecastMS > 0 {
+			h.Summary += fmt.Sprintf("; it would have been written after %.1f s, later than its caller waited, and was asked to return after %.1f s",
+				float64(refused.ForecastMS)/1000, float64(refused.RetryAfterMS)/1000)
+		}
 	default:
 		h.Summary = "no final state in these logs; the last line is " + requestLines[len(requestLines)-1].Message
 		h.Missing = append(h.Missing, "the final state")
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -15,7 +15,8 @@
 {"time":"2026-12-04T10:00:00.2Z","level":"INFO","msg":"accepted","job":"bb","queue":"q","tasks":2}
 {"time":"2026-12-04T10:00:01.4Z","level":"INFO","msg":"placed","job":"aa","step":0,"waited-ms":1300,"worker":"w1"}
 {"time":"2026-12-04T10:00:01.5Z","level":"INFO","msg":"started","task":"aa.0.0.0","run":1,"worker":"w1"}
-{"time":"2026-12-04T10:00:01.6Z","level":"INFO","msg":"refused","job":"cc","queue":"q","reason":"the store does not answer","retry-after-ms":900}`
+{"time":"2026-12-04T10:00:01.6Z","level":"INFO","msg":"refused","job":"cc","queue":"q","reason":"the store does not answer","retry-after-ms":900,"forecast-ms":0}
+{"time":"2026-12-04T10:00:01.6Z","level":"INFO","msg":"refused","job":"ee","queue":"q","reason":"the store is slow","retry-after-ms":1400,"forecast-ms":3120}`
 
 const successorLog = `{"time":"2026-12-04T10:00:03Z","level":"INFO","msg":"cell taken over","cell":"desk","fence":2}
 {"time":"2026-12-04T10:00:04Z","level":"INFO","msg":"ended","task":"aa.0.0.0","run":1,"worker":"w1","how":"lost"}
@@ -26,6 +27,7 @@
 		"aa": "completed 7.9 s after it was accepted; 1 runs did not complete, the first aa.0.0.0 on w1: lost; a step waited 1.3 s for advice and free capacity; the owner of the cell changed in the meantime",
 		"bb": "no final state in these logs; the last line is accepted",
 		"cc": "refused: the store does not answer",
+		"ee": "refused: the store is slow; it would have been written after 3.1 s, later than its caller waited, and was asked to return after 1.4 s",
 	} {
 		history, err := explainer.Read(id, strings.NewReader(successorLog), strings.NewReader(ownerLog))
 		if err != nil {
