Updates that nobody waits for may wait four seconds while the store is slow

Of the 95 rows of a slow transaction 20 to 45 went to jobs 'in time' while 13 such jobs a second arrived: the rest were ends of single tasks of running jobs, which had waited for a second. Workers keep these ends until they are written.

--- a/internal/cellscheduler/admission.go
+++ b/internal/cellscheduler/admission.go
@@ -20,7 +20,7 @@
 	// replyMargin is the part of a caller's time that its answer needs on the way back.
 	replyMargin = 150 * time.Millisecond
 	// maxUpdateDelay is how long a write that nobody waits for may be put behind others.
-	maxUpdateDelay = time.Second
+	maxUpdateDelay = 4 * time.Second
 )
 
 // Reasons of refusals that the store causes.
