--- a/internal/writeforecaster/writeforecaster.go
+++ b/internal/writeforecaster/writeforecaster.go
@@ -32,6 +32,9 @@
 	// overdueDivisor is the inverse of the part of its age that an overdue transaction is expected to take
 	// longer.
 	overdueDivisor = 2
+	// serviceDivisor is the inverse of the part of a transaction's time that passes on the way and until the
+	// answer: the store is at work on the next one meanwhile. It is used until that has been measured.
+	serviceDivisor = 3
 )
 
 // Forecaster learns how long the store takes for a transaction.
@@ -42,8 +45,9 @@
 	// idleSince is when the store last ended a transaction or an outage: before that it can't have begun
 	// with those in flight.
 	idleSince time.Time
-	// average is the moving average of the time that the store takes for a transaction.
-	average time.Duration
+	// alone is the moving average of the time from sending a transaction to its answer if the store has nothing
+	// else to do, service that of the time between two answers if it has.
+	alone, service time.Duration
 }
 
 // New returns a forecaster for a number of transactions in flight, each of maxRows rows at most.
@@ -56,15 +60,31 @@
 
 // Done records that the outcome of the transaction in a slot is known.
 func (f *Forecaster) Done(slot int, now time.Time) {
-	took := now.Sub(f.begun(f.sentAt[slot]))
-	if took > changeFactor*f.average || changeFactor*took < f.average {
-		f.average = took
+	sentAt := f.sentAt[slot]
+	if took := now.Sub(f.begun(sentAt)); f.idleSince.After(sentAt) {
+		f.service = smooth(f.service, took)
 	} else {
-		f.average += (took - f.average) / averageDivisor
+		f.alone = smooth(f.alone, took)
+	}
+	// The latest of the two tells how slow the store is now.
+	if f.service > f.alone || serviceDivisor*f.service < f.alone {
+		if f.idleSince.After(sentAt) {
+			f.alone = f.service + f.service/serviceDivisor
+		} else {
+			f.service = f.alone - f.alone/serviceDivisor
+		}
 	}
 	f.sentAt[slot], f.idleSince = time.Time{}, now
 }
 
+// smooth returns the moving average after another duration.
+func smooth(average, latest time.Duration) time.Duration {
+	if latest > changeFactor*average || changeFactor*latest < average {
+		return latest
+	}
+	return average + (latest-average)/averageDivisor
+}
+
 // Restored records that an outage of the store has ended.
 func (f *Forecaster) Restored(now time.Time) { f.idleSince = now }
 
@@ -76,26 +96,31 @@
 	return sentAt
 }
 
-// inFlight returns how many transactions are in flight and how long the store has been at work on the
-// first of them.
-func (f *Forecaster) inFlight(now time.Time) (count int, age time.Duration) {
+// inFlight returns how many transactions are in flight, how long the store has been at work on the first of
+// them, and how long it is expected to take for that one.
+func (f *Forecaster) inFlight(now time.Time) (count int, age, expected time.Duration) {
+	expected = f.alone
 	for _, sentAt := range f.sentAt {
-		if !sentAt.IsZero() {
-			count++
-			age = max(age, now.Sub(f.begun(sentAt)))
+		if sentAt.IsZero() {
+			continue
+		}
+		count++
+		age = max(age, now.Sub(f.begun(sentAt)))
+		if f.idleSince.After(sentAt) {
+			expected = f.service
 		}
 	}
-	return count, age
+	return count, age, expected
 }
 
 // Average returns how long the store has lately taken for a transaction.
-func (f *Forecaster) Average() time.Duration { return f.average }
+func (f *Forecaster) Average() time.Duration { return f.alone }
 
 // TransactionTime returns how long the store takes for a transaction. One that is in flight for longer than
 // the average shows that the store has become slower.
 func (f *Forecaster) TransactionTime(now time.Time) time.Duration {
-	_, age := f.inFlight(now)
-	return max(f.average, age)
+	_, age, _ := f.inFlight(now)
+	return max(f.alone, age)
 }
 
 // Slow reports whether the store takes so long that admission and the order of writes matter.
@@ -104,17 +129,20 @@
 // WrittenIn returns the time until a row is written that is queued now behind a number of others. Of a
 // transaction that is overdue nothing is known but its age, so it is expected to take half as long again.
 func (f *Forecaster) WrittenIn(now time.Time, rowsAhead int) time.Duration {
-	count, age := f.inFlight(now)
-	each := max(f.average, age)
-	queued := time.Duration(1+rowsAhead/f.maxRows) * each
+	count, age, expected := f.inFlight(now)
+	alone, service := f.alone, f.service
+	if age > alone {
+		alone, service = age, max(service, age-age/serviceDivisor)
+	}
+	queued := time.Duration(rowsAhead/f.maxRows) * service
 	if count == 0 {
-		return queued
+		return alone + queued
 	}
-	remaining := f.average - age
+	remaining := expected - age
 	if remaining < 0 {
 		remaining = age / overdueDivisor
 	}
-	return remaining + time.Duration(count-1)*each + queued
+	return max(remaining+time.Duration(count)*service, alone) + queued
 }
 
 // Random returns a random duration from 0 up to a limit.
