--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -52,6 +52,10 @@
 	// isolated is set while no run of another job may start on the worker. startDeferred is set while
 	// the start order waits until the worker has outlived the starts of the runs beside it.
 	isolated, startDeferred bool
+	// assignedAt is when the assignment was written. awaitsToken is set while the start order waits for a new
+	// placement token.
+	assignedAt  time.Time
+	awaitsToken bool
 	// survivalRequested is set once a listing has been requested to learn whether the worker has outlived
 	// the start of the isolated run.
 	survivalRequested bool
@@ -227,6 +231,11 @@
 	}
 	w := p.worker
 	token, valid := c.placementToken(p.key.StepKey, w)
+	// A member of a gang waits for the tokens of the others.
+	valid = valid && (!p.step.Gang || c.hasGangTokens(p))
+	if !valid && c.renewForStart(p) {
+		return
+	}
 	if w.clockAt.IsZero() || !w.synced || !valid {
 		c.endRun(p, steptracker.NeverStarted, "")
 		return
@@ -431,6 +440,8 @@
 		c.requestListing(p.worker)
 	case p.startDeferred:
 		c.sendStart(p)
+	case p.awaitsToken:
+		c.resumeStart(p)
 	case p.isolated:
 		c.checkIsolatedRun(p)
 	}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -63,6 +63,10 @@
 	// much work went before it.
 	BeyondShare     bool    `json:"beyond-share"`
 	ProcessorsAhead float64 `json:"processors-ahead"`
+	// ForecastMS is after which time a refused job would have been written, RetryAfterMS when its caller was
+	// told to return.
+	ForecastMS   int64 `json:"forecast-ms"`
+	RetryAfterMS int64 `json:"retry-after-ms"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -182,6 +186,10 @@
 		}
 	case accepted == nil && refused != nil:
 		h.Summary = "refused: " + refused.Reason
+		if refused.ForecastMS > 0 {
+			h.Summary += fmt.Sprintf("; it would have been written after %.1f s, later than its caller waited, and was asked to return after %.1f s",
+				float64(refused.ForecastMS)/1000, float64(refused.RetryAfterMS)/1000)
+		}
 	case accepted == nil && denied != nil:
 		h.Summary = denied.denial()
 	default:
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -19,7 +19,8 @@
 {"time":"2026-12-04T10:00:01.55Z","level":"INFO","msg":"run slowed by neighbours","task":"bb.0.0.0","run":1,"worker":"w1","kind":"render","slowdown":1.6}
 {"time":"2026-12-04T10:00:01.6Z","level":"INFO","msg":"refused","job":"cc","queue":"q","reason":"the store does not answer","retry-after-ms":900}
 {"time":"2026-12-04T10:00:01.7Z","level":"INFO","msg":"denied","job":"ee","queue":"q","cause":"unknown-key","version":7}
-{"time":"2026-12-04T10:00:01.8Z","level":"INFO","msg":"denied","job":"aa","queue":"q","cause":"other-team","version":7}`
+{"time":"2026-12-04T10:00:01.8Z","level":"INFO","msg":"denied","job":"aa","queue":"q","cause":"other-team","version":7}
+{"time":"2026-12-04T10:00:01.6Z","level":"INFO","msg":"refused","job":"ii","queue":"q","reason":"the store is slow","retry-after-ms":1400,"forecast-ms":3120}`
 
 const successorLog = `{"time":"2026-12-04T10:00:03Z","level":"INFO","msg":"cell taken over","cell":"desk","fence":2}
 {"time":"2026-12-04T10:00:04Z","level":"INFO","msg":"ended","task":"aa.0.0.0","run":1,"worker":"w1","how":"lost"}
@@ -32,6 +33,7 @@
 		"ff": "no final state in these logs; the last line is accepted; it was beyond the share of team desk, and work for 12.5 processors went before it",
 		"cc": "refused: the store does not answer",
 		"ee": "denied by version 7 of the configuration: the configuration knows no such key, or no longer",
+		"ii": "refused: the store is slow; it would have been written after 3.1 s, later than its caller waited, and was asked to return after 1.4 s",
 	} {
 		history, err := explainer.Read(id, strings.NewReader(successorLog), strings.NewReader(ownerLog))
 		if err != nil {
