Shares: work that a quota holds is not ahead of anybody

Cause: the forecast of shares counted the waiting work of a team that its quota holds, so a job of another team beyond its share was refused beside free workers (found by reading the two parts together). Change: only the tasks that their team's quota has room for count as waiting for room. Figures: TestWorkHeldByQuotaIsNotAhead fails before (refused, room expected in 29.5 s, while four of eight processors were free) and passes after. Ruled out: leaving out held teams as a whole: a wider quota lets part of a step start.

--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -233,9 +233,10 @@
 	return pool
 }
 
-// waitingWork returns the work of the tasks of a step that wait.
+// waitingWork returns the work of the tasks of a step that wait for room. Tasks that the quota of their team
+// holds are not among them.
 func (c *Scheduler) waitingWork(s *step) sharekeeper.Work {
-	return sharekeeper.WorkOf(s.unassigned(), s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
+	return sharekeeper.WorkOf(min(s.unassigned(), c.quotaRoom(s)), s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
 }
 
 // workAhead returns the waiting work that goes before a step of a new job even if work beyond shares need not
--- a/internal/cellscheduler/shares_test.go
+++ b/internal/cellscheduler/shares_test.go
@@ -11,6 +11,7 @@
 
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -98,6 +99,29 @@
 	})
 }
 
+// TestWorkHeldByQuotaIsNotAhead: a team's work that its quota holds can't use the room that is free. It is no
+// cause to refuse the jobs of another team beyond its share.
+func TestWorkHeldByQuotaIsNotAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 2)
+		withTeams(env)
+		configuration := *env.configuration.Current()
+		configuration.Version++
+		configuration.Teams = append(slices.Clone(configuration.Teams), configprovider.Team{Name: "held", Weight: 100, Quota: modeler.Resources{Processors: 4000}})
+		env.configuration.Apply(&configuration)
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		submitBurst(t, c, "held", "plain", 60)
+		sleep(200 * time.Millisecond)
+		if refusals := submitBurst(t, c, "none", "plain", 1); len(refusals) > 0 {
+			t.Errorf("refused beside free room: %v", refusals[0])
+		}
+		sleep(1500 * time.Millisecond)
+		wantState(t, c, "none-0", steptracker.Completed)
+	})
+}
+
 // TestOnlyHotTeamIsRefused: a job lasts a second on the only worker, and its result is useful for nine
 // seconds. Of the thirty jobs of a team, those that can't be useful are refused with a time to come back.
 func TestOnlyHotTeamIsRefused(t *testing.T) {
