--- a/internal/cellscheduler/quotaholds.go
+++ b/internal/cellscheduler/quotaholds.go
@@ -40,7 +40,7 @@
 	quotaPatience = 2 * time.Second
 	maxOvertaking = 4 * time.Second
 	// roomEstimateInterval is how often the time at which a blocked step has room is estimated anew.
-	roomEstimateInterval = 100 * time.Millisecond
+	roomEstimateInterval = 200 * time.Millisecond
 )
 
 // beginQuotaRound prepares the quotas for a placement round. For each team, a part of the quota is reserved
@@ -91,10 +91,11 @@
 	return room
 }
 
-// reservedQuota returns the part of the team's quota that a step must leave free for another one.
+// reservedQuota returns the part of the team's quota that a step must leave free for another one. Long-running
+// tasks serve users all the time and leave nothing free.
 func (c *Scheduler) reservedQuota(s *step) modeler.Resources {
 	head, found := c.quotas.heads[s.job.team()]
-	if !found || head.step == s || !s.def.LongRunning && !c.now.Add(c.expectedDuration(s.job, s.key.Step)).After(head.roomAt) {
+	if !found || head.step == s || s.def.LongRunning || !c.now.Add(c.expectedDuration(s.job, s.key.Step)).After(head.roomAt) {
 		return modeler.Resources{}
 	}
 	return head.reserved
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -38,6 +38,8 @@
 	reserved, reservedInRound map[string]int
 	// unusedAdvice counts the consecutive token renewals whose tokens were not used.
 	unusedAdvice int
+	// renewing is set while tokens are renewed for runs that wait for their start order.
+	renewing bool
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
 	hold     quotaHold
@@ -122,7 +124,7 @@
 	if !c.roundNeeded || c.shuttingDown || c.now.Before(c.nextRoundAt) {
 		return
 	}
-	if c.storeRefusal() != nil {
+	if c.storeSilent() {
 		// Tasks placed now could not be started before the store answers.
 		return
 	}
@@ -175,25 +177,41 @@
 
 // rankedSteps returns the pending steps, highest rank first.
 func (c *Scheduler) rankedSteps() []*step {
-	type entry struct {
-		step *step
-		rank prioritizer.Rank
+	entries := c.rankPendingSteps()
+	if c.updateSharesYield(entries) {
+		sortByRank(entries)
 	}
-	entries := make([]entry, 0, len(c.pendingSteps))
+	steps := make([]*step, len(entries))
+	for i := range entries {
+		steps[i] = entries[i].step
+	}
+	return steps
+}
+
+// rankedStep is a pending step and its rank.
+type rankedStep struct {
+	step *step
+	rank prioritizer.Rank
+}
+
+// rankPendingSteps returns the pending steps and their ranks, highest rank first, whatever the shares of
+// teams are.
+func (c *Scheduler) rankPendingSteps() []rankedStep {
+	entries := make([]rankedStep, 0, len(c.pendingSteps))
 	for _, s := range c.pendingSteps {
-		entries = append(entries, entry{s, c.rank(s)})
+		entries = append(entries, rankedStep{s, c.rank(s)})
 	}
+	sortByRank(entries)
+	return entries
+}
+
+func sortByRank(entries []rankedStep) {
 	sort.Slice(entries, func(i, j int) bool {
 		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
 			return order < 0
 		}
 		return entries[i].step.key.Compare(entries[j].step.key) < 0
 	})
-	steps := make([]*step, len(entries))
-	for i := range entries {
-		steps[i] = entries[i].step
-	}
-	return steps
 }
 
 // rank returns the rank of a pending step.
@@ -396,11 +414,7 @@
 	}
 	c.Log.Info("placed", "job", s.key.Job, "occurrence", s.key.Occurrence, "step", s.key.Step, "tasks", len(placed), "left", len(tasks)-len(placed),
 		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(candidates), "isolated", isolated, "waited-ms", c.now.Sub(s.pendingSince).Milliseconds())
-	c.markDirty(s.job, func() {
-		for _, p := range placed {
-			c.sendStart(p)
-		}
-	})
+	c.markDirty(s.job, func() { c.sendStarts(placed) })
 }
 
 // admit returns why a new job cannot be accepted, or nil if it can.
@@ -411,5 +425,8 @@
 	if refusal := c.quotaRefusal(definition); refusal != nil {
 		return refusal
 	}
-	return c.storeRefusal()
+	if refusal := c.storeRefusal(); refusal != nil {
+		return refusal
+	}
+	return c.shareRefusal(definition)
 }
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -59,6 +59,14 @@
 	Fence     int64     `json:"fence"`
 	Cause     string    `json:"cause"`
 	Version   int64     `json:"version"`
+	// BeyondShare and ProcessorsAhead say of an accepted job that it was beyond the share of its team, and how
+	// much work went before it.
+	BeyondShare     bool    `json:"beyond-share"`
+	ProcessorsAhead float64 `json:"processors-ahead"`
+	// ForecastMS is after which time a refused job would have been written, RetryAfterMS when its caller was
+	// told to return.
+	ForecastMS   int64 `json:"forecast-ms"`
+	RetryAfterMS int64 `json:"retry-after-ms"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -144,6 +152,7 @@
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
 	var final, refused, denied, accepted *line
 	var maxWaitMS int64
+	slowedRuns := 0
 	failedRuns := make([]string, 0)
 	quota := newQuotaWait()
 	for i := range requestLines {
@@ -161,6 +170,8 @@
 			quota.add(entry)
 		case "placed":
 			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
+		case "run slowed by neighbours":
+			slowedRuns++
 		case "ended":
 			if entry.EndReason != "done" && entry.EndReason != "stopped" {
 				failedRuns = append(failedRuns, fmt.Sprintf("%s on %s: %s", entry.Task, entry.Worker, entry.EndReason))
@@ -175,6 +186,10 @@
 		}
 	case accepted == nil && refused != nil:
 		h.Summary = "refused: " + refused.Reason
+		if refused.ForecastMS > 0 {
+			h.Summary += fmt.Sprintf("; it would have been written after %.1f s, later than its caller waited, and was asked to return after %.1f s",
+				float64(refused.ForecastMS)/1000, float64(refused.RetryAfterMS)/1000)
+		}
 	case accepted == nil && denied != nil:
 		h.Summary = denied.denial()
 	default:
@@ -188,6 +203,12 @@
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
 	h.Summary += quota.summary(requestLines[len(requestLines)-1].Time)
+	if slowedRuns > 0 {
+		h.Summary += fmt.Sprintf("; %d runs were slowed down by neighbours", slowedRuns)
+	}
+	if accepted != nil && accepted.BeyondShare {
+		h.Summary += fmt.Sprintf("; it was beyond the share of team %s, and work for %g processors went before it", accepted.Team, accepted.ProcessorsAhead)
+	}
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
