--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/prioritizer"
 	"dotterelpost.example/dotterelpost/internal/sharekeeper"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -81,7 +82,6 @@
 	if weight, limited := c.teamWeight(j.progress.Team); !limited {
 		return
 	} else if _, refused := c.shares.refused[j.id]; refused {
-		delete(c.shares.refused, j.id)
 		j.beyondShare = true
 	} else {
 		j.beyondShare = c.shares.keeper.Mark(j.progress.Team, weight, j.progress.AcceptedAt) == sharekeeper.Beyond
@@ -162,7 +162,9 @@
 func (c *Scheduler) countShareRefusal(definition *steptracker.Job) {
 	c.Metrics.countTeam(definition.Team, jobsRefusedBeyondShare)
 	if len(c.shares.refused) < c.settings.MaxOpenJobs {
-		c.shares.refused[definition.ID] = c.now
+		if _, known := c.shares.refused[definition.ID]; !known {
+			c.shares.refused[definition.ID] = c.now
+		}
 	}
 }
 
@@ -202,9 +204,10 @@
 	}
 	made := forecast{madeAt: c.now, ranks: make([]prioritizer.Rank, 0, len(c.pendingSteps)), ahead: make([]sharekeeper.Work, 1, len(c.pendingSteps)+1)}
 	made.pool = c.pool()
+	room := make(quotaRooms)
 	for _, ranked := range c.rankPendingSteps() {
 		made.ranks = append(made.ranks, ranked.rank)
-		made.ahead = append(made.ahead, made.ahead[len(made.ahead)-1].Plus(c.waitingWork(ranked.step)))
+		made.ahead = append(made.ahead, made.ahead[len(made.ahead)-1].Plus(c.waitingWork(ranked.step, room)))
 	}
 	c.shares.forecast = made
 }
@@ -233,10 +236,21 @@
 	return pool
 }
 
-// waitingWork returns the work of the tasks of a step that wait for room. Tasks that the quota of their team
-// holds are not among them.
-func (c *Scheduler) waitingWork(s *step) sharekeeper.Work {
-	return sharekeeper.WorkOf(min(s.unassigned(), c.quotaRoom(s)), s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
+// quotaRooms is what the steps before a step take of their teams' quotas, by team.
+type quotaRooms map[string]modeler.Resources
+
+// waitingWork returns the work of the tasks of a step that wait for room on workers, not for their team's quota.
+func (c *Scheduler) waitingWork(s *step, taken quotaRooms) sharekeeper.Work {
+	tasks, team := s.unassigned(), s.job.team()
+	if team != "" && c.quotas.keeper.UseOf(team).Quota != (modeler.Resources{}) {
+		room := c.quotas.keeper.Room(team, s.def.Needs, taken[team])
+		if c.quotas.allUncounted || c.quotas.uncountedTeams[team] || s.def.Gang && room < tasks {
+			room = 0
+		}
+		tasks = min(tasks, room)
+		taken[team] = taken[team].Plus(s.def.Needs.Times(tasks))
+	}
+	return sharekeeper.WorkOf(tasks, s.def.Reservation().Processors, c.expectedDuration(s.job, s.key.Step))
 }
 
 // workAhead returns the waiting work that goes before a step of a new job even if work beyond shares need not
@@ -253,7 +267,8 @@
 	if c.shares.keeper == nil {
 		return false
 	}
-	yielding := c.mustYield(steps)
+	configuration := c.Configuration.Current()
+	yielding := configuration != nil && configuration.HasTeams() && c.mustYield(steps)
 	if yielding != c.shares.yielding {
 		c.shares.yielding = yielding
 		c.Log.Info("work beyond shares yields", "cell", c.claim.Cell, "yields", yielding, "steps", len(steps))
@@ -272,12 +287,18 @@
 	if beyond < 0 {
 		return false
 	}
-	waiting := make([]sharekeeper.Waiting, len(steps))
-	for i, ranked := range steps {
-		waiting[i] = sharekeeper.Waiting{Work: c.waitingWork(ranked.step), Slack: ranked.rank.Slack}
+	waiting := make([]sharekeeper.Waiting, 0, len(steps))
+	room := make(quotaRooms)
+	for _, ranked := range steps {
+		step := sharekeeper.Waiting{Work: c.waitingWork(ranked.step, room), Slack: ranked.rank.Slack}
+		if step.Processors == 0 {
+			// It waits for its team's quota, or needs no processors.
+			continue
+		}
 		if ranked.step.job.beyondShare {
-			waiting[i].Standing = sharekeeper.Beyond
+			step.Standing = sharekeeper.Beyond
 		}
+		waiting = append(waiting, step)
 	}
 	return c.pool().BeyondMustYield(waiting)
 }
--- a/internal/cellscheduler/shares_test.go
+++ b/internal/cellscheduler/shares_test.go
@@ -122,6 +122,49 @@
 	})
 }
 
+// TestBestEffortWorkIsNotRefused: best-effort tasks need no processors, so they don't wait for any.
+func TestBestEffortWorkIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		withTeams(env)
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		submitBurst(t, c, "hot", "plain", 30)
+		filler := step(1, 1000)
+		filler.BestEffort = true
+		if _, err := c.Submit(t.Context(), teamJob("none", "filler", "plain", filler)); err != nil {
+			t.Errorf("best-effort job: %v", err)
+		}
+	})
+}
+
+// TestRefusalIsForgotten: a caller that comes back again and again with a job that was refused as beyond its
+// share is within the share of its team after half a minute, when the team sends nothing else.
+func TestRefusalIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		withTeams(env)
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		submitBurst(t, c, "hot", "plain", 30)
+		submitBurst(t, c, "calm", "plain", 60)
+		retried := teamJob("hot", "hot-29", "plain", step(4, 1000))
+		for range 4 {
+			var refused *cellscheduler.RefusedError
+			if _, err := c.Submit(t.Context(), retried); !errors.As(err, &refused) {
+				t.Fatalf("got %v, want a refusal", err)
+			}
+			sleep(8 * time.Second)
+			submitBurst(t, c, "calm", "plain", 60)
+		}
+		if _, err := c.Submit(t.Context(), retried); err != nil {
+			t.Errorf("after half a minute: %v", err)
+		}
+	})
+}
+
 // TestOnlyHotTeamIsRefused: a job lasts a second on the only worker, and its result is useful for nine
 // seconds. Of the thirty jobs of a team, those that can't be useful are refused with a time to come back.
 func TestOnlyHotTeamIsRefused(t *testing.T) {
--- a/internal/sharekeeper/pool.go
+++ b/internal/sharekeeper/pool.go
@@ -31,11 +31,12 @@
 }
 
 // Wait returns how long new work is expected to wait for room behind the work ahead of it. It assumes that
-// running work lasts as long as waiting work. Without any worker nothing is known, and Wait returns 0.
+// running work lasts as long as waiting work. Work that needs no processors
+// does not wait. Without any worker nothing is known, and Wait returns 0.
 func (p Pool) Wait(ahead, work Work) time.Duration {
 	needed := ahead.Plus(work)
 	missing := needed.Processors - p.Free
-	if missing <= 0 || p.Capacity <= 0 {
+	if missing <= 0 || p.Capacity <= 0 || work.Processors == 0 {
 		return 0
 	}
 	// The whole capacity becomes free once in a mean duration.
