Test: a best-effort job beside a backlog that can't be useful in time

Change: the backlog is that of a team within its share. The test is stricter than before. Ruled out: nothing.

--- a/internal/cellscheduler/shares_test.go
+++ b/internal/cellscheduler/shares_test.go
@@ -127,10 +127,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 1)
 		withTeams(env)
+		configuration := *env.configuration.Current()
+		configuration.Version++
+		configuration.Teams = append(slices.Clone(configuration.Teams), configprovider.Team{Name: "large", Weight: 1000})
+		env.configuration.Apply(&configuration)
 		c, stop := env.startScheduler(1)
 		defer stop()
 		sleep(100 * time.Millisecond)
-		submitBurst(t, c, "hot", "plain", 30)
+		submitBurst(t, c, "large", "plain", 60)
+		sleep(200 * time.Millisecond)
 		filler := step(1, 1000)
 		filler.BestEffort = true
 		if _, err := c.Submit(t.Context(), teamJob("none", "filler", "plain", filler)); err != nil {
