--- a/internal/commander/commands.go
+++ b/internal/commander/commands.go
@@ -34,6 +34,7 @@
 		{"workers", "show the workers of an instance's partitions", "Shows the workers of the partitions that the addressed instance owns.", &workersCommand{}},
 		{"partitions", "show an instance's partitions", "Shows the partitions that the addressed instance owns.", &partitionsCommand{}},
 		{"report", "show waiting times, packing and control-plane cost", "Shows waiting times, packing and control-plane cost as measured by the addressed instance.", &reportCommand{}},
+		{"config", "check configurations of an external platform", "Checks a configuration before an operator sends it.", &configCommand{}},
 		{"settings", "check settings files", "Checks a settings file before it is used.", &settingsCommand{}},
 		{"load", "measure latency under bounded load", "Sends quick requests at a constant rate and writes percentiles of their latencies.", &loadCommand{}},
 		{"rehearse", "run a fault-injection test in one process", "Runs a stand-in for the external platform and real instances in one process, with the load and the faults of a plan, and compares the answers to callers with what the workers executed.", &rehearseCommand{}},
--- /dev/null
+++ b/internal/configchecker/compare.go
@@ -0,0 +1,134 @@
+package configchecker
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"dotterelpost.example/dotterelpost/internal/authenticator"
+	"dotterelpost.example/dotterelpost/internal/configprovider"
+)
+
+// Compare describes what differs between the configuration in force and the next one, one sentence a
+// difference. The keys of teams are counted, never shown.
+func Compare(inForce, next *configprovider.Configuration) []string {
+	c := &comparison{}
+	c.compareServices(inForce, next)
+	c.compareQueues(inForce, next)
+	c.compareTeams(inForce, next)
+	c.value("the limits of requests", inForce.Limits, next.Limits)
+	return c.lines
+}
+
+type comparison struct{ lines []string }
+
+func (c *comparison) add(format string, args ...any) {
+	c.lines = append(c.lines, fmt.Sprintf(format, args...))
+}
+
+// value adds a line if two values differ.
+func (c *comparison) value(what string, before, after any) {
+	if !reflect.DeepEqual(before, after) {
+		c.add("%s: %+v becomes %+v", what, before, after)
+	}
+}
+
+func (c *comparison) compareServices(inForce, next *configprovider.Configuration) {
+	before := make(map[string]configprovider.Service)
+	for _, service := range inForce.Services {
+		before[service.Name] = service
+	}
+	for _, service := range next.Services {
+		old, found := before[service.Name]
+		delete(before, service.Name)
+		if !found {
+			c.add("service %q is added", service.Name)
+			continue
+		}
+		c.value(fmt.Sprintf("service %q, whether its workers enforce their capacity", service.Name), old.EnforcesCapacity, service.EnforcesCapacity)
+	}
+	for _, service := range inForce.Services {
+		if _, removed := before[service.Name]; removed {
+			c.add("service %q is removed", service.Name)
+		}
+	}
+}
+
+func (c *comparison) compareQueues(inForce, next *configprovider.Configuration) {
+	for i := range next.Queues {
+		queue := &next.Queues[i]
+		old := inForce.Queue(queue.Name)
+		if old == nil {
+			c.add("queue %q is added: %s%s for service %q", queue.Name, queue.Host, queue.PathPrefix, queue.Service)
+			continue
+		}
+		what := func(field string) string { return fmt.Sprintf("queue %q, %s", queue.Name, field) }
+		c.value(what("address"), old.Host+old.PathPrefix, queue.Host+queue.PathPrefix)
+		c.value(what("service"), old.Service, queue.Service)
+		c.value(what("timeout"), old.Timeout, queue.Timeout)
+		c.value(what("target"), old.Target, queue.Target)
+		c.value(what("stretch"), old.Stretch, queue.Stretch)
+		c.value(what("priority"), old.Priority, queue.Priority)
+		c.value(what("failures after which a job fails"), old.MaxFailures, queue.MaxFailures)
+		c.value(what("public"), old.Public, queue.Public)
+		c.value(what("advisor"), advisorText(old.Advisor), advisorText(queue.Advisor))
+	}
+	for i := range inForce.Queues {
+		if queue := &inForce.Queues[i]; next.Queue(queue.Name) == nil {
+			c.add("queue %q is removed: requests to %s%s are answered with 404, and its accepted jobs go on", queue.Name, queue.Host, queue.PathPrefix)
+		}
+	}
+}
+
+func advisorText(advisor *configprovider.AdvisorSettings) string {
+	if advisor == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%s and %s for each worker, tokens valid for %s", advisor.BaseLatency, advisor.LatencyPerWorker, advisor.TokenLifetime)
+}
+
+func (c *comparison) compareTeams(inForce, next *configprovider.Configuration) {
+	if inForce.HasTeams() != next.HasTeams() {
+		c.add("callers need a key: %t becomes %t", inForce.HasTeams(), next.HasTeams())
+	}
+	for i := range next.Teams {
+		team := &next.Teams[i]
+		old := inForce.Team(team.Name)
+		if old == nil {
+			c.add("team %q is added, with %d keys", team.Name, len(team.Keys))
+			continue
+		}
+		c.compareKeys(team.Name, old.Keys, team.Keys)
+		c.value(fmt.Sprintf("team %q, weight in jobs a second", team.Name), old.Weight, team.Weight)
+		c.value(fmt.Sprintf("team %q, quota", team.Name), old.Quota, team.Quota)
+	}
+	for i := range inForce.Teams {
+		if team := &inForce.Teams[i]; next.Team(team.Name) == nil {
+			c.add("team %q is removed: its %d keys are revoked, and its accepted jobs go on", team.Name, len(team.Keys))
+		}
+	}
+}
+
+func (c *comparison) compareKeys(team string, before, after []authenticator.Digest) {
+	kept := make(map[authenticator.Digest]bool)
+	for _, key := range before {
+		kept[key] = true
+	}
+	added := 0
+	for _, key := range after {
+		if !kept[key] {
+			added++
+		}
+		delete(kept, key)
+	}
+	var changes []string
+	if added > 0 {
+		changes = append(changes, fmt.Sprintf("%d added", added))
+	}
+	if len(kept) > 0 {
+		changes = append(changes, fmt.Sprintf("%d revoked", len(kept)))
+	}
+	if len(changes) > 0 {
+		c.add("team %q, keys: %s", team, strings.Join(changes, ", "))
+	}
+}
