--- a/internal/cellmanager/cellmanager_test.go
+++ b/internal/cellmanager/cellmanager_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,13 +27,13 @@
 			t.Fatal(err)
 		}
 		for _, manager := range append(others, owner) {
-			state, err := manager.State(t.Context(), manager.Configuration().Current().Queue("q"), "j")
+			state, err := manager.State(t.Context(), manager.Configuration().Current().Queue("q"), cellscheduler.Caller{}, "j")
 			if err != nil || state != steptracker.Queued || !manager.Ready() {
 				t.Errorf("%s: state %q, error %v, ready %t", manager.Incarnation(), state, err, manager.Ready())
 			}
 		}
 		var unknown *cellscheduler.UnknownJobError
-		if _, err := others[1].State(t.Context(), others[1].Configuration().Current().Queue("q"), "nobody"); !errors.As(err, &unknown) {
+		if _, err := others[1].State(t.Context(), others[1].Configuration().Current().Queue("q"), cellscheduler.Caller{}, "nobody"); !errors.As(err, &unknown) {
 			t.Errorf("state of an unknown job: got error %v, want UnknownJobError", err)
 		}
 	})
@@ -78,7 +81,7 @@
 				if now := c.owner(t); now.FencingToken <= fencingToken || now.Owner == owner.Incarnation() {
 					t.Errorf("the cell is still owned by %s with fencing token %d", now.Owner, now.FencingToken)
 				}
-				state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), "before")
+				state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), cellscheduler.Caller{}, "before")
 				if err != nil || state != steptracker.Queued {
 					t.Errorf("job accepted before the failure: state %q, error %v", state, err)
 				}
@@ -140,7 +143,7 @@
 			t.Errorf("the submission that was being written: %v", err)
 		}
 		for _, id := range []string{"pending", "after"} {
-			if state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), id); err != nil || state != steptracker.Queued {
+			if state, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), cellscheduler.Caller{}, id); err != nil || state != steptracker.Queued {
 				t.Errorf("job %s after the shutdown: state %q, error %v", id, state, err)
 			}
 		}
@@ -199,7 +202,7 @@
 		c.set(func() { c.down = false })
 		sleep(3 * time.Second)
 		var unknown *cellscheduler.UnknownJobError
-		if _, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), "j"); !errors.As(err, &unknown) {
+		if _, err := others[0].State(t.Context(), others[0].Configuration().Current().Queue("q"), cellscheduler.Caller{}, "j"); !errors.As(err, &unknown) {
 			t.Errorf("state of the refused job: got error %v, want UnknownJobError", err)
 		}
 	})
@@ -227,3 +230,41 @@
 		}
 	})
 }
+
+// TestOwnerLearnsCallersPatience: while the store takes a second for a transaction, the owner accepts what can be
+// written within the three seconds of callers of another instance, and refuses the rest. None of them may be
+// left in doubt by a second attempt.
+func TestOwnerLearnsCallersPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		_, others, stop := startThree(t, c)
+		defer stopAll(stop)
+		c.set(func() { c.transactionDelay = time.Second })
+		var group sync.WaitGroup
+		var accepted, refusals, inDoubt atomic.Int64
+		for i := range 600 {
+			group.Go(func() {
+				err := submit(t, others[0], fmt.Sprintf("j%d", i))
+				var refused *cellscheduler.RefusedError
+				var doubt *cellmanager.InDoubtError
+				switch {
+				case errors.As(err, &refused):
+					refusals.Add(1)
+				case errors.As(err, &doubt):
+					inDoubt.Add(1)
+				case err != nil:
+					t.Errorf("job %d: %v", i, err)
+				default:
+					accepted.Add(1)
+				}
+			})
+			sleep(time.Millisecond)
+		}
+		group.Wait()
+		// The first transaction holds one job, and the next one is full.
+		if accepted.Load() < 90 || refusals.Load() == 0 || inDoubt.Load() > 0 {
+			t.Errorf("%d accepted, %d refused, %d in doubt; want none in doubt", accepted.Load(), refusals.Load(), inDoubt.Load())
+		}
+		t.Logf("%d accepted, %d refused", accepted.Load(), refusals.Load())
+	})
+}
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -8,6 +8,7 @@
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/writeforecaster"
 )
 
 // These limits keep a transaction within what the store accepts: a hundred entries, of which the owner's
@@ -30,6 +31,8 @@
 	// ID.
 	removals []string
 	limiter  *inflightlimiter.Limiter
+	// forecaster forecasts when what is queued will be written.
+	forecaster *writeforecaster.Forecaster
 	// batches are the batches in flight by committer index, nil where there is none.
 	batches []*batch
 	// exclusive is set while rows are being removed.
@@ -52,6 +55,9 @@
 	jobs     []*job
 	after    []func()
 	barriers []*barrier
+	// sentAt is when the transaction was sent, classes the number of its jobs by write class.
+	sentAt  time.Time
+	classes [writeUpdate + 1]int
 }
 
 // barrier calls a function once a number of jobs and transactions have been written.
@@ -66,25 +72,6 @@
 	}
 }
 
-const (
-	// storeRetryMin is the minimum time after which refused callers should retry, and
-	// storeRetryJitter the maximum random addition. The store's usual outages last a few seconds,
-	// and callers must not all retry at the same time.
-	storeRetryMin    = 900 * time.Millisecond
-	storeRetryJitter = 800 * time.Millisecond
-)
-
-// storeRefusal returns the error for new jobs while the store does not answer, and nil otherwise.
-func (c *Scheduler) storeRefusal() *RefusedError {
-	if !c.journal.limiter.Stalled(c.now) {
-		return nil
-	}
-	return &RefusedError{
-		Reason: "the store does not answer", Unavailable: true,
-		RetryAfter: storeRetryMin + time.Duration(c.random.Int64N(int64(storeRetryJitter))),
-	}
-}
-
 func definitionKey(cell, id string) string { return "jobs/" + cell + "/" + id }
 func progressKey(cell, id string) string   { return "progress/" + cell + "/" + id }
 
@@ -94,7 +81,7 @@
 		j.afterWrite = append(j.afterWrite, after)
 	}
 	if !j.dirty {
-		j.dirty = true
+		j.dirty, j.changedAt = true, c.now
 		c.journal.dirty = append(c.journal.dirty, j)
 	}
 }
@@ -124,12 +111,15 @@
 		if !free {
 			return
 		}
+		c.refuseUnwritten()
 		b, transaction := c.buildBatch()
 		if b == nil {
 			return
 		}
 		c.journal.batches[slot] = b
+		b.sentAt = c.now
 		c.journal.limiter.Acquire(slot, c.now)
+		c.journal.forecaster.Sent(slot, c.now)
 		c.group.Go(func() { c.sendTransaction(slot, b, transaction) })
 	}
 }
@@ -149,7 +139,7 @@
 		}
 		size += c.appendRows(&transaction, j)
 		b.after, b.barriers = append(b.after, j.afterWrite...), append(b.barriers, j.barriers...)
-		b.jobs = append(b.jobs, j)
+		b.jobs, b.classes[j.writeClass] = append(b.jobs, j), b.classes[j.writeClass]+1
 		j.afterWrite, j.barriers, j.dirty, j.inFlight = nil, nil, false, true
 	}
 	clear(c.journal.dirty[len(remaining):])
@@ -200,7 +190,7 @@
 			// While the store is slow, rows are what limits the jobs that can be accepted.
 			return size
 		}
-	case over && !j.definitionDeleted:
+	case over && !j.definitionDeleted && !c.deletionDeferred(j):
 		j.definitionDeleted = true
 		transaction.Deletes = append(transaction.Deletes, definitionKey(c.claim.Cell, j.id))
 	}
@@ -226,6 +216,8 @@
 	c.post(func() {
 		c.journal.batches[slot], c.journal.exclusive = nil, false
 		c.journal.limiter.Release(slot, c.now)
+		c.journal.forecaster.Done(slot, c.now)
+		c.logSlowTransaction(sent, rowCount(&transaction))
 		for _, j := range sent.jobs {
 			j.inFlight = false
 		}
@@ -296,6 +288,7 @@
 		if err != nil {
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
 			// What the row says is not known, so the job must not begin anew.
+			c.noteUnreadable(id, accepted[id])
 			delete(accepted, id)
 			c.unreadable[id] = true
 			continue
@@ -307,6 +300,7 @@
 		j.progress, j.visibleState = p, visibleStateOf(p)
 		if j.definition == nil && !p.State.Final() {
 			c.Log.Error("job definition missing", "job", id)
+			c.noteMissingDefinition(id, p)
 			continue
 		}
 		accepted[id] = j
@@ -324,6 +318,7 @@
 		}
 	}
 	c.recovered = true
+	c.restoreShares()
 	for _, j := range c.jobs {
 		c.restorePlacements(j)
 		c.updateSteps(j)
@@ -341,6 +336,7 @@
 // restorePlacements creates placements for the runs that a job's record assigns to workers.
 func (c *Scheduler) restorePlacements(j *job) {
 	if j.definition == nil {
+		c.noteMissingDefinition(j.id, j.progress)
 		return
 	}
 	j.progress.ForEachTask(j.id, func(key steptracker.TaskKey, task *steptracker.Task) {
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -2,22 +2,26 @@
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/quotakeeper"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
 
 // Metrics holds the metrics of schedulers. The set of metric names is bounded: it depends only on
-// final states, end reasons and refusal reasons.
+// final states, end reasons, refusal reasons and the teams of the configuration.
 type Metrics struct {
 	root *expvar.Map
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// teams is what the teams of the configuration have in use, by cell.
+	teams      map[string]map[string]quotakeeper.Use
 	histograms map[string]*hdrhistogram.Histogram
 }
 
@@ -77,8 +81,21 @@
 	m.record("acceptance", took)
 }
 
-// JobRefused counts a refused job.
-func (m *Metrics) JobRefused(string) { m.root.Add("refused", 1) }
+// JobRefused counts a refused job by cause.
+func (m *Metrics) JobRefused(reason string) {
+	m.root.Add("refused", 1)
+	switch reason {
+	case reasonStoreSlow:
+		m.root.Add("refused-store-slow", 1)
+	case reasonStoreSilent:
+		m.root.Add("refused-store-silent", 1)
+	}
+}
+
+// WriteForecast records by how much an acceptance was written later or sooner than forecast.
+func (m *Metrics) WriteForecast(late time.Duration) {
+	m.record("write-forecast-error", late.Abs())
+}
 
 // JobFinished counts a job that became final and records its age.
 func (m *Metrics) JobFinished(_ string, state steptracker.State, took time.Duration) {
@@ -98,6 +115,25 @@
 // TaskGivenUp counts a task that is not started again because it crashes its workers.
 func (m *Metrics) TaskGivenUp() { m.root.Add("tasks-given-up", 1) }
 
+// PairChanged counts a pair of kinds that slow each other down as known or no longer known.
+func (m *Metrics) PairChanged(found bool) {
+	if found {
+		m.root.Add("interference-pairs", 1)
+		return
+	}
+	m.root.Add("interference-pairs", -1)
+}
+
+// TasksParted counts the tasks that were kept apart from neighbours with which there is interference, and those
+// that were placed beside one for lack of other room.
+func (m *Metrics) TasksParted(avoided, beside int) {
+	m.root.Add("interference-avoided", int64(avoided))
+	m.root.Add("interference-unavoided", int64(beside))
+}
+
+// RunSlowed counts a run that known neighbours have slowed down.
+func (m *Metrics) RunSlowed() { m.root.Add("interference-slowed-runs", 1) }
+
 // TransactionCommitted counts a transaction and its rows and records its duration.
 func (m *Metrics) TransactionCommitted(took time.Duration, rows int) {
 	m.root.Add("transactions", 1)
@@ -126,3 +162,41 @@
 	}
 	m.record("advice", took)
 }
+
+// RefusedByQuota counts a job that was refused because its team's quota never allows it.
+func (m *Metrics) RefusedByQuota() { m.root.Add("refused-by-quota", 1) }
+
+// HeldByQuota counts a step that has begun to wait for its team's quota.
+func (m *Metrics) HeldByQuota() { m.root.Add("held-by-quota", 1) }
+
+// ReleasedByQuota records how long a step has waited for its team's quota.
+func (m *Metrics) ReleasedByQuota(held time.Duration) { m.record("quota-wait", held) }
+
+// setTeams publishes what the teams of the configuration have in use in a cell. The variable exists only
+// where the configuration has teams.
+func (m *Metrics) setTeams(cell string, uses map[string]quotakeeper.Use) {
+	m.mu.Lock()
+	first := m.teams == nil
+	if first {
+		m.teams = make(map[string]map[string]quotakeeper.Use)
+	}
+	m.teams[cell] = uses
+	m.mu.Unlock()
+	if first {
+		m.root.Set("teams", expvar.Func(func() any { return m.Teams() }))
+	}
+}
+
+// forgetTeams removes a cell that another instance owns now.
+func (m *Metrics) forgetTeams(cell string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.teams, cell)
+}
+
+// Teams returns what each team of the configuration has in use, and its quota, by cell.
+func (m *Metrics) Teams() map[string]map[string]quotakeeper.Use {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.teams)
+}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -8,6 +8,7 @@
 	"dotterelpost.example/dotterelpost/internal/candidateselector"
 	"dotterelpost.example/dotterelpost/internal/cellplacer"
 	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/prioritizer"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -37,8 +38,13 @@
 	reserved, reservedInRound map[string]int
 	// unusedAdvice counts the consecutive token renewals whose tokens were not used.
 	unusedAdvice int
+	// renewing is set while tokens are renewed for runs that wait for their start order.
+	renewing bool
 	// failedOn are the workers on which a task of the step failed.
 	failedOn map[string]bool
+	hold     quotaHold
+	// comparison holds the runs that are compared to detect interference.
+	comparison interferencedetector.Step
 }
 
 func (s *step) isApproved(worker string) bool {
@@ -118,7 +124,7 @@
 	if !c.roundNeeded || c.shuttingDown || c.now.Before(c.nextRoundAt) {
 		return
 	}
-	if c.storeRefusal() != nil {
+	if c.storeSilent() {
 		// Tasks placed now could not be started before the store answers.
 		return
 	}
@@ -129,12 +135,14 @@
 	}
 	c.collectCandidates()
 	ranked := c.rankedSteps()
+	c.beginQuotaRound(ranked)
 	c.visitor.visit(len(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
 		s := ranked[index]
 		c.returnReservation(s)
-		if s.def.Reservation().Processors <= c.maxFreeProcessors {
+		if c.hasQuotaRoom(s) && s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
 		}
+		c.reserveQuotaForAdvice(s)
 		c.applyReservation(s)
 	})
 	c.candidates = c.candidates[:0]
@@ -169,25 +177,41 @@
 
 // rankedSteps returns the pending steps, highest rank first.
 func (c *Scheduler) rankedSteps() []*step {
-	type entry struct {
-		step *step
-		rank prioritizer.Rank
+	entries := c.rankPendingSteps()
+	if c.updateSharesYield(entries) {
+		sortByRank(entries)
 	}
-	entries := make([]entry, 0, len(c.pendingSteps))
+	steps := make([]*step, len(entries))
+	for i := range entries {
+		steps[i] = entries[i].step
+	}
+	return steps
+}
+
+// rankedStep is a pending step and its rank.
+type rankedStep struct {
+	step *step
+	rank prioritizer.Rank
+}
+
+// rankPendingSteps returns the pending steps and their ranks, highest rank first, whatever the shares of
+// teams are.
+func (c *Scheduler) rankPendingSteps() []rankedStep {
+	entries := make([]rankedStep, 0, len(c.pendingSteps))
 	for _, s := range c.pendingSteps {
-		entries = append(entries, entry{s, c.rank(s)})
+		entries = append(entries, rankedStep{s, c.rank(s)})
 	}
+	sortByRank(entries)
+	return entries
+}
+
+func sortByRank(entries []rankedStep) {
 	sort.Slice(entries, func(i, j int) bool {
 		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
 			return order < 0
 		}
-		return entries[i].step.key.Job < entries[j].step.key.Job
+		return entries[i].step.key.Compare(entries[j].step.key) < 0
 	})
-	steps := make([]*step, len(entries))
-	for i := range entries {
-		steps[i] = entries[i].step
-	}
-	return steps
 }
 
 // rank returns the rank of a pending step.
@@ -255,6 +279,7 @@
 // have room for one of its tasks. The result is valid until the next call.
 func (c *Scheduler) eligibleCandidates(s *step, indexes []int) []cellplacer.Candidate {
 	needs, short := s.def.Reservation(), c.isShortTask(s)
+	interfering := c.interferingKinds(s)
 	c.eligible = c.eligible[:0]
 	for _, i := range indexes {
 		candidate := c.candidates[i]
@@ -269,6 +294,7 @@
 		if s.failedOn[candidate.Worker] {
 			candidate.Slowdown += failurePenalty
 		}
+		candidate.Interference = c.workers[candidate.Worker].interferenceWith(interfering)
 		c.eligible = append(c.eligible, candidate)
 	}
 	return c.eligible
@@ -358,10 +384,11 @@
 // assignTasks assigns as many of the tasks with the given indexes as there is room for, or, of a gang,
 // all or none.
 func (c *Scheduler) assignTasks(s *step, candidates []cellplacer.Candidate, tasks []int, isolated bool) {
+	tasks = c.withinQuota(s, tasks)
 	if len(candidates) == 0 || len(tasks) == 0 {
 		return
 	}
-	chosen := cellplacer.Place(candidates, cellplacer.Request{Step: s.def, Tasks: len(tasks), AllOrNothing: s.def.Gang, Isolated: isolated})
+	chosen := c.place(s, candidates, cellplacer.Request{Step: s.def, Tasks: len(tasks), AllOrNothing: s.def.Gang, Isolated: isolated})
 	if len(chosen) == 0 {
 		return
 	}
@@ -387,11 +414,7 @@
 	}
 	c.Log.Info("placed", "job", s.key.Job, "occurrence", s.key.Occurrence, "step", s.key.Step, "tasks", len(placed), "left", len(tasks)-len(placed),
 		"run", placed[0].run, "worker", placed[0].worker.info.Worker, "sites", len(candidates), "isolated", isolated, "waited-ms", c.now.Sub(s.pendingSince).Milliseconds())
-	c.markDirty(s.job, func() {
-		for _, p := range placed {
-			c.sendStart(p)
-		}
-	})
+	c.markDirty(s.job, func() { c.sendStarts(placed) })
 }
 
 // admit returns why a new job cannot be accepted, or nil if it can.
@@ -399,5 +422,11 @@
 	if c.openJobs >= c.settings.MaxOpenJobs {
 		return &RefusedError{Reason: "too many jobs are open", RetryAfter: time.Second}
 	}
-	return c.storeRefusal()
+	if refusal := c.quotaRefusal(definition); refusal != nil {
+		return refusal
+	}
+	if refusal := c.storeRefusal(); refusal != nil {
+		return refusal
+	}
+	return c.shareRefusal(definition)
 }
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/cputhrottler"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
@@ -85,6 +86,9 @@
 	used       modeler.Resources
 	placements map[steptracker.TaskKey]*placement
 	health     workerHealth
+	presence   interferencedetector.Presence
+	// neighboursChangedAt is when a run last came or went, or was throttled.
+	neighboursChangedAt time.Time
 	// throttler limits the CPU share of best-effort tasks beside serving tasks. It is nil if the
 	// worker does not run both.
 	throttler *cputhrottler.Throttler
@@ -370,6 +374,7 @@
 
 // removeWorker removes a worker.
 func (c *Scheduler) removeWorker(w *worker) {
+	c.replaceStrays(w, nil)
 	delete(c.workers, w.info.Worker)
 	c.workerOrder = nil
 }
@@ -400,6 +405,7 @@
 
 // checkWorker handles the expired timeouts of a worker and its runs.
 func (c *Scheduler) checkWorker(w *worker) {
+	c.expireStrays(w)
 	if !w.syncInFlight && (w.listed || len(w.placements) > 0) {
 		c.syncWorker(w)
 	}
@@ -447,6 +453,7 @@
 
 // reconcileRunning compares a worker's listing with its placements.
 func (c *Scheduler) reconcileRunning(w *worker, listing workerdriver.SyncReply, sentAt time.Time) {
+	c.countStrays(w, listing)
 	listed := make(map[steptracker.TaskKey]int, len(listing.Running)+len(listing.Ended))
 	// A run whose end is listed is not lost. Its end is processed with the sync that may
 	// acknowledge it.
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -44,6 +44,7 @@
 
 // lineFields are the fields of a log line that the history uses.
 type lineFields struct {
+	quotaFields
 	Time      time.Time `json:"time"`
 	Message   string    `json:"msg"`
 	Job       string    `json:"job"`
@@ -56,6 +57,16 @@
 	WaitedMS  int64     `json:"waited-ms"`
 	AgeMS     int64     `json:"age-ms"`
 	Fence     int64     `json:"fence"`
+	Cause     string    `json:"cause"`
+	Version   int64     `json:"version"`
+	// BeyondShare and ProcessorsAhead say of an accepted job that it was beyond the share of its team, and how
+	// much work went before it.
+	BeyondShare     bool    `json:"beyond-share"`
+	ProcessorsAhead float64 `json:"processors-ahead"`
+	// ForecastMS is after which time a refused job would have been written, RetryAfterMS when its caller was
+	// told to return.
+	ForecastMS   int64 `json:"forecast-ms"`
+	RetryAfterMS int64 `json:"retry-after-ms"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -139,9 +150,11 @@
 // refusal, or else the last log line about it. ownerChanged reports whether log lines about cells,
 // which record changes of owner, lie between the lines about the request.
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
-	var final, refused, accepted *line
+	var final, refused, denied, accepted *line
 	var maxWaitMS int64
+	slowedRuns := 0
 	failedRuns := make([]string, 0)
+	quota := newQuotaWait()
 	for i := range requestLines {
 		entry := &requestLines[i]
 		switch entry.Message {
@@ -149,10 +162,16 @@
 			final = entry
 		case "refused", "malformed":
 			refused = entry
+		case "denied":
+			denied = entry
 		case "accepted":
 			accepted = entry
+		case heldMessage, releasedMessage:
+			quota.add(entry)
 		case "placed":
 			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
+		case "run slowed by neighbours":
+			slowedRuns++
 		case "ended":
 			if entry.EndReason != "done" && entry.EndReason != "stopped" {
 				failedRuns = append(failedRuns, fmt.Sprintf("%s on %s: %s", entry.Task, entry.Worker, entry.EndReason))
@@ -167,6 +186,12 @@
 		}
 	case accepted == nil && refused != nil:
 		h.Summary = "refused: " + refused.Reason
+		if refused.ForecastMS > 0 {
+			h.Summary += fmt.Sprintf("; it would have been written after %.1f s, later than its caller waited, and was asked to return after %.1f s",
+				float64(refused.ForecastMS)/1000, float64(refused.RetryAfterMS)/1000)
+		}
+	case accepted == nil && denied != nil:
+		h.Summary = denied.denial()
 	default:
 		h.Summary = "no final state in these logs; the last line is " + requestLines[len(requestLines)-1].Message
 		h.Missing = append(h.Missing, "the final state")
@@ -177,6 +202,13 @@
 	if maxWaitMS >= minReportedWait.Milliseconds() {
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
+	h.Summary += quota.summary(requestLines[len(requestLines)-1].Time)
+	if slowedRuns > 0 {
+		h.Summary += fmt.Sprintf("; %d runs were slowed down by neighbours", slowedRuns)
+	}
+	if accepted != nil && accepted.BeyondShare {
+		h.Summary += fmt.Sprintf("; it was beyond the share of team %s, and work for %g processors went before it", accepted.Team, accepted.ProcessorsAhead)
+	}
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
@@ -185,6 +217,23 @@
 	}
 }
 
+// denialReasons explains the causes of denied calls.
+var denialReasons = map[string]string{
+	"no-key":            "the queue needs a key and the call carried none",
+	"unknown-key":       "the configuration knows no such key, or no longer",
+	"other-team":        "the job belongs to another team",
+	"configuration-age": "the instance could not tell for too long whether its configuration was the newest one",
+}
+
+// denial describes a denied call.
+func (l *line) denial() string {
+	reason, known := denialReasons[l.Cause]
+	if !known {
+		reason = l.Cause
+	}
+	return fmt.Sprintf("denied by version %d of the configuration: %s", l.Version, reason)
+}
+
 // minReportedWait is the shortest wait for placement that the summary mentions.
 const minReportedWait = 500 * time.Millisecond
 
--- a/internal/prioritizer/prioritizer_test.go
+++ b/internal/prioritizer/prioritizer_test.go
@@ -1,6 +1,7 @@
 package prioritizer_test
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -32,6 +33,44 @@
 	}
 }
 
+// TestOrderOfWorkWithinShares: without work beyond shares, the order is by tier, priority and deadline.
+func TestOrderOfWorkWithinShares(t *testing.T) {
+	var ranks []prioritizer.Rank
+	for tier := prioritizer.TierLongRunning; tier <= prioritizer.TierExpired; tier++ {
+		for i := range 9 {
+			ranks = append(ranks, prioritizer.Rank{Tier: tier, Priority: i / 3, Deadline: now.Add(time.Duration(i%3) * time.Second)})
+		}
+	}
+	for i, a := range ranks {
+		for j, b := range ranks {
+			if got := a.Compare(b); got != cmp.Compare(i, j) {
+				t.Errorf("%+v compared with %+v is %d, want %d", a, b, got, cmp.Compare(i, j))
+			}
+		}
+	}
+}
+
+// TestOrderOfWorkBeyondShares: work beyond shares comes after all work within shares that is not expired.
+func TestOrderOfWorkBeyondShares(t *testing.T) {
+	ranks := []prioritizer.Rank{
+		{Tier: prioritizer.TierLongRunning, Priority: 2, BeyondShare: true},
+		{Tier: prioritizer.TierOnTime},
+		{Tier: prioritizer.TierLate, Priority: 2},
+		{Tier: prioritizer.TierOnTime, BeyondShare: true},
+		{Tier: prioritizer.TierOnTime, Priority: 1, BeyondShare: true},
+		{Tier: prioritizer.TierLate, BeyondShare: true},
+		{Tier: prioritizer.TierExpired, Priority: 2},
+		{Tier: prioritizer.TierExpired, BeyondShare: true},
+	}
+	for i, a := range ranks {
+		for j, b := range ranks {
+			if got := a.Compare(b); got != cmp.Compare(i, j) {
+				t.Errorf("%+v compared with %+v is %d, want %d", a, b, got, cmp.Compare(i, j))
+			}
+		}
+	}
+}
+
 // simulateBurst runs one job per tick, in the order given by less, while jobs arrive faster: quickPerTick
 // quick ones in each tick and another one in every second tick. The result of a job is seen after the
 // overhead. simulateBurst returns how many jobs meet their objective.
--- a/internal/tablewatcher/tablewatcher.go
+++ b/internal/tablewatcher/tablewatcher.go
@@ -42,6 +42,16 @@
 	// Apply is called with all rows when snapshot is set, and otherwise with the rows that changed.
 	// All calls are made by one goroutine.
 	Apply func(rows []connector.Row, snapshot bool)
+	// Confirmed is called after Apply, or instead of it if nothing has changed, with the uptime at which
+	// the call was sent whose answer shows that the reader is up to date. An answer that is older than an
+	// earlier one does not show that. It may be nil; if it is not, Uptime must be set.
+	Confirmed func(sentAt time.Duration)
+	Uptime    UptimeReader
+}
+
+// UptimeReader reads the time since the machine started, including the time for which it was suspended.
+type UptimeReader interface {
+	Uptime() time.Duration
 }
 
 // The delay after a failed call grows exponentially from initialBackoff to maxBackoff.
@@ -55,11 +65,12 @@
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval, retryBackoff.MaxInterval = initialBackoff, maxBackoff
 	failing := false
-	var after int64
+	var after, newest int64
 	var snapshotAt time.Time
 	for ctx.Err() == nil {
 		var changes connector.Changes
 		var err error
+		sentAt := o.uptime()
 		snapshotDue := snapshotAt.IsZero() || o.Clock.Since(snapshotAt) > o.ResyncInterval
 		if snapshotDue {
 			changes, err = o.Store.Snapshot(ctx, o.Table, o.Part)
@@ -95,7 +106,18 @@
 		if snapshotDue || len(changes.Rows) > 0 {
 			o.Apply(changes.Rows, snapshotDue)
 		}
+		if o.Confirmed != nil && changes.Version >= newest {
+			o.Confirmed(sentAt)
+		}
+		newest = max(newest, changes.Version)
+	}
+}
+
+func (o *Options) uptime() time.Duration {
+	if o.Uptime == nil {
+		return 0
 	}
+	return o.Uptime.Uptime()
 }
 
 func (o *Options) sleep(ctx context.Context, duration time.Duration) {
