--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"os"
 
+	"github.com/go-faster/errors"
+
 	"dotterelpost.example/dotterelpost/internal/configchecker"
 	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/validator"
@@ -24,42 +26,48 @@
 	Args    fileArgument `positional-args:"yes"`
 }
 
-// configReport is the JSON output of a check of a configuration. Changes is nil if the configuration
-// was not compared with another one.
+// configReport is the JSON output of a check of a configuration. InForce is 0 and Changes is nil if the
+// configuration was not compared with another one.
 type configReport struct {
 	File     string                  `json:"file"`
 	Version  int64                   `json:"version"`
 	InForce  int64                   `json:"in-force,omitempty"`
 	Findings []configchecker.Finding `json:"findings"`
-	Changes  []string                `json:"changes,omitempty"`
+	Changes  []string                `json:"changes"`
 }
 
 func (c *configCheckCommand) run(s *session) error {
 	if c.Against != "" && c.Store != "" {
 		return &InputError{Reason: "--against and --store exclude each other", Remedy: "give one of them"}
 	}
-	next, err := readConfiguration(c.Args.File)
+	next, unknown, err := readConfiguration(c.Args.File)
 	if err != nil {
 		return err
 	}
-	report := configReport{File: c.Args.File, Version: next.Version, Findings: configchecker.Check(next)}
-	inForce, workers, err := c.inForce(s)
-	if err != nil {
-		return err
+	report := configReport{File: c.Args.File, Version: next.Version, Findings: []configchecker.Finding{}}
+	for _, path := range unknown {
+		report.Findings = append(report.Findings, configchecker.Finding{
+			Severity: configchecker.Warning, Fault: validator.Fault{Path: path, Problem: "the field is not known and has no effect", Remedy: "check its spelling"},
+		})
 	}
+	report.Findings = append(report.Findings, configchecker.Check(next)...)
+	inForce, workers, compareErr := c.inForce(s)
 	if workers != nil {
 		report.Findings = append(report.Findings, configchecker.CheckWorkers(next, workers)...)
 	}
 	if inForce != nil {
 		report.InForce = inForce.Version
 		report.Findings = append(report.Findings, configchecker.CheckSuccessor(inForce, next)...)
-		report.Changes = configchecker.Compare(inForce, next)
+		report.Changes = append([]string{}, configchecker.Compare(inForce, next)...)
 	}
 	for i := range report.Findings {
 		report.Findings[i].File = c.Args.File
 		report.Findings[i].Path = platform.ConfigurationPath(report.Findings[i].Path)
 	}
-	return c.write(s, &report)
+	if err := c.write(s, &report); err != nil {
+		return err
+	}
+	return compareErr
 }
 
 // write writes the report. Its error lists the errors among the findings.
@@ -71,10 +79,9 @@
 	}
 	var faults validator.Faults
 	for _, finding := range report.Findings {
-		switch {
-		case finding.Severity == configchecker.Error:
+		if finding.Severity == configchecker.Error {
 			faults = append(faults, finding.Fault)
-		case !c.JSON:
+		} else if !c.JSON {
 			fmt.Fprintf(s.out, "%s: %s\n", finding.Severity, finding.Fault)
 		}
 	}
@@ -82,9 +89,7 @@
 		for _, change := range report.Changes {
 			fmt.Fprintf(s.out, "change: %s\n", change)
 		}
-		if len(faults) == 0 {
-			fmt.Fprintf(s.out, "%s: no errors, %d warnings\n", report.File, len(report.Findings))
-		}
+		fmt.Fprintf(s.out, "%s: %d errors, %d warnings\n", report.File, len(faults), len(report.Findings)-len(faults))
 	}
 	if len(faults) > 0 {
 		return faults
@@ -96,7 +101,7 @@
 // are listed, or nil without --store.
 func (c *configCheckCommand) inForce(s *session) (*configprovider.Configuration, []workerdriver.Worker, error) {
 	if c.Against != "" {
-		configuration, err := readConfiguration(c.Against)
+		configuration, _, err := readConfiguration(c.Against)
 		return configuration, nil, err
 	}
 	if c.Store == "" {
@@ -134,14 +139,19 @@
 	return configuration, workers, nil
 }
 
-func readConfiguration(file string) (*configprovider.Configuration, error) {
+// readConfiguration reads a configuration file. It also returns the paths of its unknown fields.
+func readConfiguration(file string) (*configprovider.Configuration, []string, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return nil, &InputError{Reason: err.Error(), Remedy: "give a readable configuration file"}
+		return nil, nil, &InputError{Reason: err.Error(), Remedy: "give a readable configuration file"}
 	}
 	configuration, err := platform.DecodeConfiguration(text)
 	if err != nil {
-		return nil, validator.Faults{{File: file, Path: "$", Problem: err.Error(), Remedy: "write one JSON object in the format of the configuration in force"}}
+		var invalid *platform.InvalidReplyError
+		if errors.As(err, &invalid) {
+			err = invalid.Err
+		}
+		return nil, nil, validator.Faults{{File: file, Path: "$", Problem: err.Error(), Remedy: "write one JSON object in the format of the configuration in force"}}
 	}
-	return configuration, nil
+	return configuration, platform.UnknownConfigurationFields(text), nil
 }
