--- a/internal/cellmanager/access.go
+++ b/internal/cellmanager/access.go
@@ -57,7 +57,7 @@
 	rowUnchanged rowOutcome = iota
 	// rowCurrent means that the row holds the active configuration or a newer one, which is active now.
 	rowCurrent
-	// rowOutdated means that the answer was overtaken by one that told of a newer version.
+	// rowOutdated means that an answer with a newer version of the row was processed earlier.
 	rowOutdated
 	// rowUnreadable means that there is no row, or one that can't be decoded.
 	rowUnreadable
@@ -245,7 +245,7 @@
 		return
 	}
 	if m.store.Unavailable() && len(m.peersWithStore()) == 0 {
-		// The store answers nobody. Its first answer to a probe ends this.
+		// The store answers no instance. Its first answer to a probe ends the outage.
 		return
 	}
 	if !m.keys.renewing.CompareAndSwap(false, true) {
--- a/internal/cellscheduler/admission.go
+++ b/internal/cellscheduler/admission.go
@@ -19,7 +19,7 @@
 	maxSilence    = 1500 * time.Millisecond
 	// replyMargin is the part of a caller's time that its answer needs on the way back.
 	replyMargin = 150 * time.Millisecond
-	// maxUpdateDelay is how long a write that nobody waits for may be put behind others.
+	// maxUpdateDelay is how long a write may be deferred for which no caller waits.
 	maxUpdateDelay = 4 * time.Second
 )
 
--- a/internal/cellscheduler/interference.go
+++ b/internal/cellscheduler/interference.go
@@ -118,7 +118,7 @@
 	return shares
 }
 
-// logPairs logs the pairs that were found or forgotten.
+// logPairs logs the pairs that have become known and those that are not known any more.
 func (c *Scheduler) logPairs(changes []interferencedetector.Change) {
 	for i := range changes {
 		change := &changes[i]
