--- a/internal/interferencedetector/comparison.go
+++ b/internal/interferencedetector/comparison.go
@@ -23,8 +23,8 @@
 	total          float64
 }
 
-// RunEnded learns from a run of a step and returns the pairs that have become known and those that are not known any more. last is set if no
-// other task of the step is to end. The result is valid until the next call.
+// RunEnded learns from a run of a step and returns the pairs that have become known and those that are not known any
+// more. last is set if no other task of the step is to end. The result is valid until the next call.
 func (d *Detector) RunEnded(step *Step, run Run, last bool) []Change {
 	d.changes = d.changes[:0]
 	if run.Ratio > 0 {
