--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -44,18 +44,25 @@
 
 // lineFields are the fields of a log line that the history uses.
 type lineFields struct {
-	Time      time.Time `json:"time"`
-	Message   string    `json:"msg"`
-	Job       string    `json:"job"`
-	Task      string    `json:"task"`
-	State     string    `json:"state"`
-	Reason    string    `json:"reason"`
-	EndReason string    `json:"how"`
-	Worker    string    `json:"worker"`
-	Queue     string    `json:"queue"`
-	WaitedMS  int64     `json:"waited-ms"`
-	AgeMS     int64     `json:"age-ms"`
-	Fence     int64     `json:"fence"`
+	Time       time.Time `json:"time"`
+	Message    string    `json:"msg"`
+	Job        string    `json:"job"`
+	Task       string    `json:"task"`
+	State      string    `json:"state"`
+	Reason     string    `json:"reason"`
+	EndReason  string    `json:"how"`
+	Worker     string    `json:"worker"`
+	Queue      string    `json:"queue"`
+	WaitedMS   int64     `json:"waited-ms"`
+	AgeMS      int64     `json:"age-ms"`
+	Fence      int64     `json:"fence"`
+	Occurrence int       `json:"occurrence"`
+	Step       int       `json:"step"`
+	Team       string    `json:"team"`
+	Limit      string    `json:"limit"`
+	HeldMS     int64     `json:"held-ms"`
+	Cause      string    `json:"cause"`
+	Version    int64     `json:"version"`
 }
 
 // UnknownRequestError reports that no log line is about the request.
@@ -139,7 +146,8 @@
 // refusal, or else the last log line about it. ownerChanged reports whether log lines about cells,
 // which record changes of owner, lie between the lines about the request.
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
-	var final, refused, accepted *line
+	var final, refused, denied, accepted *line
+	quota := newQuotaWait()
 	var maxWaitMS int64
 	failedRuns := make([]string, 0)
 	for i := range requestLines {
@@ -149,8 +157,12 @@
 			final = entry
 		case "refused", "malformed":
 			refused = entry
+		case "denied":
+			denied = entry
 		case "accepted":
 			accepted = entry
+		case heldMessage, releasedMessage:
+			quota.add(entry)
 		case "placed":
 			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
 		case "ended":
@@ -167,6 +179,8 @@
 		}
 	case accepted == nil && refused != nil:
 		h.Summary = "refused: " + refused.Reason
+	case accepted == nil && denied != nil:
+		h.Summary = denied.denial()
 	default:
 		h.Summary = "no final state in these logs; the last line is " + requestLines[len(requestLines)-1].Message
 		h.Missing = append(h.Missing, "the final state")
@@ -177,6 +191,7 @@
 	if maxWaitMS >= minReportedWait.Milliseconds() {
 		h.Summary += fmt.Sprintf("; a step waited %.1f s for advice and free capacity", float64(maxWaitMS)/1000)
 	}
+	h.Summary += quota.summary(requestLines[len(requestLines)-1].Time)
 	if ownerChanged {
 		h.Summary += "; the owner of the cell changed in the meantime"
 	}
@@ -185,6 +200,23 @@
 	}
 }
 
+// denialReasons explains the causes of denied calls.
+var denialReasons = map[string]string{
+	"no-key":            "the queue needs a key and the call carried none",
+	"unknown-key":       "the configuration knows no such key, or no longer",
+	"other-team":        "the job belongs to another team",
+	"configuration-age": "the instance could not tell for too long whether its configuration was the newest one",
+}
+
+// denial describes a denied call.
+func (l *line) denial() string {
+	reason, known := denialReasons[l.Cause]
+	if !known {
+		reason = l.Cause
+	}
+	return fmt.Sprintf("denied by version %d of the configuration: %s", l.Version, reason)
+}
+
 // minReportedWait is the shortest wait for placement that the summary mentions.
 const minReportedWait = 500 * time.Millisecond
 
