--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -137,6 +137,7 @@
 		Configuration:      m.configuration,
 		OwnershipConfirmed: m.mayGrantLeases,
 		StoreRestored:      m.store.Restored,
+		StoreSilence:       m.store.SinceAnswer,
 		OnOwnershipLost:    func() { m.handleOwnershipLost(c, claim.FencingToken) },
 		Metrics:            m.Metrics,
 		Access:             cellscheduler.Access{KeysProven: m.keysProven, Denials: m.keys.denials},
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -15,9 +15,11 @@
 	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
+	"dotterelpost.example/dotterelpost/internal/writeforecaster"
 )
 
 // WorkerClient sends orders to workers. Its errors are *workerdriver.RefusedError or
@@ -90,6 +92,9 @@
 	// StoreRestored returns a channel that is closed when the store answers again after an outage.
 	// It may be nil.
 	StoreRestored func() <-chan struct{}
+	// StoreSilence returns how long the store has answered no call of this instance, of any kind. It may be
+	// nil.
+	StoreSilence func() time.Duration
 	// OnOwnershipLost is called once when another instance has become the owner of the cell.
 	OnOwnershipLost func()
 	// Metrics are shared by all schedulers of a process.
@@ -123,6 +128,8 @@
 	RetryAfter time.Duration
 	// Unavailable is set if the reason is a store outage and not load.
 	Unavailable bool
+	// Forecast is after which time the job would have been written, 0 if that is not the reason.
+	Forecast time.Duration
 }
 
 func (e *RefusedError) Error() string {
@@ -179,6 +186,7 @@
 	startLatency time.Duration
 	// durationRatios holds the duration ratio of each queue by name.
 	durationRatios map[string]*durationRatio
+	interference   interference
 	// queues holds the last known settings of each queue by name.
 	queues map[string]*configprovider.Queue
 	quotas quotas
@@ -188,6 +196,7 @@
 	nextRoundAt time.Time
 	nextSweepAt time.Time
 	visitor     visitor
+	shares      shareState
 	random      *rand.Rand
 	// candidates are the usable workers of the current round, eligible those that one step may
 	// use.
@@ -227,7 +236,9 @@
 	c.random = rand.New(rand.NewPCG(uint64(claim.FencingToken), uint64(c.claimedAt.UnixNano())))
 	c.advisor.init()
 	c.quotas.init()
+	c.interference.detector = interferencedetector.New()
 	c.journal.limiter, c.journal.batches = inflightlimiter.New(len(c.Committers)), make([]*batch, len(c.Committers))
+	c.journal.forecaster = writeforecaster.New(len(c.Committers), maxTransactionRows)
 	c.group.Go(c.recover)
 	go c.loop()
 	return c, c.stop
@@ -259,6 +270,7 @@
 func (c *Scheduler) loop() {
 	defer close(c.done)
 	defer c.Metrics.forgetTeams(c.claim.Cell)
+	defer c.forgetInterference()
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	restored := c.storeRestored()
@@ -270,6 +282,7 @@
 			c.now = c.Clock.Now()
 			restored = c.storeRestored()
 			c.journal.limiter.Restored(c.now)
+			c.journal.forecaster.Restored(c.now)
 			c.roundNeeded = true
 		case message := <-c.mailbox:
 			c.now = c.Clock.Now()
@@ -320,6 +333,8 @@
 		c.openDueOccurrences()
 		c.publishQuotas()
 		c.pruneFinalJobs()
+		c.expireInterference()
+		c.sweepShares()
 	}
 }
 
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -81,8 +81,21 @@
 	m.record("acceptance", took)
 }
 
-// JobRefused counts a refused job.
-func (m *Metrics) JobRefused(string) { m.root.Add("refused", 1) }
+// JobRefused counts a refused job by cause.
+func (m *Metrics) JobRefused(reason string) {
+	m.root.Add("refused", 1)
+	switch reason {
+	case reasonStoreSlow:
+		m.root.Add("refused-store-slow", 1)
+	case reasonStoreSilent:
+		m.root.Add("refused-store-silent", 1)
+	}
+}
+
+// WriteForecast records by how much an acceptance was written later or sooner than forecast.
+func (m *Metrics) WriteForecast(late time.Duration) {
+	m.record("write-forecast-error", late.Abs())
+}
 
 // JobFinished counts a job that became final and records its age.
 func (m *Metrics) JobFinished(_ string, state steptracker.State, took time.Duration) {
@@ -102,6 +115,25 @@
 // TaskGivenUp counts a task that is not started again because it crashes its workers.
 func (m *Metrics) TaskGivenUp() { m.root.Add("tasks-given-up", 1) }
 
+// PairChanged counts a pair of kinds that slow each other down as known or no longer known.
+func (m *Metrics) PairChanged(found bool) {
+	if found {
+		m.root.Add("interference-pairs", 1)
+		return
+	}
+	m.root.Add("interference-pairs", -1)
+}
+
+// TasksParted counts the tasks that were kept apart from neighbours with which there is interference, and those
+// that were placed beside one for lack of other room.
+func (m *Metrics) TasksParted(avoided, beside int) {
+	m.root.Add("interference-avoided", int64(avoided))
+	m.root.Add("interference-unavoided", int64(beside))
+}
+
+// RunSlowed counts a run that known neighbours have slowed down.
+func (m *Metrics) RunSlowed() { m.root.Add("interference-slowed-runs", 1) }
+
 // TransactionCommitted counts a transaction and its rows and records its duration.
 func (m *Metrics) TransactionCommitted(took time.Duration, rows int) {
 	m.root.Add("transactions", 1)
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -51,6 +52,10 @@
 	// isolated is set while no run of another job may start on the worker. startDeferred is set while
 	// the start order waits until the worker has outlived the starts of the runs beside it.
 	isolated, startDeferred bool
+	// assignedAt is when the assignment was written. awaitsToken is set while the start order waits for a new
+	// placement token.
+	assignedAt  time.Time
+	awaitsToken bool
 	// survivalRequested is set once a listing has been requested to learn whether the worker has outlived
 	// the start of the isolated run.
 	survivalRequested bool
@@ -59,6 +64,10 @@
 	metric, cpuPercent int
 	// team is the team to whose quota the run is charged, empty if there is none.
 	team string
+	// presenceMark is the reading of the worker's presence when the run was assigned. lookedAt is when the
+	// metric was last recorded.
+	presenceMark interferencedetector.Mark
+	lookedAt     time.Time
 }
 
 // addPlacement reserves resources for a run on the worker that its record names. If that worker
@@ -76,6 +85,7 @@
 	}
 	p.worker = w
 	w.placements[key] = p
+	c.beginPresence(p)
 	w.used = w.used.Plus(p.step.Reservation())
 	c.reserveCandidate(w, p.step)
 	c.chargeQuota(p)
@@ -103,6 +113,7 @@
 	delete(p.worker.placements, p.key)
 	c.endIsolation(p)
 	c.releaseQuota(p)
+	c.endPresence(p)
 	p.worker.used = p.worker.used.Minus(p.step.Reservation())
 	c.roundNeeded = true
 }
@@ -190,6 +201,7 @@
 		}
 	}
 	p.metric = running.Metric
+	c.recordServingLook(p)
 	if running.Checkpoint != "" && running.Checkpoint != "0" && !p.job.progress.State.Final() {
 		c.recordCheckpoint(p, running.Checkpoint)
 	}
@@ -219,6 +231,11 @@
 	}
 	w := p.worker
 	token, valid := c.placementToken(p.key.StepKey, w)
+	// A member of a gang waits for the tokens of the others.
+	valid = valid && (!p.step.Gang || c.hasGangTokens(p))
+	if !valid && c.renewForStart(p) {
+		return
+	}
 	if w.clockAt.IsZero() || !w.synced || !valid {
 		c.endRun(p, steptracker.NeverStarted, "")
 		return
@@ -423,6 +440,8 @@
 		c.requestListing(p.worker)
 	case p.startDeferred:
 		c.sendStart(p)
+	case p.awaitsToken:
+		c.resumeStart(p)
 	case p.isolated:
 		c.checkIsolatedRun(p)
 	}
