Shares: a new owner does not take workers that it has not heard for full

Change: workers that have not listed their runs to this owner count as neither. The tests' set-up of a further team stands once. Ruled out: no forecast until all workers are known: one that never answers would end it for good.

--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -212,11 +212,12 @@
 	c.shares.forecast = made
 }
 
-// pool returns what all workers have together.
+// pool returns what all workers have together that have listed their runs to this owner. What the others run is
+// not known, so they count neither as room nor as capacity that is in use.
 func (c *Scheduler) pool() sharekeeper.Pool {
 	var pool sharekeeper.Pool
 	for _, w := range c.workers {
-		if !w.listed || w.info.Draining {
+		if !w.listed || w.info.Draining || !w.synced {
 			continue
 		}
 		pool.Capacity += w.info.Capacity.Processors
--- a/internal/cellscheduler/shares_test.go
+++ b/internal/cellscheduler/shares_test.go
@@ -26,6 +26,15 @@
 	env.configuration.Apply(&configuration)
 }
 
+// withTeam adds a further team to those of withTeams.
+func withTeam(env *testEnv, team configprovider.Team) {
+	withTeams(env)
+	configuration := *env.configuration.Current()
+	configuration.Version++
+	configuration.Teams = append(slices.Clone(configuration.Teams), team)
+	env.configuration.Apply(&configuration)
+}
+
 func teamJob(team, id, queue string, steps ...steptracker.Step) *steptracker.Job {
 	j := job(id, queue, steps...)
 	j.Team = team
@@ -104,11 +113,7 @@
 func TestWorkHeldByQuotaIsNotAhead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 2)
-		withTeams(env)
-		configuration := *env.configuration.Current()
-		configuration.Version++
-		configuration.Teams = append(slices.Clone(configuration.Teams), configprovider.Team{Name: "held", Weight: 100, Quota: modeler.Resources{Processors: 4000}})
-		env.configuration.Apply(&configuration)
+		withTeam(env, configprovider.Team{Name: "held", Weight: 100, Quota: modeler.Resources{Processors: 4000}})
 		c, stop := env.startScheduler(1)
 		defer stop()
 		sleep(100 * time.Millisecond)
@@ -122,16 +127,32 @@
 	})
 }
 
+// TestNobodyIsRefusedBeforeWorkersAreKnown: a new owner doesn't know yet what is free on the workers, and must not
+// take them to be full.
+func TestNobodyIsRefusedBeforeWorkersAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 2)
+		withTeam(env, configprovider.Team{Name: "large", Weight: 1000})
+		first, stopFirst := env.startScheduler(1)
+		sleep(100 * time.Millisecond)
+		submitBurst(t, first, "large", "plain", 60)
+		stopFirst()
+		env.setFaults(func(worker *fakeWorker) { worker.unreachable = true })
+		second, stop := env.startScheduler(2)
+		defer stop()
+		sleep(200 * time.Millisecond)
+		if refusals := submitBurst(t, second, "none", "plain", 1); len(refusals) > 0 {
+			t.Errorf("refused by an owner that knows no worker: %v", refusals[0])
+		}
+	})
+}
+
 // TestBestEffortWorkIsNotRefused: best-effort tasks need no processors, so they don't wait for any. The task needs
 // the memory of a whole worker, so it starts beside no other.
 func TestBestEffortWorkIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 1)
-		withTeams(env)
-		configuration := *env.configuration.Current()
-		configuration.Version++
-		configuration.Teams = append(slices.Clone(configuration.Teams), configprovider.Team{Name: "large", Weight: 1000})
-		env.configuration.Apply(&configuration)
+		withTeam(env, configprovider.Team{Name: "large", Weight: 1000})
 		c, stop := env.startScheduler(1)
 		defer stop()
 		sleep(100 * time.Millisecond)
