Shares: the waiting steps of a lost cell leave the metrics

Change: a scheduler that ends withdraws its numbers. Ruled out: a metric for each cell: labels would grow.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -271,6 +271,7 @@
 	defer close(c.done)
 	defer c.Metrics.forgetTeams(c.claim.Cell)
 	defer c.forgetInterference()
+	defer c.withdrawWaiting()
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	restored := c.storeRestored()
--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -344,6 +344,14 @@
 			waiting[s.job.progress.Team]++
 		}
 	}
+	c.publishWaiting(waiting)
+}
+
+// withdrawWaiting takes the waiting steps of a cell that is not owned any more out of the metrics of the process.
+func (c *Scheduler) withdrawWaiting() { c.publishWaiting(nil) }
+
+// publishWaiting changes the metrics of the waiting steps to the given numbers by team.
+func (c *Scheduler) publishWaiting(waiting map[string]int64) {
 	for team, count := range waiting {
 		c.Metrics.addToTeam(team, stepsWaiting, count-c.shares.waiting[team])
 	}
--- a/internal/cellscheduler/shares_test.go
+++ b/internal/cellscheduler/shares_test.go
@@ -1,6 +1,7 @@
 package cellscheduler_test
 
 import (
+	"expvar"
 	"fmt"
 	"slices"
 	"testing"
@@ -147,6 +148,27 @@
 	})
 }
 
+// TestWaitingStepsOfLostCellAreNotShown: the metrics of a process are shared by all its schedulers.
+func TestWaitingStepsOfLostCellAreNotShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		withTeams(env)
+		c, stop := env.startScheduler(1)
+		submitBurst(t, c, "hot", "patient", 8)
+		sleep(500 * time.Millisecond)
+		waiting := func() string {
+			return env.schedulerMetrics.Map().Get("team-shares").(*expvar.Map).Get("hot").(*expvar.Map).Get("waiting").String()
+		}
+		if waiting() == "0" {
+			t.Fatal("no step waits")
+		}
+		stop()
+		if got := waiting(); got != "0" {
+			t.Errorf("%s steps are shown as waiting after the cell was lost", got)
+		}
+	})
+}
+
 // TestBestEffortWorkIsNotRefused: best-effort tasks need no processors, so they don't wait for any. The task needs
 // the memory of a whole worker, so it starts beside no other.
 func TestBestEffortWorkIsNotRefused(t *testing.T) {
