Interference: a pair is cleared, as alerts are

Cause: 'forgotten' and 'forget' are figures; what operators know is a condition that is found and cleared. Ruled out: 'expired': most pairs end because they disturb no more.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -269,8 +269,8 @@
 
 func (c *Scheduler) loop() {
 	defer close(c.done)
-	defer c.Metrics.forgetTeams(c.claim.Cell)
-	defer c.forgetInterference()
+	defer c.Metrics.withdrawTeams(c.claim.Cell)
+	defer c.withdrawInterference()
 	defer c.withdrawWaiting()
 	ticker := c.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/cellscheduler/interference.go
+++ b/internal/cellscheduler/interference.go
@@ -124,14 +124,14 @@
 		change := &changes[i]
 		message := "interference found"
 		if !change.Found {
-			message = "interference forgotten"
+			message = "interference cleared"
 		}
 		c.Log.Warn(message, "kind", change.Slowed.String(), "neighbour", change.Neighbour.String(), "slowdown", change.Slowdown, "runs", int(change.Shared), "workers", change.Workers)
 		c.Metrics.PairChanged(change.Found)
 	}
 }
 
-// expireInterference forgets the pairs whose evidence is old.
+// expireInterference clears the pairs whose evidence is old.
 func (c *Scheduler) expireInterference() {
 	if c.now.After(c.interference.nextExpiryAt) {
 		c.interference.nextExpiryAt = c.now.Add(expiryInterval)
@@ -139,8 +139,8 @@
 	}
 }
 
-// forgetInterference takes the known pairs out of the metrics of the process.
-func (c *Scheduler) forgetInterference() {
+// withdrawInterference takes the known pairs out of the metrics of the process.
+func (c *Scheduler) withdrawInterference() {
 	for range c.interference.detector.Found() {
 		c.Metrics.PairChanged(false)
 	}
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -187,8 +187,8 @@
 	}
 }
 
-// forgetTeams removes a cell that another instance owns now.
-func (m *Metrics) forgetTeams(cell string) {
+// withdrawTeams removes a cell that another instance owns now.
+func (m *Metrics) withdrawTeams(cell string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.teams, cell)
--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -328,7 +328,7 @@
 	stepsWaiting           = "waiting"
 )
 
-// sweepShares forgets old refusals and updates the metrics of the waiting steps of each team.
+// sweepShares removes old refusals and updates the metrics of the waiting steps of each team.
 func (c *Scheduler) sweepShares() {
 	if c.shares.keeper == nil {
 		return
--- a/internal/interferencedetector/interferencedetector.go
+++ b/internal/interferencedetector/interferencedetector.go
@@ -14,7 +14,7 @@
 // neighbour and the reverse. The runs of one step are compared with each other, which removes most of the
 // error of its estimate.
 //
-// A pair of kinds is found once the effect is large, certain and seen on several workers, and forgotten once
+// A pair of kinds is found once the effect is large, certain and seen on several workers, and cleared once
 // it is small or the evidence is old. The package is designed for 300 images, a few of which disturb each
 // other, for estimates that are wrong by a factor of two, and for a few hundred ends of runs a second.
 package interferencedetector
@@ -46,13 +46,13 @@
 	minSteps = 8
 	// minWorkers is the number of workers on which shared runs must have been slow.
 	minWorkers = 3
-	// foundSlowdown is the slowdown from which a pair is found, forgottenSlowdown that below which it is
-	// forgotten. Hysteresis keeps a pair from being found and forgotten in turn.
-	foundSlowdown     = 1.3
-	forgottenSlowdown = 1.15
+	// foundSlowdown is the slowdown from which a pair is found, clearedSlowdown that below which it is
+	// cleared. Hysteresis keeps a pair from being found and cleared in turn.
+	foundSlowdown   = 1.3
+	clearedSlowdown = 1.15
 	// confidence is the number of standard errors by which the effect must exceed zero.
 	confidence = 5
-	// minKept is the number of shared runs below which a found pair is forgotten.
+	// minKept is the number of shared runs below which a found pair is cleared.
 	minKept = 2
 )
 
@@ -77,7 +77,7 @@
 	speedPrior  = 12
 )
 
-var foundEffect, forgottenEffect = math.Log(foundSlowdown), math.Log(forgottenSlowdown)
+var foundEffect, clearedEffect = math.Log(foundSlowdown), math.Log(clearedSlowdown)
 
 // Kind identifies tasks that are expected to behave alike.
 type Kind struct {
@@ -132,7 +132,7 @@
 	Workers int
 }
 
-// Change reports that a pair was found or forgotten.
+// Change reports that a pair was found or cleared.
 type Change struct {
 	Pair
 	Found bool
@@ -252,14 +252,14 @@
 
 func (p *pair) workers() int { return bits.OnesCount64(p.slowOn | p.wasSlowOn) }
 
-// update finds or forgets a pair.
+// update finds or clears a pair.
 func (d *Detector) update(slowed *kind, p *pair, key pairKey) {
 	effect := p.value()
 	switch {
 	case !p.found && p.shared >= minShared && p.steps >= minSteps && slowed.runs-p.shared >= minUnshared &&
 		p.workers() >= minWorkers && effect >= foundEffect && effect >= confidence*p.standardError(slowed):
 		d.set(p, key, true)
-	case p.found && (effect < forgottenEffect || p.shared < minKept):
+	case p.found && (effect < clearedEffect || p.shared < minKept):
 		d.set(p, key, false)
 	}
 }
@@ -311,7 +311,7 @@
 	k.partners = partners
 }
 
-// Expire forgets the found pairs whose evidence is old at a time, and returns them. RunEnded does so only for
+// Expire clears the found pairs whose evidence is old at a time, and returns them. RunEnded does so only for
 // the pairs that it looks at.
 func (d *Detector) Expire(at time.Time) []Change {
 	d.changes = d.changes[:0]
--- a/internal/interferencedetector/interferencedetector_test.go
+++ b/internal/interferencedetector/interferencedetector_test.go
@@ -77,7 +77,7 @@
 }
 
 // TestManyImages: the memory is bounded while images come and go, and pairs with images that are gone are
-// forgotten.
+// cleared.
 func TestManyImages(t *testing.T) {
 	d := interferencedetector.New()
 	if record(d, image(0), image(1), 2, 6, replayStart) == 0 {
--- a/internal/interferencedetector/replay_test.go
+++ b/internal/interferencedetector/replay_test.go
@@ -325,8 +325,8 @@
 	}
 }
 
-// TestPairIsForgotten: a pair is forgotten when it has stopped to disturb, or when its evidence is old.
-func TestPairIsForgotten(t *testing.T) {
+// TestPairIsCleared: a pair is cleared when it has stopped to disturb, or when its evidence is old.
+func TestPairIsCleared(t *testing.T) {
 	t.Parallel()
 	s := scenario{seed: 5, length: 2 * time.Minute, stepNoise: 0.5, load: 1.5, slowdown: disturbs}
 	result := s.run("best-fit")
