Logs: how long an order has been without an answer

The logs name starts in doubt and workers that do not answer, but not for how long, so that the two can't be compared with the delays of jobs. Change: 'waited-ms' with a start in doubt, 'answered-ms-ago' with a worker that does not answer, 'ordered-ms-ago' with the end of a run.

--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -126,7 +126,7 @@
 		return
 	}
 	c.Log.Info("ended", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "how", reason,
-		"ran-ms", p.elapsed(c.now).Milliseconds(), "stopping", p.stopReason)
+		"ran-ms", p.elapsed(c.now).Milliseconds(), "ordered-ms-ago", p.sinceOrder(c.now).Milliseconds(), "stopping", p.stopReason)
 	c.Metrics.RunEnded(reason)
 	c.recordRunEnd(p, reason)
 	c.release(p)
@@ -157,6 +157,14 @@
 	return now.Sub(p.startedAt)
 }
 
+// sinceOrder returns the time since the start order was first sent, 0 if it was not sent by this owner.
+func (p *placement) sinceOrder(now time.Time) time.Duration {
+	if p.orderedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(p.orderedAt)
+}
+
 // endGangRun ends the run of a gang when one member has ended. If that member is done, the other
 // members are done too; otherwise they are stopped, because they would only wait for the missing
 // member.
@@ -313,7 +321,7 @@
 		case p.state == runSending:
 			p.state = runInDoubt
 			p.sentAt = c.now
-			c.Log.Warn("start in doubt", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "error", err)
+			c.Log.Warn("start in doubt", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "waited-ms", c.now.Sub(p.orderedAt).Milliseconds(), "error", err)
 			c.requestListing(w)
 		}
 		return
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -325,7 +325,8 @@
 func (c *Scheduler) syncFailed(w *worker, err error) {
 	w.syncFailures++
 	if w.syncFailures == 1 || w.syncFailures%16 == 0 {
-		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.syncFailures, "places", len(w.placements), "error", err)
+		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.syncFailures, "places", len(w.placements),
+			"answered-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds(), "error", err)
 	}
 	w.nextSyncAt = c.now.Add(min(initialRetryDelay*time.Duration(w.syncFailures), maxRetryDelay))
 	var refused *workerdriver.RefusedError
