Test: jobs are late while orders to workers are unanswered

What callers saw: quick jobs 2 to 4 s late while some orders to workers stay without an answer. Ruled out: nothing yet.

--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -1,6 +1,7 @@
 package cellscheduler_test
 
 import (
+	"slices"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -94,6 +95,24 @@
 	return nil
 }
 
+// stop ends a run or prevents its start.
+func (f *fakeWorker) stop(order workerdriver.Stop) {
+	f.highestFencingToken = max(f.highestFencingToken, order.FencingToken)
+	f.refusedRuns[order.Task] = max(f.refusedRuns[order.Task], order.Run)
+	if run := f.running[order.Task]; run != nil && run.number <= order.Run {
+		f.end(order.Task, steptracker.Stopped)
+	}
+}
+
+// renew extends the lease and forgets the acknowledged ends.
+func (f *fakeWorker) renew(order workerdriver.Sync) {
+	f.highestFencingToken = max(f.highestFencingToken, order.FencingToken)
+	if order.LeaseExpiry > 0 {
+		f.extend(order.LeaseExpiry)
+	}
+	f.ended = slices.DeleteFunc(f.ended, func(e workerdriver.EndedTask) bool { return e.Sequence <= order.AckedSequence })
+}
+
 func (f *fakeWorker) extend(until workerdriver.Clock) {
 	at := f.startedAt.Add(time.Duration(until))
 	if !at.After(f.leaseEndsAt) {
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -76,6 +76,9 @@
 	// outcome returns how long a run takes and how it ends. A run that ends with workerCrash crashes its
 	// worker.
 	outcome func(start *workerdriver.Start, worker string) (time.Duration, steptracker.EndReason)
+	// unanswered reports whether the next order to a worker gets no answer and is carried out after a time; nil
+	// answers all.
+	unanswered func(kind string) (after time.Duration, lost bool)
 	// onStart is called before a run starts; it may be nil.
 	onStart func(start *workerdriver.Start)
 }
@@ -254,9 +257,41 @@
 	return worker, nil
 }
 
+// orderTimeout is how long the caller of a worker waits for an answer.
+const orderTimeout = 900 * time.Millisecond
+
+// lose reports whether an order to a worker gets no answer. It is carried out later by the worker that then has the
+// ID, and the caller waits until its time is over.
+func (env *testEnv) lose(ctx context.Context, to *workerdriver.Worker, kind string, maxWait time.Duration, carryOut func(worker *fakeWorker)) bool {
+	if env.unanswered == nil {
+		return false
+	}
+	env.mu.Lock()
+	after, lost := env.unanswered(kind)
+	env.mu.Unlock()
+	if !lost {
+		return false
+	}
+	time.AfterFunc(after, func() {
+		env.mu.Lock()
+		defer env.mu.Unlock()
+		if worker, err := env.lookup(to); err == nil {
+			carryOut(worker)
+		}
+	})
+	select {
+	case <-ctx.Done():
+	case <-time.After(maxWait + orderTimeout):
+	}
+	return true
+}
+
 // Start delivers a start order to a worker.
-func (env *testEnv) Start(_ context.Context, to *workerdriver.Worker, order *workerdriver.Start) (workerdriver.ReplyHeader, error) {
+func (env *testEnv) Start(ctx context.Context, to *workerdriver.Worker, order *workerdriver.Start) (workerdriver.ReplyHeader, error) {
 	sleep(2 * time.Millisecond)
+	if env.lose(ctx, to, "start", 0, func(worker *fakeWorker) { _ = worker.start(order) }) {
+		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
+	}
 	env.mu.Lock()
 	worker, err := env.lookup(to)
 	if err != nil {
@@ -308,8 +343,11 @@
 }
 
 // Stop ends a run or prevents its start.
-func (env *testEnv) Stop(_ context.Context, to *workerdriver.Worker, order workerdriver.Stop) (workerdriver.ReplyHeader, error) {
+func (env *testEnv) Stop(ctx context.Context, to *workerdriver.Worker, order workerdriver.Stop) (workerdriver.ReplyHeader, error) {
 	sleep(2 * time.Millisecond)
+	if env.lose(ctx, to, "stop", 0, func(worker *fakeWorker) { worker.stop(order) }) {
+		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
+	}
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	worker, err := env.lookup(to)
@@ -322,11 +360,7 @@
 	if worker.dropsStops {
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
-	worker.highestFencingToken = order.FencingToken
-	worker.refusedRuns[order.Task] = max(worker.refusedRuns[order.Task], order.Run)
-	if run := worker.running[order.Task]; run != nil && run.number <= order.Run {
-		worker.end(order.Task, steptracker.Stopped)
-	}
+	worker.stop(order)
 	return worker.replyHeader(), nil
 }
 
@@ -341,6 +375,9 @@
 // Sync extends the lease and returns the worker's listing.
 func (env *testEnv) Sync(ctx context.Context, to *workerdriver.Worker, order workerdriver.Sync) (workerdriver.SyncReply, error) {
 	sleep(2 * time.Millisecond)
+	if env.lose(ctx, to, "sync", order.MaxWait, func(worker *fakeWorker) { worker.renew(order) }) {
+		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker}
+	}
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	worker, err := env.lookup(to)
@@ -350,11 +387,7 @@
 	if order.FencingToken < worker.highestFencingToken {
 		return workerdriver.SyncReply{ReplyHeader: worker.replyHeader()}, &workerdriver.RefusedError{Worker: to.Worker, Reason: workerdriver.StaleFencingToken}
 	}
-	worker.highestFencingToken = order.FencingToken
-	if order.LeaseExpiry > 0 {
-		worker.extend(order.LeaseExpiry)
-	}
-	worker.ended = slices.DeleteFunc(worker.ended, func(e workerdriver.EndedTask) bool { return e.Sequence <= order.AckedSequence })
+	worker.renew(order)
 	if len(worker.ended) == 0 && order.MaxWait > 0 {
 		changed := worker.changed
 		env.mu.Unlock()
