Starts: a restarted worker does not carry out a start order that was settled before

A start order without an answer is settled by a stop, after which the worker refuses it. A worker that restarts under its ID forgets that, and the order, carried out seconds later, starts a run whose task may run elsewhere or be done: the class of a proof that the restart of its witness voids. Change: the runs that an unanswered start may still begin are kept for 15 s with their worker; when it restarts, it is told at once to refuse them. Runs that were in doubt at the restart are settled anew with the new incarnation. Figures: TestLateStartIsNotCarriedOutByRestartedWorker fails before: run 1 of a task starts while run 3 is running. Ruled out: the order's deadline: it is a time on the clock of the worker, which starts anew. Not covered: an owner that takes over in between does not know these orders; its higher fencing token makes the worker refuse them once it has answered.

--- /dev/null
+++ b/internal/cellscheduler/latestarts.go
@@ -0,0 +1,55 @@
+package cellscheduler
+
+import (
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/workerdriver"
+)
+
+// lateStart is a run that is over and of which a start order was not answered, so that the worker may still
+// carry it out. A worker refuses it unless it has restarted since.
+type lateStart struct {
+	task      steptracker.TaskKey
+	run       int
+	expiresAt time.Time
+}
+
+// lateStartPeriod is for how long after it was sent a start order may be carried out.
+const lateStartPeriod = 15 * time.Second
+
+// keepLateStart remembers a run that is over if one of its start orders may still be carried out.
+func (c *Scheduler) keepLateStart(p *placement) {
+	if p.state != runInDoubt {
+		return
+	}
+	w := p.worker
+	for len(w.lateStarts) > 0 && c.now.After(w.lateStarts[0].expiresAt) {
+		w.lateStarts = w.lateStarts[1:]
+	}
+	w.lateStarts = append(w.lateStarts, lateStart{task: p.key, run: p.run, expiresAt: p.orderedAt.Add(lateStartPeriod)})
+}
+
+// refuseLateStarts makes a worker that has restarted refuse the start orders that its previous incarnation has
+// left unanswered.
+func (c *Scheduler) refuseLateStarts(w *worker) {
+	for _, late := range w.lateStarts {
+		if c.now.After(late.expiresAt) {
+			continue
+		}
+		info, order := w.info, workerdriver.Stop{Task: late.task, Run: late.run, FencingToken: c.claim.FencingToken}
+		c.group.Go(func() {
+			if _, err := c.WorkerClient.Stop(c.ctx, &info, order); err != nil {
+				c.Log.Warn("late start could not be ruled out", "task", order.Task.String(), "run", order.Run, "worker", info.Worker, "error", err)
+			}
+		})
+	}
+	w.lateStarts = nil
+}
+
+// doubtAgain puts a run back in doubt after its worker has restarted: the new incarnation has not refused the
+// start orders that were not answered.
+func (c *Scheduler) doubtAgain(p *placement) {
+	p.state, p.stopReason, p.stopSent, p.stopConfirmedAt = runInDoubt, "", false, time.Time{}
+	c.stopRun(p, "start not answered")
+}
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -111,6 +111,7 @@
 	}
 	delete(p.job.placements, p.key)
 	delete(p.worker.placements, p.key)
+	c.keepLateStart(p)
 	c.endIsolation(p)
 	c.releaseQuota(p)
 	c.endPresence(p)
--- a/internal/cellscheduler/unanswered_test.go
+++ b/internal/cellscheduler/unanswered_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
 
 // unansweredShare is the share of orders without an answer in the incident that the tests here guard against.
@@ -52,3 +53,52 @@
 		})
 	}
 }
+
+// TestLateStartIsNotCarriedOutByRestartedWorker: the worker has refused the start order and has forgotten that
+// when the order reaches it 6 s late.
+func TestLateStartIsNotCarriedOutByRestartedWorker(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// lostFor is for how long start orders are lost, duration how long the task runs.
+		lostFor, duration, crashAt time.Duration
+	}{
+		{"no copy was answered", time.Second, 8 * time.Second, 2 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, 2)
+				env.keepIDs = true
+				env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+					return test.duration, steptracker.Done
+				}
+				c, stop := env.startScheduler(1)
+				defer stop()
+				sleep(100 * time.Millisecond)
+				submittedAt := time.Now()
+				env.withLock(func() {
+					env.unanswered = func(kind string) (time.Duration, bool) {
+						return 6 * time.Second, kind == "start" && time.Since(submittedAt) < test.lostFor
+					}
+				})
+				submit(t, c, job("j", "plain", step(1, 1000)))
+				sleep(test.crashAt)
+				key := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "j"}}
+				crashed, carriedOut := false, false
+				env.withLock(func() {
+					for _, worker := range env.workers {
+						if run := worker.running[key]; run != nil && run.number == 1 || worker.refusedRuns[key] == 1 {
+							crashed = true
+							worker.crash()
+						}
+					}
+					env.onStart = func(start *workerdriver.Start) { carriedOut = carriedOut || start.Run == 1 }
+				})
+				sleep(30 * time.Second)
+				if !crashed || carriedOut {
+					t.Errorf("a worker has crashed: %v; it has carried out the late start: %v", crashed, carriedOut)
+				}
+				wantState(t, c, "j", steptracker.Completed)
+			})
+		})
+	}
+}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -85,6 +85,9 @@
 	avoidUntil time.Time
 	used       modeler.Resources
 	placements map[steptracker.TaskKey]*placement
+	// lateStarts are the runs that are over and may still be started by an unanswered order, in the order in
+	// which they ended.
+	lateStarts []lateStart
 	health     workerHealth
 	presence   interferencedetector.Presence
 	// neighboursChangedAt is when a run last came or went, or was throttled.
@@ -211,11 +214,14 @@
 	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
 	w.clockAt = time.Time{}
 	w.health = workerHealth{}
+	c.refuseLateStarts(w)
 	for _, p := range w.placements {
 		switch p.state {
 		case runStarted, runUnconfirmed:
 			p.state = runUnconfirmed
-		case runSending, runInDoubt, runUnsent:
+		case runInDoubt:
+			c.doubtAgain(p)
+		case runSending, runUnsent:
 		}
 	}
 }
