Orders to workers: sent again when the usual answer is overdue

What callers saw: jobs late by 2 to 4 s, quick ones first, while some orders in a hundred to workers stayed without an answer. Cause: every order was sent once and waited for 0.9 s (a sync 0.9 s longer than its wait, 2.9 s on a large cell), though answers take milliseconds; a start in doubt was then settled by a stop and made anew, and a gang with it, and no end on the worker of a lost sync was known meanwhile. A job of five tasks depends on a dozen orders: 6 in 100 hit half of all. Change: orderrepeater, between owner or relay and worker. Its decider learns the time of answers by zone (as TCP's retransmission timer) and sends up to three copies; a budget keeps repeats below a fifth of the load. While orders are lost, syncs wait 250 ms at most. A refused repeat is in doubt, since another copy may be carried out; the late copy of a confirmed start is ruled out when its worker restarts. Ruled out: a shorter timeout alone (a start is then in doubt sooner, but still placed anew); repeats by the owner (60 ms from a worker instead of 0.4, and each copy costs its core); always short syncs (looks are priced, and the owner pays for each).

--- a/internal/cellscheduler/latestarts.go
+++ b/internal/cellscheduler/latestarts.go
@@ -20,7 +20,7 @@
 
 // keepLateStart remembers a run that is over if one of its start orders may still be carried out.
 func (c *Scheduler) keepLateStart(p *placement) {
-	if p.state != runInDoubt {
+	if !p.copyInDoubt && p.state != runInDoubt {
 		return
 	}
 	w := p.worker
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -103,6 +103,9 @@
 	m.record("job-"+string(state), took)
 }
 
+// OrderRepeated counts an order to a worker that was sent again because it was not answered in time.
+func (m *Metrics) OrderRepeated(kind string) { m.root.Add("repeated-"+kind, 1) }
+
 // RunEnded counts the end of a run.
 func (m *Metrics) RunEnded(how steptracker.EndReason) { m.root.Add("ended-"+string(how), 1) }
 
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -45,6 +45,8 @@
 	// stopReason is why the run is being stopped, empty if it is not.
 	stopReason string
 	stopSent   bool
+	// copyInDoubt is set if the start was confirmed and another copy of the order was not answered.
+	copyInDoubt bool
 	// startClock is the worker's clock when the run was first known to have started.
 	startClock workerdriver.Clock
 	// crashRecorded is set once the end of the worker's incarnation has been recorded with the task.
@@ -302,6 +304,7 @@
 	c.Metrics.StartAnswered(c.now.Sub(p.sentAt), err)
 	if err == nil {
 		c.updateClock(w, header)
+		p.copyInDoubt = header.Unanswered
 		if p.state == runSending {
 			c.markStarted(p, header.Clock)
 			c.startLatency = updateLatency(c.startLatency, c.now.Sub(p.sentAt))
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -16,6 +16,7 @@
 	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
+	"dotterelpost.example/dotterelpost/internal/orderrepeater"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -298,7 +299,10 @@
 		refused := env.workers[to.Worker] != nil && env.workers[to.Worker].crashed
 		env.mu.Unlock()
 		if !refused {
-			sleep(900 * time.Millisecond)
+			select {
+			case <-ctx.Done():
+			case <-time.After(orderTimeout):
+			}
 		}
 		return workerdriver.ReplyHeader{}, err
 	}
@@ -419,10 +423,12 @@
 		listed = append(listed, worker.info)
 	}
 	env.mu.Unlock()
+	log := slog.New(slog.DiscardHandler)
+	workers := orderrepeater.New(orderrepeater.Dependencies{Workers: env, Clock: clockwork.NewRealClock(), Log: log, Metrics: env.schedulerMetrics})
 	c, stop := cellscheduler.Start(cellscheduler.Claim{Cell: "cell", FencingToken: fencingToken, OwnerKey: "owners/cell/owner", OwnerVersion: version, NoPreviousOwner: fencingToken == 1},
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
-			Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), WorkerClient: env, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
+			Clock: clockwork.NewRealClock(), Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
 			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, Access: env.access, StoreSilence: env.storeSilence,
 		})
 	c.UpdateWorkers(listed, nil, true)
--- a/internal/cellscheduler/unanswered_test.go
+++ b/internal/cellscheduler/unanswered_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// TestLateStartIsNotCarriedOutByRestartedWorker: the worker has refused the start order and has forgotten that
-// when the order reaches it 6 s late.
+// TestLateStartIsNotCarriedOutByRestartedWorker: the worker has refused the start order, or carried out another copy of
+// it, and has forgotten that when the order reaches it 6 s late.
 func TestLateStartIsNotCarriedOutByRestartedWorker(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -63,6 +63,8 @@
 		lostFor, duration, crashAt time.Duration
 	}{
 		{"no copy was answered", time.Second, 8 * time.Second, 2 * time.Second},
+		{"the task runs elsewhere", 40 * time.Millisecond, 4 * time.Second, time.Second},
+		{"the task is done", 40 * time.Millisecond, time.Second, 2 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -219,6 +219,9 @@
 		switch p.state {
 		case runStarted, runUnconfirmed:
 			p.state = runUnconfirmed
+			if p.copyInDoubt {
+				c.doubtAgain(p)
+			}
 		case runInDoubt:
 			c.doubtAgain(p)
 		case runSending, runUnsent:
--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -26,6 +26,7 @@
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/mesher"
+	"dotterelpost.example/dotterelpost/internal/orderrepeater"
 	"dotterelpost.example/dotterelpost/internal/uptimereader"
 	"dotterelpost.example/dotterelpost/platform"
 )
@@ -101,6 +102,7 @@
 	workers, closeWorkers := platform.NewWorkerClient()
 	advisor, closeAdvisor := platform.NewAdvisorClient(settings.AdvisorAddress)
 	metrics := cellscheduler.NewMetrics()
+	repeater := orderrepeater.New(orderrepeater.Dependencies{Workers: workers, Clock: clock, Log: log, Metrics: metrics})
 	var stop func()
 	i.manager, stop = cellmanager.New(cellmanager.Settings{
 		Name:             settings.Name,
@@ -116,7 +118,7 @@
 		},
 		RevocationLimit: settings.RevocationLimit,
 	}, cellmanager.Dependencies{
-		Clock: clock, Uptime: uptimereader.New(clock), Log: log, Store: store, Workers: workers, Advisor: advisor, Metrics: metrics, OnOwnershipChanged: setGCPercent,
+		Clock: clock, Uptime: uptimereader.New(clock), Log: log, Store: store, Workers: repeater, Advisor: advisor, Metrics: metrics, OnOwnershipChanged: setGCPercent,
 		Decoders: cellmanager.Decoders{
 			ConfigurationTable: platform.ConfigurationTable,
 			ConfigurationKey:   platform.ConfigurationKey,
--- /dev/null
+++ b/internal/orderrepeater/orderrepeater_test.go
@@ -0,0 +1,132 @@
+package orderrepeater_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/orderrepeater"
+	"dotterelpost.example/dotterelpost/internal/workerdriver"
+)
+
+// scriptedWorker answers copy i of an order with answers[i]; errLost means that it doesn't answer.
+type scriptedWorker struct {
+	mu      sync.Mutex
+	answers []error
+	sent    []time.Duration
+	began   time.Time
+}
+
+var errLost = errors.New("lost")
+
+func (w *scriptedWorker) answer(ctx context.Context) error {
+	w.mu.Lock()
+	i := len(w.sent)
+	w.sent = append(w.sent, time.Since(w.began))
+	w.mu.Unlock()
+	if i >= len(w.answers) {
+		return nil
+	}
+	if errors.Is(w.answers[i], errLost) {
+		<-ctx.Done()
+		return &workerdriver.InDoubtError{Err: ctx.Err()}
+	}
+	return w.answers[i]
+}
+
+func (w *scriptedWorker) Start(ctx context.Context, _ *workerdriver.Worker, _ *workerdriver.Start) (workerdriver.ReplyHeader, error) {
+	return workerdriver.ReplyHeader{}, w.answer(ctx)
+}
+
+func (w *scriptedWorker) Stop(ctx context.Context, _ *workerdriver.Worker, _ workerdriver.Stop) (workerdriver.ReplyHeader, error) {
+	return workerdriver.ReplyHeader{}, w.answer(ctx)
+}
+
+func (w *scriptedWorker) Sync(ctx context.Context, _ *workerdriver.Worker, order workerdriver.Sync) (workerdriver.SyncReply, error) {
+	<-time.After(order.MaxWait)
+	return workerdriver.SyncReply{}, w.answer(ctx)
+}
+
+func (w *scriptedWorker) Throttle(ctx context.Context, _ *workerdriver.Worker, _ workerdriver.Throttle) error {
+	return w.answer(ctx)
+}
+
+type discardMetrics struct{}
+
+func (discardMetrics) OrderRepeated(string) {}
+
+func TestRepeatedStart(t *testing.T) {
+	refused := func(reason workerdriver.Reason) error { return &workerdriver.RefusedError{Reason: reason} }
+	neverSent := error(&workerdriver.InDoubtError{NeverSent: true})
+	for _, test := range []struct {
+		name       string
+		answers    []error
+		copies     int
+		unanswered bool
+		// refusal is the reason of a refused order; inDoubt is set if the order is in doubt.
+		refusal            workerdriver.Reason
+		inDoubt, neverSent bool
+	}{
+		{name: "answered", copies: 1},
+		{name: "first copy lost", answers: []error{errLost}, copies: 2, unanswered: true},
+		{name: "two copies lost", answers: []error{errLost, errLost}, copies: 3, unanswered: true},
+		{name: "all copies lost", answers: []error{errLost, errLost, errLost}, copies: 3, inDoubt: true},
+		{name: "refused", answers: []error{refused(workerdriver.StaleRun)}, copies: 1, refusal: workerdriver.StaleRun},
+		{name: "repeat refused after the run has ended", answers: []error{errLost, refused(workerdriver.StaleRun)}, copies: 2, inDoubt: true},
+		{name: "repeat refused for lack of capacity", answers: []error{errLost, refused(workerdriver.InsufficientCapacity)}, copies: 2, inDoubt: true},
+		{name: "repeat refused by a fencing token", answers: []error{errLost, refused(workerdriver.StaleFencingToken)}, copies: 2, refusal: workerdriver.StaleFencingToken},
+		{name: "never sent", answers: []error{neverSent}, copies: 1, inDoubt: true, neverSent: true},
+		{name: "repeat never sent", answers: []error{errLost, neverSent, errLost}, copies: 3, inDoubt: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &scriptedWorker{answers: test.answers, began: time.Now()}
+				client := orderrepeater.New(orderrepeater.Dependencies{Workers: worker, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Metrics: discardMetrics{}})
+				header, err := client.Start(t.Context(), &workerdriver.Worker{}, &workerdriver.Start{})
+				var refused *workerdriver.RefusedError
+				var inDoubt *workerdriver.InDoubtError
+				isRefused, isInDoubt := errors.As(err, &refused), errors.As(err, &inDoubt)
+				if len(worker.sent) != test.copies || header.Unanswered != test.unanswered || isRefused != (test.refusal != "") || isInDoubt != test.inDoubt {
+					t.Errorf("sent at %v, unanswered %v, error %v", worker.sent, header.Unanswered, err)
+				}
+				if isRefused && refused.Reason != test.refusal || isInDoubt && inDoubt.NeverSent != test.neverSent {
+					t.Errorf("error %v", err)
+				}
+			})
+		})
+	}
+}
+
+func TestThrottleIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &scriptedWorker{answers: []error{errLost}, began: time.Now()}
+		client := orderrepeater.New(orderrepeater.Dependencies{Workers: worker, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Metrics: discardMetrics{}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := client.Throttle(ctx, &workerdriver.Worker{}, workerdriver.Throttle{}); err == nil || len(worker.sent) != 1 {
+			t.Errorf("sent at %v, error %v", worker.sent, err)
+		}
+	})
+}
+
+// TestLostSyncIsRepeatedSoon: the first lost sync is repeated once its wait is over, later ones wait less.
+func TestLostSyncIsRepeatedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &scriptedWorker{answers: []error{errLost, nil, errLost}, began: time.Now()}
+		client := orderrepeater.New(orderrepeater.Dependencies{Workers: worker, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Metrics: discardMetrics{}})
+		for range 2 {
+			if _, err := client.Sync(t.Context(), &workerdriver.Worker{}, workerdriver.Sync{MaxWait: 2 * time.Second}); err != nil {
+				t.Error(err)
+			}
+		}
+		if len(worker.sent) < 4 || worker.sent[1] > 2500*time.Millisecond || worker.sent[3]-worker.sent[1] > time.Second {
+			t.Errorf("copies were sent at %v", worker.sent)
+		}
+	})
+}
--- a/internal/workerdriver/workerdriver.go
+++ b/internal/workerdriver/workerdriver.go
@@ -58,6 +58,9 @@
 	Clock Clock
 	// StartMillis is the start time of the worker in Unix milliseconds, 0 if unknown.
 	StartMillis int64
+	// Unanswered is set if the order was repeated, so that another copy of it may reach the worker later. It is
+	// set by the sender, not by the worker.
+	Unanswered bool `json:",omitempty"`
 }
 
 // Start orders a worker to start a run, which is one attempt to execute a task.
