Logs: what the control goroutine of an owner is busy with

Change: one line a second, while the control goroutine is busy for a tenth of it, with messages, rounds and their parts. Ruled out: a line a round (90 a second).

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -196,6 +196,7 @@
 	nextRoundAt time.Time
 	nextSweepAt time.Time
 	visitor     visitor
+	load        load
 	shares      shareState
 	random      *rand.Rand
 	// candidates are the usable workers of the current round, eligible those that one step may
@@ -289,13 +290,16 @@
 			c.now = c.Clock.Now()
 			message()
 			c.drainMailbox()
+			c.load.handling += c.Clock.Since(c.now)
 		case <-ticker.Chan():
 			c.now = c.Clock.Now()
 			c.onTick()
 		}
 		if c.recovered && !c.ownershipLost {
 			c.placementRound()
+			began := c.Clock.Now()
 			c.commit()
+			c.load.committing += c.Clock.Since(began)
 		}
 	}
 }
@@ -311,10 +315,13 @@
 const maxMessagesPerDrain = 128
 
 func (c *Scheduler) drainMailbox() {
+	c.load.messages++
+	c.load.longestMailbox = max(c.load.longestMailbox, len(c.mailbox))
 	for range maxMessagesPerDrain {
 		select {
 		case message := <-c.mailbox:
 			message()
+			c.load.messages++
 		default:
 			return
 		}
@@ -336,6 +343,7 @@
 		c.pruneFinalJobs()
 		c.expireInterference()
 		c.sweepShares()
+		c.logLoad()
 	}
 }
 
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -133,11 +133,15 @@
 	if len(c.pendingSteps) == 0 {
 		return
 	}
+	began := c.Clock.Now()
 	c.collectCandidates()
+	collected := c.Clock.Now()
 	ranked := c.rankedSteps()
 	c.beginQuotaRound(ranked)
+	visitedFrom := c.Clock.Now()
 	c.visitor.visit(len(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
 		s := ranked[index]
+		c.load.visited++
 		c.returnReservation(s)
 		if c.hasQuotaRoom(s) && s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
@@ -147,6 +151,10 @@
 	})
 	c.candidates = c.candidates[:0]
 	ended := c.Clock.Now()
+	c.load.rounds++
+	c.load.collecting += collected.Sub(began)
+	c.load.ranking += visitedFrom.Sub(collected)
+	c.load.visiting += ended.Sub(visitedFrom)
 	if next := ended.Add(roundPauseFactor * ended.Sub(c.now)); next.After(c.nextRoundAt) {
 		c.nextRoundAt = next
 	}
