--- a/internal/workerrelayer/workerrelayer.go
+++ b/internal/workerrelayer/workerrelayer.go
@@ -15,12 +15,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
+	json "github.com/go-json-experiment/json/v1"
 
 	"dotterelpost.example/dotterelpost/internal/mesher"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
