Rounds: the workers of a large cell are collected in less time

A round of a cell of 1,100 workers begins with collecting and sorting them, 85 to 100 ms of each second before any load, and 8 us a call of the advisor; what a round takes, the owner lacks for ends and acceptances. Change: workers are collected in one pass and kept beside their candidates instead of being looked up by name for each step; the selector computes once what orders a candidate, and finds it by search instead of by scan. Ties go by the order of the candidates, which is that of their names, as before.

--- a/internal/candidateselector/candidateselector.go
+++ b/internal/candidateselector/candidateselector.go
@@ -44,48 +44,70 @@
 // preferred.
 type Selector struct {
 	candidates []cellplacer.Candidate
-	order      []int
-	pending    []modeler.Processors
+	// order holds the indexes of the candidates, and positions what decides the place of each of them.
+	order     []int
+	positions []position
+	pending   []modeler.Processors
+}
+
+// position is what decides the place of a candidate in the order.
+type position struct {
+	slowdownBucket int
+	uncommitted    modeler.Processors
+	index          int
 }
 
 // New returns a Selector over candidates. Pending holds for each of them the processors requested by
 // calls that have no answer yet; Select updates it.
 func New(candidates []cellplacer.Candidate, pending []modeler.Processors) *Selector {
-	s := &Selector{candidates: candidates, order: make([]int, len(candidates)), pending: pending}
-	for i := range s.order {
-		s.order[i] = i
+	s := &Selector{candidates: candidates, pending: pending, positions: make([]position, len(candidates)), order: make([]int, len(candidates))}
+	for i := range candidates {
+		s.positions[i] = s.positionOf(i)
+	}
+	sorted := slices.Clone(s.positions)
+	slices.SortFunc(sorted, comparePositions)
+	for i := range sorted {
+		s.order[i] = sorted[i].index
 	}
-	slices.SortFunc(s.order, s.compare)
 	return s
 }
 
-// compare orders candidates by slowdown, then by uncommitted processors, then by name. It is
+func (s *Selector) positionOf(index int) position {
+	candidate := &s.candidates[index]
+	return position{slowdownBucket: slowdownBucket(candidate), uncommitted: candidate.Free.Processors - s.pending[index], index: index}
+}
+
+// comparePositions orders candidates by slowdown, then by uncommitted processors, then by index. It is
 // negative if candidate a comes before candidate b.
-func (s *Selector) compare(a, b int) int {
-	return cmp.Or(
-		cmp.Compare(slowdownBucket(&s.candidates[a]), slowdownBucket(&s.candidates[b])),
-		cmp.Compare(s.uncommitted(b), s.uncommitted(a)),
-		cmp.Compare(s.candidates[a].Worker, s.candidates[b].Worker),
-	)
+func comparePositions(a, b position) int {
+	switch {
+	case a.slowdownBucket != b.slowdownBucket:
+		return cmp.Compare(a.slowdownBucket, b.slowdownBucket)
+	case a.uncommitted != b.uncommitted:
+		return cmp.Compare(b.uncommitted, a.uncommitted)
+	default:
+		return cmp.Compare(a.index, b.index)
+	}
 }
 
 // addPending adds to the pending demand of a candidate and moves the candidate to its new position.
 func (s *Selector) addPending(index int, processors modeler.Processors) {
-	if position := slices.Index(s.order, index); position >= 0 {
-		s.order = slices.Delete(s.order, position, position+1)
-	}
 	s.pending[index] += processors
-	position, _ := slices.BinarySearchFunc(s.order, index, s.compare)
-	s.order = slices.Insert(s.order, position, index)
+	if at, found := s.find(s.positions[index]); found {
+		s.order = slices.Delete(s.order, at, at+1)
+	}
+	s.positions[index] = s.positionOf(index)
+	at, _ := s.find(s.positions[index])
+	s.order = slices.Insert(s.order, at, index)
 }
 
-func slowdownBucket(candidate *cellplacer.Candidate) int {
-	return int((candidate.Slowdown - 1) / slowdownBucketWidth)
+// find returns where in the order a position is or belongs.
+func (s *Selector) find(p position) (at int, found bool) {
+	return slices.BinarySearchFunc(s.order, p, func(index int, p position) int { return comparePositions(s.positions[index], p) })
 }
 
-// uncommitted returns the free processors of a candidate less its pending demand.
-func (s *Selector) uncommitted(index int) modeler.Processors {
-	return s.candidates[index].Free.Processors - s.pending[index]
+func slowdownBucket(candidate *cellplacer.Candidate) int {
+	return int((candidate.Slowdown - 1) / slowdownBucketWidth)
 }
 
 // Request describes the demand of a step.
--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -131,10 +131,10 @@
 	short := c.isShortTask(s)
 	isolated := !s.hasOrdinaryTask()
 	unusable := func(index int) bool {
-		return isolated && !c.mayIsolateOn(c.workers[c.candidates[index].Worker])
+		return isolated && !c.mayIsolateOn(c.candidateWorkers[index])
 	}
 	excluded := func(index int) bool {
-		return c.isRejected(s, &c.candidates[index]) || !c.isEligible(s, &c.candidates[index], short) || unusable(index)
+		return c.isRejected(s, index) || !c.isEligible(s, index, short) || unusable(index)
 	}
 	request := candidateselector.Request{Step: s.def, Tasks: min(s.unassigned(), c.quotaRoom(s)), SuitableShare: approvalRate, KnownSuitable: slices.DeleteFunc(c.approvedCandidates(s, false), unusable), Excluded: func(index int) bool {
 		return excluded(index) || s.failedOn[c.candidates[index].Worker]
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -199,9 +199,10 @@
 	load        load
 	shares      shareState
 	random      *rand.Rand
-	// candidates are the usable workers of the current round, eligible those that one step may
-	// use.
+	// candidates are the usable workers of the current round and candidateWorkers their records by the same
+	// index, eligible those that one step may use.
 	candidates, eligible []cellplacer.Candidate
+	candidateWorkers     []*worker
 	// allIndexes are the indexes of all candidates. selector chooses the candidates to name to
 	// the advisor.
 	allIndexes []int
--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -61,8 +61,8 @@
 func (c *Scheduler) fitsWhenEmpty(s *step, indexes []int) bool {
 	capacity := 0
 	for _, i := range indexes {
-		if candidate := &c.candidates[i]; c.workers[candidate.Worker].info.HasLabel(s.def.Label) {
-			capacity += cellplacer.MaxTasks(candidate.Capacity, s.def.Reservation(), s.def.MaxPerWorker)
+		if c.candidateWorkers[i].info.HasLabel(s.def.Label) {
+			capacity += cellplacer.MaxTasks(c.candidates[i].Capacity, s.def.Reservation(), s.def.MaxPerWorker)
 		}
 	}
 	return capacity >= len(s.tasks)
@@ -97,7 +97,7 @@
 	needs := s.def.Reservation()
 	for i := range c.candidates {
 		candidate := &c.candidates[i]
-		if needs.Fits(candidate.Free) && !s.isApproved(candidate.Worker) && !c.isRejected(s, candidate) {
+		if needs.Fits(candidate.Free) && !s.isApproved(candidate.Worker) && !c.isRejected(s, i) {
 			return true
 		}
 	}
@@ -117,7 +117,7 @@
 		if unplaced <= 0 {
 			return true
 		}
-		if c.isRejected(s, candidate) {
+		if c.isRejected(s, i) {
 			continue
 		}
 		unplaced -= cellplacer.MaxTasks(candidate.Free, s.def.Reservation(), s.def.MaxPerWorker)
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/candidateselector"
@@ -162,21 +161,21 @@
 
 // collectCandidates builds the list of workers that may get new tasks in this round.
 func (c *Scheduler) collectCandidates() {
-	c.candidates = c.candidates[:0]
+	c.candidates, c.candidateWorkers = c.candidates[:0], c.candidateWorkers[:0]
+	c.maxFreeProcessors, c.reservedForGangs = 0, 0
+	requested := make([]modeler.Processors, 0, len(c.workers))
 	for _, w := range c.sortedWorkers() {
 		w.candidateIndex = -1
-		if c.usable(w) {
-			c.candidates = append(c.candidates, cellplacer.Candidate{
-				Worker: w.info.Worker, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: w.free(), Slowdown: w.health.slowdown(),
-			})
+		if !c.usable(w) {
+			continue
 		}
-	}
-	c.maxFreeProcessors, c.reservedForGangs = 0, 0
-	requested := make([]modeler.Processors, len(c.candidates))
-	for i := range c.candidates {
-		w := c.workers[c.candidates[i].Worker]
-		w.candidateIndex, requested[i] = i, w.adviceRequested
-		c.maxFreeProcessors = max(c.maxFreeProcessors, c.candidates[i].Free.Processors)
+		free := w.free()
+		w.candidateIndex = len(c.candidates)
+		c.candidates = append(c.candidates, cellplacer.Candidate{
+			Worker: w.info.Worker, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: free, Slowdown: w.health.slowdown(),
+		})
+		c.candidateWorkers, requested = append(c.candidateWorkers, w), append(requested, w.adviceRequested)
+		c.maxFreeProcessors = max(c.maxFreeProcessors, free.Processors)
 	}
 	c.applyReservations()
 	c.selector = candidateselector.New(c.candidates, requested)
@@ -214,11 +213,11 @@
 }
 
 func sortByRank(entries []rankedStep) {
-	sort.Slice(entries, func(i, j int) bool {
-		if order := entries[i].rank.Compare(entries[j].rank); order != 0 {
-			return order < 0
+	slices.SortFunc(entries, func(a, b rankedStep) int {
+		if order := a.rank.Compare(b.rank); order != 0 {
+			return order
 		}
-		return entries[i].step.key.Compare(entries[j].step.key) < 0
+		return a.step.key.Compare(b.step.key)
 	})
 }
 
@@ -266,8 +265,8 @@
 const removedQueuePriority = 9
 
 // isEligible reports whether a step may use a candidate, regardless of its free resources.
-func (c *Scheduler) isEligible(s *step, candidate *cellplacer.Candidate, short bool) bool {
-	return (short || !candidate.ReservedForGang) && c.workers[candidate.Worker].info.HasLabel(s.def.Label)
+func (c *Scheduler) isEligible(s *step, index int, short bool) bool {
+	return (short || !c.candidates[index].ReservedForGang) && c.candidateWorkers[index].info.HasLabel(s.def.Label)
 }
 
 // isShortTask reports whether a step's tasks are short enough to use workers reserved for a gang.
@@ -290,19 +289,22 @@
 	interfering := c.interferingKinds(s)
 	c.eligible = c.eligible[:0]
 	for _, i := range indexes {
-		candidate := c.candidates[i]
-		if !needs.Fits(candidate.Free) || !c.isEligible(s, &candidate, short) || c.isolatedWorkers > 0 && c.workers[candidate.Worker].isolatedRuns > 0 {
+		if !needs.Fits(c.candidates[i].Free) {
+			continue
+		}
+		candidate, w := c.candidates[i], c.candidateWorkers[i]
+		if !c.isEligible(s, i, short) || w.isolatedRuns > 0 {
 			continue
 		}
 		if s.def.MaxPerWorker > 0 {
-			if candidate.StepTasks = c.tasksOnWorker(c.workers[candidate.Worker], s); candidate.StepTasks >= s.def.MaxPerWorker {
+			if candidate.StepTasks = c.tasksOnWorker(w, s); candidate.StepTasks >= s.def.MaxPerWorker {
 				continue
 			}
 		}
 		if s.failedOn[candidate.Worker] {
 			candidate.Slowdown += failurePenalty
 		}
-		candidate.Interference = c.workers[candidate.Worker].interferenceWith(interfering)
+		candidate.Interference = w.interferenceWith(interfering)
 		c.eligible = append(c.eligible, candidate)
 	}
 	return c.eligible
@@ -366,9 +368,13 @@
 
 // isRejected reports whether the advisor rejected the current incarnation of a candidate for a
 // step.
-func (c *Scheduler) isRejected(s *step, candidate *cellplacer.Candidate) bool {
-	startMillis, rejected := s.rejected[candidate.Worker]
-	return rejected && startMillis == c.workers[candidate.Worker].info.StartMillis
+func (c *Scheduler) isRejected(s *step, index int) bool {
+	if len(s.rejected) == 0 {
+		return false
+	}
+	w := c.candidateWorkers[index]
+	startMillis, rejected := s.rejected[w.info.Worker]
+	return rejected && startMillis == w.info.StartMillis
 }
 
 // assign assigns tasks of a step to candidates and schedules the write of the assignments. It
