Jobs: retained states are pruned once a second

Cause: as in the commit before: all jobs were visited ten times a second for those whose retention of two minutes is over. Change: once a second. Ruled out: a queue by time of end: a final job also has to wait for its runs and rows.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -136,10 +136,12 @@
 	return fmt.Sprintf("refused: %s; retry after %s", e.Reason, e.RetryAfter)
 }
 
-// tickInterval is how often timers are checked, sweepInterval how often all jobs are.
+// tickInterval is how often timers are checked, sweepInterval how often jobs that fall due are looked for, and
+// pruneInterval how often jobs whose retention time is over.
 const (
 	tickInterval  = 20 * time.Millisecond
 	sweepInterval = 100 * time.Millisecond
+	pruneInterval = time.Second
 )
 
 // mailboxSize is the capacity of the control goroutine's message queue.
@@ -195,6 +197,7 @@
 	roundNeeded bool
 	nextRoundAt time.Time
 	nextSweepAt time.Time
+	nextPruneAt time.Time
 	visitor     visitor
 	load        load
 	shares      shareState
@@ -341,7 +344,10 @@
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.openDueOccurrences()
 		c.publishQuotas()
-		c.pruneFinalJobs()
+		if c.now.After(c.nextPruneAt) {
+			c.nextPruneAt = c.now.Add(pruneInterval)
+			c.pruneFinalJobs()
+		}
 		c.expireInterference()
 		c.sweepShares()
 		c.logLoad()
