--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -136,12 +136,10 @@
 	return fmt.Sprintf("refused: %s; retry after %s", e.Reason, e.RetryAfter)
 }
 
-// tickInterval is how often timers are checked, sweepInterval how often jobs that fall due are looked for, and
-// pruneInterval how often jobs whose retention time is over.
+// tickInterval is how often timers are checked, sweepInterval how often all jobs are.
 const (
 	tickInterval  = 20 * time.Millisecond
 	sweepInterval = 100 * time.Millisecond
-	pruneInterval = time.Second
 )
 
 // mailboxSize is the capacity of the control goroutine's message queue.
@@ -197,7 +195,6 @@
 	roundNeeded bool
 	nextRoundAt time.Time
 	nextSweepAt time.Time
-	nextPruneAt time.Time
 	visitor     visitor
 	load        load
 	shares      shareState
@@ -344,10 +341,7 @@
 		c.nextSweepAt = c.now.Add(sweepInterval)
 		c.openDueOccurrences()
 		c.publishQuotas()
-		if c.now.After(c.nextPruneAt) {
-			c.nextPruneAt = c.now.Add(pruneInterval)
-			c.pruneFinalJobs()
-		}
+		c.pruneFinalJobs()
 		c.expireInterference()
 		c.sweepShares()
 		c.logLoad()
