Repeated orders: a worker without a connection, and one that was replaced, are known at once

An order of which no copy got a connection was in doubt instead of never sent, so that its run may count as begun on a worker that crashed; and the 421 to a repeated sync did not prove that the worker is gone. Change: when the first copy gets no connection the others are abandoned, and the order was never sent if none was. Refusals of repeated syncs and stops are passed on. Figures: TestRepeatedStart/no_connection and TestRefusalOfRepeatedSyncIsPassedOn fail before.

--- a/internal/orderrepeater/doc.go
+++ b/internal/orderrepeater/doc.go
@@ -10,6 +10,6 @@
 // orders, so that a few in a hundred delay half of all jobs.
 //
 // Every order may arrive twice: a worker that has carried out one copy answers the next one the same way, and
-// a run that has ended there is not started again. A repeated order is refused only if all of its copies are
-// certain not to be carried out; otherwise it is in doubt.
+// a run that has ended there is not started again. The refusal of a repeated start leaves the order in doubt,
+// because another copy may have been carried out or may still be.
 package orderrepeater
--- a/internal/orderrepeater/orderrepeater.go
+++ b/internal/orderrepeater/orderrepeater.go
@@ -47,6 +47,13 @@
 	return &Client{Dependencies: dependencies, decider: NewDecider()}
 }
 
+// The kinds of orders that are repeated, as logs and metrics name them.
+const (
+	kindStart = "start"
+	kindStop  = "stop"
+	kindSync  = "sync"
+)
+
 // orderTimeout is how long all copies of an order may take together, in addition to the time for which the
 // worker may delay its answer.
 const orderTimeout = 900 * time.Millisecond
@@ -56,7 +63,7 @@
 
 func (e *LostError) Error() string { return "no copy of the order was answered in time" }
 
-// RepeatRefusedError reports that the worker has refused a repeated order. An earlier copy may have been
+// RepeatRefusedError reports that the worker has refused a repeated start order. An earlier copy may have been
 // carried out, or may still be.
 type RepeatRefusedError struct{ Reason workerdriver.Reason }
 
@@ -67,7 +74,7 @@
 // Start sends a start order. In the header of the reply, Unanswered is set if a copy of the order may still
 // reach the worker.
 func (c *Client) Start(ctx context.Context, to *workerdriver.Worker, order *workerdriver.Start) (workerdriver.ReplyHeader, error) {
-	reply, err := c.send(ctx, to, "start", 0, func(ctx context.Context, _ int) (workerdriver.SyncReply, error) {
+	reply, err := c.send(ctx, to, kindStart, 0, func(ctx context.Context, _ int) (workerdriver.SyncReply, error) {
 		header, err := c.Workers.Start(ctx, to, order)
 		return workerdriver.SyncReply{ReplyHeader: header}, err
 	})
@@ -76,7 +83,7 @@
 
 // Stop sends a stop order.
 func (c *Client) Stop(ctx context.Context, to *workerdriver.Worker, order workerdriver.Stop) (workerdriver.ReplyHeader, error) {
-	reply, err := c.send(ctx, to, "stop", 0, func(ctx context.Context, _ int) (workerdriver.SyncReply, error) {
+	reply, err := c.send(ctx, to, kindStop, 0, func(ctx context.Context, _ int) (workerdriver.SyncReply, error) {
 		header, err := c.Workers.Stop(ctx, to, order)
 		return workerdriver.SyncReply{ReplyHeader: header}, err
 	})
@@ -95,7 +102,7 @@
 	for {
 		part := order
 		part.MaxWait = c.syncWait(order.MaxWait)
-		reply, err := c.send(ctx, to, "sync", part.MaxWait, func(ctx context.Context, attempt int) (workerdriver.SyncReply, error) {
+		reply, err := c.send(ctx, to, kindSync, part.MaxWait, func(ctx context.Context, attempt int) (workerdriver.SyncReply, error) {
 			sent := part
 			if attempt > 1 {
 				// The worker has had its time to wait.
@@ -122,15 +129,10 @@
 // answer to the first copy.
 func (c *Client) send(ctx context.Context, to *workerdriver.Worker, kind string, wait time.Duration, call func(ctx context.Context, attempt int) (workerdriver.SyncReply, error)) (workerdriver.SyncReply, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, wait+orderTimeout)
+	defer cancel()
 	results := make(chan result, maxAttempts)
 	sentAt := c.Clock.Now()
 	attempts, inFlight := 0, 0
-	defer func() {
-		cancel()
-		for range inFlight {
-			<-results
-		}
-	}()
 	sendCopy := func() {
 		attempts++
 		inFlight++
@@ -143,18 +145,34 @@
 	sendCopy()
 	repeat := c.Clock.NewTimer(wait + c.delay(to))
 	defer repeat.Stop()
+	neverSent := true
+	// finish returns the result of the order given that of the copy that decides, after the other copies have
+	// been abandoned.
+	finish := func(decisive result) (workerdriver.SyncReply, error) {
+		cancel()
+		for range inFlight {
+			r := <-results
+			neverSent = neverSent && isNeverSent(r.err)
+			if decisive.err != nil && r.err == nil {
+				decisive = r
+			}
+		}
+		if decisive.attempt == 1 {
+			decisive.took -= wait
+		}
+		return c.answered(kind, decisive, to, attempts, neverSent)
+	}
 	for {
 		select {
 		case r := <-results:
 			inFlight--
+			neverSent = neverSent && isNeverSent(r.err)
 			var inDoubt *workerdriver.InDoubtError
-			if errors.As(r.err, &inDoubt) && inFlight > 0 {
+			// If no connection could be established for the first copy, the others won't get one sooner.
+			if errors.As(r.err, &inDoubt) && inFlight > 0 && (r.attempt > 1 || !inDoubt.NeverSent) {
 				continue
 			}
-			if r.attempt == 1 {
-				r.took -= wait
-			}
-			return c.answered(r, to, attempts)
+			return finish(r)
 		case <-repeat.Chan():
 			if c.takeRepeat(attempts) {
 				c.Log.Info("order repeated", "kind", kind, "worker", to.Worker, "attempt", attempts+1, "waited-ms", c.Clock.Since(sentAt).Milliseconds())
@@ -163,14 +181,20 @@
 				repeat.Reset(c.delay(to))
 			}
 		case <-ctx.Done():
-			return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker, Err: &LostError{Attempts: attempts}}
+			return finish(result{attempt: attempts, err: &workerdriver.InDoubtError{Worker: to.Worker, Err: &LostError{Attempts: attempts}}})
 		}
 	}
 }
 
+// isNeverSent reports whether a copy of an order has certainly not reached its worker.
+func isNeverSent(err error) bool {
+	var inDoubt *workerdriver.InDoubtError
+	return errors.As(err, &inDoubt) && inDoubt.NeverSent
+}
+
 // answered returns the result of an order of which a number of copies were sent, given the result of the copy
-// that decides.
-func (c *Client) answered(r result, to *workerdriver.Worker, attempts int) (workerdriver.SyncReply, error) {
+// that decides, and whether no copy has reached the worker.
+func (c *Client) answered(kind string, r result, to *workerdriver.Worker, attempts int, neverSent bool) (workerdriver.SyncReply, error) {
 	if r.err == nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -187,10 +211,10 @@
 	var refused *workerdriver.RefusedError
 	var inDoubt *workerdriver.InDoubtError
 	switch {
-	case errors.As(r.err, &refused) && refused.Reason != workerdriver.StaleFencingToken:
+	case kind == kindStart && errors.As(r.err, &refused) && refused.Reason != workerdriver.StaleFencingToken:
 		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, Err: &RepeatRefusedError{Reason: refused.Reason}}
 	case errors.As(r.err, &inDoubt):
-		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, Err: inDoubt.Err}
+		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, NeverSent: neverSent, Err: inDoubt.Err}
 	default:
 		return r.reply, r.err
 	}
--- a/internal/orderrepeater/orderrepeater_test.go
+++ b/internal/orderrepeater/orderrepeater_test.go
@@ -15,7 +15,8 @@
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
 
-// scriptedWorker answers copy i of an order with answers[i]; errLost means that it doesn't answer.
+// scriptedWorker answers copy i of an order with answers[i]; errLost means that it doesn't answer, errNoConnection
+// that no connection is established within 600 ms.
 type scriptedWorker struct {
 	mu      sync.Mutex
 	answers []error
@@ -23,7 +24,10 @@
 	began   time.Time
 }
 
-var errLost = errors.New("lost")
+var (
+	errLost         = errors.New("lost")
+	errNoConnection = errors.New("no connection")
+)
 
 func (w *scriptedWorker) answer(ctx context.Context) error {
 	w.mu.Lock()
@@ -37,6 +41,13 @@
 		<-ctx.Done()
 		return &workerdriver.InDoubtError{Err: ctx.Err()}
 	}
+	if errors.Is(w.answers[i], errNoConnection) {
+		select {
+		case <-time.After(600 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return &workerdriver.InDoubtError{NeverSent: true, Err: errNoConnection}
+	}
 	return w.answers[i]
 }
 
@@ -82,6 +93,8 @@
 		{name: "repeat refused for lack of capacity", answers: []error{errLost, refused(workerdriver.InsufficientCapacity)}, copies: 2, inDoubt: true},
 		{name: "repeat refused by a fencing token", answers: []error{errLost, refused(workerdriver.StaleFencingToken)}, copies: 2, refusal: workerdriver.StaleFencingToken},
 		{name: "never sent", answers: []error{neverSent}, copies: 1, inDoubt: true, neverSent: true},
+		{name: "no connection", answers: []error{errNoConnection, errNoConnection, errNoConnection}, copies: 3, inDoubt: true, neverSent: true},
+		{name: "no connection for the first copy only", answers: []error{errNoConnection, errLost}, copies: 3, unanswered: true},
 		{name: "repeat never sent", answers: []error{errLost, neverSent, errLost}, copies: 3, inDoubt: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -130,3 +143,16 @@
 		}
 	})
 }
+
+// TestRefusalOfRepeatedSyncIsPassedOn: that another worker answers at the address proves that the runs are over.
+func TestRefusalOfRepeatedSyncIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &scriptedWorker{answers: []error{errLost, &workerdriver.RefusedError{Reason: workerdriver.WrongIncarnation}}, began: time.Now()}
+		client := orderrepeater.New(orderrepeater.Dependencies{Workers: worker, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Metrics: discardMetrics{}})
+		_, err := client.Sync(t.Context(), &workerdriver.Worker{}, workerdriver.Sync{})
+		var refused *workerdriver.RefusedError
+		if !errors.As(err, &refused) || refused.Reason != workerdriver.WrongIncarnation {
+			t.Errorf("error %v", err)
+		}
+	})
+}
