Repeated orders: one rule for what was never sent

Cause: read as a newcomer: an order of a single copy took another way to its result than one of several. Change: every order in doubt says whether no copy has reached the worker. Ruled out: nothing.

--- a/internal/orderrepeater/orderrepeater.go
+++ b/internal/orderrepeater/orderrepeater.go
@@ -205,16 +205,13 @@
 		r.reply.Unanswered = attempts > 1
 		return r.reply, nil
 	}
-	if attempts == 1 {
-		return r.reply, r.err
-	}
 	var refused *workerdriver.RefusedError
 	var inDoubt *workerdriver.InDoubtError
 	switch {
-	case kind == kindStart && errors.As(r.err, &refused) && refused.Reason != workerdriver.StaleFencingToken:
-		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, Err: &RepeatRefusedError{Reason: refused.Reason}}
 	case errors.As(r.err, &inDoubt):
 		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, NeverSent: neverSent, Err: inDoubt.Err}
+	case attempts > 1 && kind == kindStart && errors.As(r.err, &refused) && refused.Reason != workerdriver.StaleFencingToken:
+		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, Err: &RepeatRefusedError{Reason: refused.Reason}}
 	default:
 		return r.reply, r.err
 	}
