Test comment: a delayed order after a restart

Cause: a comment told the delay as a figure and the restart as forgetting. Change: the comment says it in the field's terms. Ruled out: nothing.

--- a/internal/cellscheduler/unanswered_test.go
+++ b/internal/cellscheduler/unanswered_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// TestLateStartIsNotCarriedOutByRestartedWorker: the worker has refused the start order, or carried out another copy of
-// it, and has forgotten that when the order reaches it 6 s late.
+// TestLateStartIsNotCarriedOutByRestartedWorker: the worker has refused a start order, or carried out another copy of it,
+// but its restart has erased that when the delayed order arrives.
 func TestLateStartIsNotCarriedOutByRestartedWorker(t *testing.T) {
 	for _, test := range []struct {
 		name string
