cellscheduler: syncs with workers have a file of their own

Change: functions moved as they are, to syncs.go: sending a sync, its answer or failure, ends and listings. Ruled out: renaming on the way: the move stays readable as one.

--- /dev/null
+++ b/internal/cellscheduler/syncs.go
@@ -0,0 +1,208 @@
+package cellscheduler
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/workerdriver"
+)
+
+// syncWorker sends the next sync to a worker if it is due.
+func (c *Scheduler) syncWorker(w *worker) {
+	if w.syncInFlight || c.ownershipLost || !c.recovered || c.now.Before(w.nextSyncAt) {
+		return
+	}
+	order := workerdriver.Sync{FencingToken: c.claim.FencingToken, AckedSequence: w.lastWrittenEnd}
+	switch {
+	case !w.synced:
+		// The first listing of an incarnation is requested without waiting.
+	case w.lastEnd > w.lastWrittenEnd:
+		// The worker would repeat its unwritten ends at once, so there is nothing to wait for.
+	case w.hasMixedLoad():
+		order.MaxWait = throttledSyncWait
+	default:
+		order.MaxWait = c.syncWait()
+	}
+	switch {
+	case w.clockAt.IsZero() || !c.OwnershipConfirmed():
+	case w.synced && (!w.unreachableSince.IsZero() || c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter()):
+		// An unanswered order may have arrived, so each one that extends the lease postpones the
+		// time at which the worker's runs are certainly over. The lease is extended again after
+		// the first answer.
+		order.MaxWait = 0
+	default:
+		order.LeaseExpiry = c.extendLease(w)
+	}
+	w.syncInFlight = true
+	info := w.info
+	sentAt := c.now
+	c.group.Go(func() {
+		listing, err := c.WorkerClient.Sync(c.ctx, &info, order)
+		c.post(func() {
+			w.syncInFlight = false
+			c.syncAnswered(w, listing, err, sentAt)
+		})
+	})
+}
+
+// extendLease returns the end, on the worker's clock, of a lease that starts now, and updates the
+// latest time at which it expires.
+func (c *Scheduler) extendLease(w *worker) workerdriver.Clock {
+	since := c.now.Sub(w.clockAt)
+	slack := time.Duration(maxClockDrift * float64(since+c.settings.Lease) * 1.1)
+	if endsAt := c.now.Add(c.settings.Lease + slack); endsAt.After(w.leaseEndsAt) {
+		w.leaseEndsAt = endsAt
+	}
+	return w.clock + workerdriver.Clock(since+c.settings.Lease)
+}
+
+// updateClock updates a worker's clock and incarnation from a reply. It reports false if the
+// reply is from an older incarnation.
+func (c *Scheduler) updateClock(w *worker, header workerdriver.ReplyHeader) bool {
+	if header.StartMillis != 0 && header.StartMillis != w.info.StartMillis {
+		if header.StartMillis < w.info.StartMillis {
+			return false
+		}
+		c.workerRestarted(w, header.StartMillis)
+	}
+	w.clock, w.clockAt = header.Clock, c.now
+	c.observeClock(w, header.Clock)
+	return true
+}
+
+func (c *Scheduler) syncAnswered(w *worker, listing workerdriver.SyncReply, err error, sentAt time.Time) {
+	if err != nil {
+		c.syncFailed(w, err)
+		return
+	}
+	if c.now.Sub(sentAt) > c.unresponsiveAfter() && w.syncFailures > 0 {
+		c.Log.Info("worker answers again", "worker", w.info.Worker)
+	}
+	w.syncFailures, w.unreachableSince = 0, time.Time{}
+	if !c.updateClock(w, listing.ReplyHeader) {
+		w.nextSyncAt = c.now.Add(initialRetryDelay)
+		return
+	}
+	w.lastReplyAt = c.now
+	c.processEnds(w, listing.Ended)
+	c.reconcileRunning(w, listing, sentAt)
+	c.updateThrottle(w)
+	if !w.synced {
+		w.synced = true
+		c.roundNeeded = true
+		c.Log.Info("worker listed", "worker", w.info.Worker, "running", len(listing.Running), "ended", len(listing.Ended), "fence", c.claim.FencingToken)
+	}
+	if w.lastEnd > w.lastWrittenEnd {
+		lastEnd, startMillis := w.lastEnd, w.info.StartMillis
+		w.nextSyncAt = c.now.Add(unwrittenSyncDelay)
+		c.afterWrites(func() {
+			if w.info.StartMillis != startMillis {
+				return
+			}
+			w.lastWrittenEnd = max(w.lastWrittenEnd, lastEnd)
+			w.nextSyncAt = c.now
+			c.syncWorker(w)
+		})
+		return
+	}
+	w.nextSyncAt = c.now
+	c.syncWorker(w)
+}
+
+func (c *Scheduler) syncFailed(w *worker, err error) {
+	w.syncFailures++
+	if w.syncFailures == 1 || w.syncFailures%16 == 0 {
+		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.syncFailures, "places", len(w.placements),
+			"answered-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds(), "error", err)
+	}
+	w.nextSyncAt = c.now.Add(min(initialRetryDelay*time.Duration(w.syncFailures), maxRetryDelay))
+	var refused *workerdriver.RefusedError
+	if !errors.As(err, &refused) {
+		c.markUnreachable(w)
+		if w.syncFailures == 1 {
+			// If only the connection broke, the worker answers on a new one.
+			w.nextSyncAt = c.now
+		}
+		return
+	}
+	switch refused.Reason {
+	case workerdriver.StaleFencingToken:
+		c.loseOwnership("worker " + w.info.Worker + " has seen a higher fencing token")
+	case workerdriver.Unhealthy:
+		w.avoidUntil = c.now.Add(unhealthyBackoff)
+	case workerdriver.WrongIncarnation:
+		c.workerReplaced(w)
+	case workerdriver.StaleRun, workerdriver.OrderExpired, workerdriver.InsufficientCapacity, workerdriver.NoPlacementToken, workerdriver.Malformed:
+	}
+}
+
+// processEnds handles the ends of runs that were not processed before.
+func (c *Scheduler) processEnds(w *worker, ended []workerdriver.EndedTask) {
+	for i := range ended {
+		e := &ended[i]
+		if e.Sequence <= w.lastEnd {
+			continue
+		}
+		w.lastEnd = e.Sequence
+		j := c.jobs[e.Task.Job]
+		if j == nil {
+			continue
+		}
+		p := j.placements[e.Task]
+		if p == nil || p.run != e.Run || p.worker != w {
+			continue
+		}
+		if task := j.progress.Task(e.Task); task != nil {
+			task.CrashHistory.RecordSurvival()
+		}
+		c.endRun(p, e.Reason, e.Checkpoint)
+	}
+}
+
+// reconcileRunning compares a worker's listing with its placements.
+func (c *Scheduler) reconcileRunning(w *worker, listing workerdriver.SyncReply, sentAt time.Time) {
+	c.countStrays(w, listing)
+	listed := make(map[steptracker.TaskKey]int, len(listing.Running)+len(listing.Ended))
+	// A run whose end is listed is not lost. Its end is processed with the sync that may
+	// acknowledge it.
+	for i := range listing.Ended {
+		listed[listing.Ended[i].Task] = listing.Ended[i].Run
+	}
+	for i := range listing.Running {
+		running := &listing.Running[i]
+		listed[running.Task] = running.Run
+		p := w.placements[running.Task]
+		if p == nil || p.run != running.Run {
+			c.stopStrayRun(w, running, sentAt)
+			continue
+		}
+		c.runListed(p, running)
+	}
+	for _, p := range w.placements {
+		if run, found := listed[p.key]; found && run == p.run {
+			continue
+		}
+		switch p.state {
+		case runUnconfirmed:
+			// The worker has seen the new fencing token, so no start order of an earlier owner
+			// can take effect.
+			reason := steptracker.NeverStarted
+			if p.onEarlierIncarnation() {
+				reason = steptracker.WorkerLost
+				c.recordUnprovedRun(p)
+			}
+			c.endRun(p, reason, "")
+		case runStarted:
+			if p.startedAt.Before(sentAt) {
+				c.endRun(p, steptracker.WorkerLost, "")
+			}
+		case runInDoubt:
+			if !p.stopConfirmedAt.IsZero() && p.stopConfirmedAt.Before(sentAt) {
+				c.endRun(p, steptracker.NeverStarted, "")
+			}
+		case runSending, runUnsent:
+		}
+	}
+}
