Starts: a delayed order is refused after a second restart too

The list of orders that a restarted worker must refuse was dropped after the first restart, and a second one within the 15 s voids those refusals: a task that is done runs again. Change: an entry is kept until its time is over. Figures: TestLateStartIsNotCarriedOutAfterSecondRestart fails before (run 1 is started twice). Ruled out: a longer period; it is the order's, not the worker's.

--- a/internal/cellscheduler/latestarts.go
+++ b/internal/cellscheduler/latestarts.go
@@ -1,6 +1,7 @@
 package cellscheduler
 
 import (
+	"slices"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -24,19 +25,19 @@
 		return
 	}
 	w := p.worker
-	for len(w.lateStarts) > 0 && c.now.After(w.lateStarts[0].expiresAt) {
-		w.lateStarts = w.lateStarts[1:]
-	}
+	c.expireLateStarts(w)
 	w.lateStarts = append(w.lateStarts, lateStart{task: p.key, run: p.run, expiresAt: p.orderedAt.Add(lateStartPeriod)})
 }
 
-// refuseLateStarts makes a worker that has restarted refuse the start orders that its previous incarnation has
-// left unanswered.
+func (c *Scheduler) expireLateStarts(w *worker) {
+	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(late lateStart) bool { return c.now.After(late.expiresAt) })
+}
+
+// refuseLateStarts makes a worker that has restarted refuse the start orders that its previous incarnations have
+// left unanswered. They are kept, because another restart voids the refusals again.
 func (c *Scheduler) refuseLateStarts(w *worker) {
+	c.expireLateStarts(w)
 	for _, late := range w.lateStarts {
-		if c.now.After(late.expiresAt) {
-			continue
-		}
 		info, order := w.info, workerdriver.Stop{Task: late.task, Run: late.run, FencingToken: c.claim.FencingToken}
 		c.group.Go(func() {
 			if _, err := c.WorkerClient.Stop(c.ctx, &info, order); err != nil {
@@ -44,7 +45,6 @@
 			}
 		})
 	}
-	w.lateStarts = nil
 }
 
 // doubtAgain puts a run back in doubt after its worker has restarted: the new incarnation has not refused the
--- a/internal/cellscheduler/unanswered_test.go
+++ b/internal/cellscheduler/unanswered_test.go
@@ -104,3 +104,37 @@
 		})
 	}
 }
+
+// TestLateStartIsNotCarriedOutAfterSecondRestart: the worker restarts twice before the delayed order arrives.
+func TestLateStartIsNotCarriedOutAfterSecondRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		env.keepIDs = true
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		submittedAt := time.Now()
+		carriedOut := 0
+		env.withLock(func() {
+			env.unanswered = func(kind string) (time.Duration, bool) {
+				return 10 * time.Second, kind == "start" && time.Since(submittedAt) < 40*time.Millisecond
+			}
+			env.onStart = func(start *workerdriver.Start) {
+				if start.Run == 1 {
+					carriedOut++
+				}
+			}
+		})
+		submit(t, c, job("j", "plain", step(1, 1000)))
+		sleep(1500 * time.Millisecond)
+		wantState(t, c, "j", steptracker.Completed)
+		for range 2 {
+			env.withLock(func() { env.workers["w0"].crash() })
+			sleep(restartDelay + 500*time.Millisecond)
+		}
+		sleep(20 * time.Second)
+		if carriedOut != 1 {
+			t.Errorf("run 1 was started %d times, want once", carriedOut)
+		}
+	})
+}
