Readiness: each change is logged with its reason; configurations with their size

Change: log line readiness (ready, reason, age of the configuration, silence of the store), once a change; rules applied has bytes. No decision changes.

--- a/internal/cellmanager/access.go
+++ b/internal/cellmanager/access.go
@@ -107,7 +107,7 @@
 			}
 			continue
 		}
-		m.Log.Info("rules applied", "version", configuration.Version, "queues", len(configuration.Queues), "services", len(configuration.Services), "teams", len(configuration.Teams))
+		m.Log.Info("rules applied", "version", configuration.Version, "queues", len(configuration.Queues), "services", len(configuration.Services), "teams", len(configuration.Teams), "bytes", len(row.Value))
 		for _, service := range configuration.Services {
 			m.trackCell(service.Name)
 		}
--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -107,6 +107,7 @@
 	stopStore     func()
 	slowness      *slownessdetector.Detector
 	keys          keyState
+	readiness     readinessLog
 
 	mu    sync.Mutex
 	cells map[string]*cell
@@ -320,24 +321,6 @@
 	return len(live) > 0
 }
 
-// Ready reports whether this instance can serve callers: it has a configuration, can tell which keys
-// are valid, and knows a live owner of every service's cell.
-func (m *Manager) Ready() bool {
-	configuration := m.configuration.Current()
-	if configuration == nil || m.leaving.Load() || !m.canVerifyKeys() {
-		return false
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, service := range configuration.Services {
-		c := m.cells[service.Name]
-		if c == nil || c.scheduler == nil && (c.ownership.Owner == "" || m.Clock.Since(m.ownerLastConfirmed(c)) > elector.HeartbeatTimeout) {
-			return false
-		}
-	}
-	return true
-}
-
 // ownerLastConfirmed returns when the owner of a cell was last known to own it. The latest heartbeat
 // alone does not show this, as a live incarnation may have lost the cell. For an incarnation that has
 // ended it returns the zero time. The caller holds the mutex.
