--- a/internal/cellmanager/accessenv_test.go
+++ b/internal/cellmanager/accessenv_test.go
@@ -104,6 +104,8 @@
 	Version int64
 	Teams   bool
 	Keys    map[string]string
+	// Padding makes the row as large as one with many queues.
+	Padding string
 }
 
 // decodeConfiguration decodes a configuration row. "{}" is a configuration without teams.
@@ -153,6 +155,10 @@
 
 // name returns the instance name of a manager.
 func name(manager *cellmanager.Manager) string {
-	instance, _, _ := strings.Cut(manager.Incarnation(), "@")
+	return incarnationInstance(manager.Incarnation())
+}
+
+func incarnationInstance(incarnation string) string {
+	instance, _, _ := strings.Cut(incarnation, "@")
 	return instance
 }
--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -39,6 +41,7 @@
 	// transactionDelay is the duration of a transaction.
 	transactionDelay time.Duration
 	keyFaults
+	slowLinks
 }
 
 func newCluster() *cluster {
@@ -106,7 +109,7 @@
 	return connector.Outcome{Committed: true, Version: c.version}, nil
 }
 
-func (s *store) Read(_ context.Context, keys ...string) (map[string]connector.Row, error) {
+func (s *store) Read(ctx context.Context, keys ...string) (map[string]connector.Row, error) {
 	sleep(5 * time.Millisecond)
 	if err := s.refuse(); err != nil {
 		return nil, err
@@ -114,6 +117,11 @@
 	if s.cluster.lostHistory() {
 		return nil, &connector.RefusedError{Status: 503}
 	}
+	rows := s.existing(keys)
+	return rows, s.receive(ctx, slices.Collect(maps.Values(rows)))
+}
+
+func (s *store) existing(keys []string) map[string]connector.Row {
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
 	s.cluster.configurationReads += strings.Count(strings.Join(keys, " "), "op//config")
@@ -123,10 +131,10 @@
 			rows[key] = row
 		}
 	}
-	return rows, nil
+	return rows
 }
 
-func (s *store) Snapshot(_ context.Context, table, part string) (connector.Changes, error) {
+func (s *store) Snapshot(ctx context.Context, table, part string) (connector.Changes, error) {
 	sleep(5 * time.Millisecond)
 	if err := s.refuse(); err != nil {
 		return connector.Changes{}, err
@@ -134,7 +142,8 @@
 	if s.cluster.lostHistory() {
 		return connector.Changes{}, &connector.RefusedError{Status: 503}
 	}
-	return s.after(table+"/"+part+"/", 0), nil
+	changes := s.after(table+"/"+part+"/", 0)
+	return changes, s.receive(ctx, changes.Rows)
 }
 
 func (s *store) after(prefix string, version int64) connector.Changes {
@@ -158,7 +167,7 @@
 			return connector.Changes{}, &connector.CompactedError{Table: table, After: after}
 		}
 		if changes := s.after(table+"/", after); len(changes.Rows) > 0 || waited >= wait || ctx.Err() != nil {
-			return changes, nil
+			return changes, s.receive(ctx, changes.Rows)
 		}
 		sleep(20 * time.Millisecond)
 	}
@@ -187,7 +196,19 @@
 	}
 	sleep(2 * time.Millisecond)
 	m.cluster.record(call)
-	return to.ServeCall(ctx, call), nil
+	reply := to.ServeCall(ctx, call)
+	// A reply is sent whole, even if the caller has stopped waiting for it.
+	received := make(chan struct{})
+	m.cluster.transfers.Go(func() {
+		defer close(received)
+		_ = m.cluster.receive(context.WithoutCancel(ctx), incarnationInstance(m.incarnation), len(reply.GetAnswer()))
+	})
+	select {
+	case <-received:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, &mesher.LinkError{Instance: incarnation, Err: ctx.Err()}
+	}
 }
 
 func (m *mesh) LivePeers() map[string]*messenger.Heartbeat {
