Proof of the configuration: a file of its own

access.go held both the verification of keys and the watch that shows how recent the configuration is.

--- /dev/null
+++ b/internal/cellmanager/proof.go
@@ -0,0 +1,224 @@
+package cellmanager
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"dotterelpost.example/dotterelpost/internal/cellscheduler"
+	"dotterelpost.example/dotterelpost/internal/connector"
+	"dotterelpost.example/dotterelpost/internal/tablewatcher"
+)
+
+const (
+	// clockDriftPercent is subtracted from the revocation limit: the clock of this machine may be that much
+	// slower than the one by which the limit counts.
+	clockDriftPercent = 2
+	// minWatchesPerLimit is how many watches of the configuration that wait for a change end within the
+	// revocation limit.
+	minWatchesPerLimit = 5
+	// renewalPercent is the part of the revocation limit after which the configuration is read again
+	// beside the watch. In undisturbed operation the configuration gets no older than two watches: a
+	// watch is sent when the one before it is answered, and counts from then.
+	renewalPercent = 50
+	// renewalTimeout bounds one such read. renewalPause is the time between two of them, and
+	// lateRenewalPause that once keys can't be verified any more.
+	renewalTimeout   = 800 * time.Millisecond
+	renewalPause     = 300 * time.Millisecond
+	lateRenewalPause = time.Second
+)
+
+// keyState is what the manager knows about how recent its configuration is.
+type keyState struct {
+	denials *cellscheduler.DenialRecorder
+	// renewing is set while the configuration is read beside the watch.
+	renewing atomic.Bool
+
+	mu sync.Mutex
+	// unreadable is set while the newest configuration row that was read can't be used. unreadableAt is the
+	// uptime at which this was last found.
+	unreadable   bool
+	unreadableAt time.Duration
+}
+
+// rowOutcome is what an answer of the store told about the configuration row.
+type rowOutcome int
+
+const (
+	// rowUnchanged means that the row has not changed since the last answer.
+	rowUnchanged rowOutcome = iota
+	// rowCurrent means that the row holds the active configuration or a newer one, which is active now.
+	rowCurrent
+	// rowOutdated means that an answer with a newer version of the row was processed earlier.
+	rowOutdated
+	// rowUnreadable means that there is no row, or one that can't be decoded.
+	rowUnreadable
+)
+
+// watchConfiguration starts to watch the configuration row.
+func (m *Manager) watchConfiguration() {
+	outcome := rowUnchanged
+	m.group.Go(func() {
+		tablewatcher.Watch(m.ctx, tablewatcher.Options{
+			Store: m.store, Clock: m.Clock, Log: m.Log, Table: m.Decoders.ConfigurationTable,
+			WatchTimeout: m.configurationWatchTimeout(), ResyncInterval: resyncInterval, Uptime: m.Uptime,
+			Apply: func(rows []connector.Row, snapshot bool) { outcome = m.applyConfiguration(rows, snapshot) },
+			Confirmed: func(sentAt time.Duration) {
+				m.confirmConfiguration(outcome, sentAt)
+				outcome = rowUnchanged
+			},
+		})
+	})
+}
+
+// applyConfiguration applies the configuration row if it is among the rows. complete is set if the row
+// must be among them.
+func (m *Manager) applyConfiguration(rows []connector.Row, complete bool) rowOutcome {
+	outcome := rowUnchanged
+	if complete {
+		outcome = rowUnreadable
+	}
+	for _, row := range rows {
+		if row.Key != m.Decoders.ConfigurationKey {
+			continue
+		}
+		if row.Value == nil {
+			outcome = rowUnreadable
+			continue
+		}
+		configuration, err := m.Decoders.Configuration(row.Value)
+		if err != nil {
+			m.Log.Error("invalid configuration row", "row", row.Key, "version", row.Version, "error", err)
+			outcome = rowUnreadable
+			continue
+		}
+		outcome = rowCurrent
+		if !m.configuration.Apply(configuration) {
+			if configuration.Version < m.configuration.Version() {
+				outcome = rowOutdated
+			}
+			continue
+		}
+		m.Log.Info("rules applied", "version", configuration.Version, "queues", len(configuration.Queues), "services", len(configuration.Services), "teams", len(configuration.Teams), "bytes", len(row.Value))
+		for _, service := range configuration.Services {
+			m.trackCell(service.Name)
+		}
+	}
+	return outcome
+}
+
+// confirmConfiguration records that the store has answered a call that was sent at the uptime sentAt. A
+// row that could not be read stays the newest one known until a call that was sent later has read
+// a valid one.
+func (m *Manager) confirmConfiguration(outcome rowOutcome, sentAt time.Duration) {
+	k := &m.keys
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch outcome {
+	case rowUnreadable:
+		k.unreadable, k.unreadableAt = true, m.Uptime.Uptime()
+		return
+	case rowCurrent:
+		k.unreadable = k.unreadable && sentAt <= k.unreadableAt
+	case rowOutdated:
+		return
+	case rowUnchanged:
+	}
+	if !k.unreadable {
+		m.configuration.Confirm(sentAt)
+	}
+}
+
+// clockUptime derives the uptime from a clock, which does not count the time for which the machine was
+// suspended.
+type clockUptime struct {
+	clock     clockwork.Clock
+	startedAt time.Time
+}
+
+func (u clockUptime) Uptime() time.Duration { return u.clock.Since(u.startedAt) }
+
+// configurationWatchTimeout returns how long a watch of the configuration waits for a change.
+func (m *Manager) configurationWatchTimeout() time.Duration {
+	if m.settings.RevocationLimit == 0 {
+		return watchTimeout
+	}
+	return min(watchTimeout, m.settings.RevocationLimit/minWatchesPerLimit)
+}
+
+// maxKeyAge returns how old the configuration may be by which keys are verified, or 0 if any age will do.
+func (m *Manager) maxKeyAge() time.Duration {
+	return m.settings.RevocationLimit * (100 - clockDriftPercent) / 100
+}
+
+// recentEnough reports whether a configuration that was the newest one at an uptime may be used to verify
+// keys now, and returns its age.
+func (m *Manager) recentEnough(confirmedAt time.Duration, confirmed bool) (age time.Duration, recent bool) {
+	age = m.Uptime.Uptime() - confirmedAt
+	return age, m.settings.RevocationLimit == 0 || confirmed && age <= m.maxKeyAge()
+}
+
+// keysProven reports whether keys can be verified now.
+func (m *Manager) keysProven() bool {
+	_, confirmedAt, confirmed := m.configuration.Confirmed()
+	_, recent := m.recentEnough(confirmedAt, confirmed)
+	return recent
+}
+
+// configurationStatus returns the status of the active configuration for the metrics.
+func (m *Manager) configurationStatus() cellscheduler.ConfigurationStatus {
+	_, confirmedAt, confirmed := m.configuration.Confirmed()
+	status := cellscheduler.ConfigurationStatus{Version: m.configuration.Version(), AgeMillis: -1}
+	if confirmed {
+		status.AgeMillis = (m.Uptime.Uptime() - confirmedAt).Milliseconds()
+	}
+	return status
+}
+
+// renewProof reads the configuration beside the watch if it has not been confirmed for long. The watch may
+// wait for an answer on a dead connection, so the read also uses a peer.
+func (m *Manager) renewProof() {
+	configuration, confirmedAt, confirmed := m.configuration.Confirmed()
+	if m.settings.RevocationLimit == 0 || configuration == nil || !configuration.HasTeams() {
+		return
+	}
+	age, recent := m.recentEnough(confirmedAt, confirmed)
+	if recent && age <= m.settings.RevocationLimit*renewalPercent/100 {
+		return
+	}
+	if m.store.Unavailable() && len(m.peersWithStore()) == 0 {
+		// The store answers no instance. Its first answer to a probe ends the outage.
+		return
+	}
+	if !m.keys.renewing.CompareAndSwap(false, true) {
+		return
+	}
+	m.group.Go(func() {
+		defer m.keys.renewing.Store(false)
+		if err := m.readConfiguration(); err != nil {
+			m.Log.Warn("configuration could not be confirmed", "version", configuration.Version, "age-ms", age.Milliseconds(), "error", err)
+		}
+		if m.keysProven() {
+			m.sleep(renewalPause)
+		} else {
+			m.sleep(lateRenewalPause)
+		}
+	})
+}
+
+// readConfiguration reads the configuration row once, on more than one way.
+func (m *Manager) readConfiguration() error {
+	sentAt := m.Uptime.Uptime()
+	rows, err := m.store.ReadHedged(m.ctx, renewalTimeout, m.Decoders.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	found := make([]connector.Row, 0, len(rows))
+	for _, row := range rows {
+		found = append(found, row)
+	}
+	m.confirmConfiguration(m.applyConfiguration(found, true), sentAt)
+	return nil
+}
