--- a/internal/cellmanager/proof.go
+++ b/internal/cellmanager/proof.go
@@ -65,7 +65,7 @@
 			Store: m.store, Clock: m.Clock, Log: m.Log, Table: m.Decoders.ConfigurationTable,
 			WatchTimeout: m.configurationWatchTimeout(), ResyncInterval: resyncInterval, Uptime: m.Uptime,
 			Apply: func(rows []connector.Row, snapshot bool) { outcome = m.applyConfiguration(rows, snapshot) },
-			Confirmed: func(sentAt time.Duration) {
+			Confirmed: func(sentAt time.Duration, _ int64) {
 				m.confirmConfiguration(outcome, sentAt)
 				outcome = rowUnchanged
 			},
--- a/internal/tablewatcher/tablewatcher.go
+++ b/internal/tablewatcher/tablewatcher.go
@@ -37,15 +37,17 @@
 	Part  string
 	// WatchTimeout is how long one watch call waits for a change.
 	WatchTimeout time.Duration
-	// ResyncInterval is the interval at which a new snapshot is read.
+	// ResyncInterval is the interval at which a new snapshot is read. It is longer for a snapshot that takes
+	// long, so that snapshots take at most a twentieth of the time.
 	ResyncInterval time.Duration
 	// Apply is called with all rows when snapshot is set, and otherwise with the rows that changed.
 	// All calls are made by one goroutine.
 	Apply func(rows []connector.Row, snapshot bool)
 	// Confirmed is called after Apply, or instead of it if nothing has changed, with the uptime at which
-	// the call was sent whose answer shows that the reader is up to date. An answer that is older than an
-	// earlier one does not show that. It may be nil; if it is not, Uptime must be set.
-	Confirmed func(sentAt time.Duration)
+	// the call was sent whose answer shows that the reader is up to date, and the version of that answer. An
+	// answer that is older than an earlier one does not show that. It may be nil; if it is not, Uptime must
+	// be set.
+	Confirmed func(sentAt time.Duration, version int64)
 	Uptime    UptimeReader
 }
 
@@ -60,6 +62,9 @@
 	maxBackoff     = 500 * time.Millisecond
 )
 
+// minResyncRatio is the shortest time from one snapshot to the next, in the time that a snapshot takes.
+const minResyncRatio = 20
+
 // Watch calls Apply with snapshots and changes of the table until the context ends.
 func Watch(ctx context.Context, o Options) {
 	retryBackoff := backoff.NewExponentialBackOff()
@@ -67,11 +72,12 @@
 	failing := false
 	var after, newest int64
 	var snapshotAt time.Time
+	resyncInterval := o.ResyncInterval
 	for ctx.Err() == nil {
 		var changes connector.Changes
 		var err error
-		sentAt := o.uptime()
-		snapshotDue := snapshotAt.IsZero() || o.Clock.Since(snapshotAt) > o.ResyncInterval
+		sentAt, startedAt := o.uptime(), o.Clock.Now()
+		snapshotDue := snapshotAt.IsZero() || o.Clock.Since(snapshotAt) > resyncInterval
 		if snapshotDue {
 			changes, err = o.Store.Snapshot(ctx, o.Table, o.Part)
 		} else {
@@ -102,12 +108,13 @@
 		after = changes.Version
 		if snapshotDue {
 			snapshotAt = o.Clock.Now()
+			resyncInterval = max(o.ResyncInterval, snapshotAt.Sub(startedAt)*minResyncRatio)
 		}
 		if snapshotDue || len(changes.Rows) > 0 {
 			o.Apply(changes.Rows, snapshotDue)
 		}
 		if o.Confirmed != nil && changes.Version >= newest {
-			o.Confirmed(sentAt)
+			o.Confirmed(sentAt, changes.Version)
 		}
 		newest = max(newest, changes.Version)
 	}
--- a/internal/tablewatcher/tablewatcher_test.go
+++ b/internal/tablewatcher/tablewatcher_test.go
@@ -24,6 +24,8 @@
 	compacted   bool
 	watchSilent bool
 	snapshots   int
+	// snapshotDelay is the duration of a snapshot in addition to five milliseconds.
+	snapshotDelay time.Duration
 }
 
 func (s *table) set(change func()) {
@@ -40,7 +42,7 @@
 }
 
 func (s *table) Snapshot(context.Context, string, string) (connector.Changes, error) {
-	<-time.After(5 * time.Millisecond)
+	<-time.After(5*time.Millisecond + s.snapshotDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshots++
@@ -156,7 +158,7 @@
 			tablewatcher.Watch(ctx, tablewatcher.Options{
 				Store: s, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Table: "t",
 				WatchTimeout: time.Second, ResyncInterval: time.Minute, Apply: func([]connector.Row, bool) {}, Uptime: uptime,
-				Confirmed: func(sentAt time.Duration) {
+				Confirmed: func(sentAt time.Duration, _ int64) {
 					mu.Lock()
 					defer mu.Unlock()
 					confirmed = append(confirmed, sentAt)
@@ -198,3 +200,27 @@
 		group.Wait()
 	})
 }
+
+// TestSlowSnapshotsLeaveTheLinkFree: snapshots that take a second are read less often, but changes that a watch does
+// not deliver still arrive.
+func TestSlowSnapshotsLeaveTheLinkFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &table{snapshotDelay: 995 * time.Millisecond}
+		s.put("first")
+		seen := startWatcher(t, s)
+		const duration = 2 * time.Minute
+		<-time.After(duration)
+		if busy := time.Duration(s.snapshots) * time.Second; busy > duration/snapshotShare+time.Second {
+			t.Errorf("%d snapshots of a second in %s", s.snapshots, duration)
+		}
+		s.set(func() { s.watchSilent = true })
+		s.put("second")
+		<-time.After(25 * time.Second)
+		if got := seen(); !slices.Contains(got, "second") {
+			t.Errorf("seen %v", got)
+		}
+	})
+}
+
+// snapshotShare is the part of the time that snapshots may take at most, as a divisor.
+const snapshotShare = 20
