Proof of the configuration: asks for changes, not for the whole row

Cause: the call that shows that nothing has changed read the whole configuration, 1.15 MB, within 0.8 s, of which the link needs 0.92 s alone. It could not succeed, was repeated for ever, each time on two ways, and what was abandoned on the way of a peer was sent all the same, so that the watch, which brings changes, had no room either. Nothing ended that state.

Class: work for a check that grows with what is checked, with a time-out that is shorter than the work, repeated on failure.

Change: the proof is an answer without changes since the version of the last answer (some 100 bytes, on two ways as before); only a discarded history makes it read the row. It isn't asked for while the watch receives a configuration. An answer older than the last one proves nothing; before, a read that was behind did.

TestQuietConfigurationStaysConfirmed counts these calls, too, and still finds none.

--- a/internal/cellmanager/accessenv_test.go
+++ b/internal/cellmanager/accessenv_test.go
@@ -30,7 +30,7 @@
 	historyLost bool
 	// suspended is for how long the machines were suspended, by instance name.
 	suspended map[string]time.Duration
-	// configurationReads counts the reads of the configuration row beside watches and snapshots.
+	// configurationReads counts the calls about the configuration row beside watches and snapshots.
 	configurationReads int
 	// calls are the calls between instances. logs receives the logs of all instances if it is set.
 	calls []*messenger.Call
--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -159,6 +159,9 @@
 }
 
 func (s *store) Watch(ctx context.Context, table string, after int64, wait time.Duration) (connector.Changes, error) {
+	if wait == 0 && table == "op" {
+		s.cluster.set(func() { s.cluster.configurationReads++ })
+	}
 	for waited := time.Duration(0); ; waited += 20 * time.Millisecond {
 		if err := s.refuse(); err != nil {
 			return connector.Changes{}, err
@@ -201,7 +204,7 @@
 	received := make(chan struct{})
 	m.cluster.transfers.Go(func() {
 		defer close(received)
-		_ = m.cluster.receive(context.WithoutCancel(ctx), incarnationInstance(m.incarnation), len(reply.GetAnswer()))
+		_ = m.cluster.receive(context.Background(), incarnationInstance(m.incarnation), len(reply.GetAnswer()))
 	})
 	select {
 	case <-received:
--- a/internal/cellmanager/proof.go
+++ b/internal/cellmanager/proof.go
@@ -1,10 +1,13 @@
 package cellmanager
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
@@ -19,22 +22,28 @@
 	// minWatchesPerLimit is how many watches of the configuration that wait for a change end within the
 	// revocation limit.
 	minWatchesPerLimit = 5
-	// renewalPercent is the part of the revocation limit after which the configuration is read again
+	// renewalPercent is the part of the revocation limit after which the configuration is confirmed
 	// beside the watch. In undisturbed operation the configuration gets no older than two watches: a
 	// watch is sent when the one before it is answered, and counts from then.
 	renewalPercent = 50
-	// renewalTimeout bounds one such read. renewalPause is the time between two of them, and
+	// renewalTimeout bounds one such call. renewalPause is the time between two of them, and
 	// lateRenewalPause that once keys can't be verified any more.
 	renewalTimeout   = 800 * time.Millisecond
 	renewalPause     = 300 * time.Millisecond
 	lateRenewalPause = time.Second
+	// transferStall is how long a configuration that arrives may pause before it is requested again.
+	transferStall = time.Second
 )
 
 // keyState is what the manager knows about how recent its configuration is.
 type keyState struct {
 	denials *cellscheduler.DenialRecorder
-	// renewing is set while the configuration is read beside the watch.
+	// renewing is set while the configuration is confirmed beside the watch.
 	renewing atomic.Bool
+	// version is the version of the last answer that confirmed the configuration. receivedAt is the uptime
+	// at which a part of an answer to the watch last arrived.
+	version    atomic.Int64
+	receivedAt atomic.Int64
 
 	mu sync.Mutex
 	// unreadable is set while the newest configuration row that was read can't be used. unreadableAt is the
@@ -61,12 +70,14 @@
 func (m *Manager) watchConfiguration() {
 	outcome := rowUnchanged
 	m.group.Go(func() {
-		tablewatcher.Watch(m.ctx, tablewatcher.Options{
+		ctx := connector.WithReceived(m.ctx, func(int) { m.keys.receivedAt.Store(int64(m.Uptime.Uptime())) })
+		tablewatcher.Watch(ctx, tablewatcher.Options{
 			Store: m.store, Clock: m.Clock, Log: m.Log, Table: m.Decoders.ConfigurationTable,
 			WatchTimeout: m.configurationWatchTimeout(), ResyncInterval: resyncInterval, Uptime: m.Uptime,
 			Apply: func(rows []connector.Row, snapshot bool) { outcome = m.applyConfiguration(rows, snapshot) },
-			Confirmed: func(sentAt time.Duration, _ int64) {
+			Confirmed: func(sentAt time.Duration, version int64) {
 				m.confirmConfiguration(outcome, sentAt)
+				m.keys.version.Store(version)
 				outcome = rowUnchanged
 			},
 		})
@@ -177,8 +188,9 @@
 	return status
 }
 
-// renewProof reads the configuration beside the watch if it has not been confirmed for long. The watch may
-// wait for an answer on a dead connection, so the read also uses a peer.
+// renewProof confirms the configuration beside the watch if that has not happened for long. The watch may
+// wait for an answer on a dead connection, so the call also uses a peer. While the watch receives a configuration,
+// another call would only slow it down.
 func (m *Manager) renewProof() {
 	configuration, confirmedAt, confirmed := m.configuration.Confirmed()
 	if m.settings.RevocationLimit == 0 || configuration == nil || !configuration.HasTeams() {
@@ -188,6 +200,9 @@
 	if recent && age <= m.settings.RevocationLimit*renewalPercent/100 {
 		return
 	}
+	if m.Uptime.Uptime()-time.Duration(m.keys.receivedAt.Load()) < transferStall {
+		return
+	}
 	if m.store.Unavailable() && len(m.peersWithStore()) == 0 {
 		// The store answers no instance. Its first answer to a probe ends the outage.
 		return
@@ -197,7 +212,7 @@
 	}
 	m.group.Go(func() {
 		defer m.keys.renewing.Store(false)
-		if err := m.readConfiguration(); err != nil {
+		if err := m.confirmByChanges(); err != nil {
 			m.Log.Warn("configuration could not be confirmed", "version", configuration.Version, "age-ms", age.Milliseconds(), "error", err)
 		}
 		if m.keysProven() {
@@ -208,6 +223,28 @@
 	})
 }
 
+// confirmByChanges asks for the changes since the last answer, on more than one way. The answer is small unless the
+// configuration has changed. If the store has discarded that part of its history, the row is read.
+func (m *Manager) confirmByChanges() error {
+	sentAt := m.Uptime.Uptime()
+	after := m.keys.version.Load()
+	changes, err := m.store.ChangesHedged(m.ctx, renewalTimeout, m.Decoders.ConfigurationTable, after)
+	var compacted *connector.CompactedError
+	if errors.As(err, &compacted) {
+		return m.readConfiguration()
+	}
+	if err != nil {
+		return err
+	}
+	outcome := m.applyConfiguration(changes.Rows, false)
+	if changes.Version < after {
+		// The answer is older than the last one and proves nothing.
+		return nil
+	}
+	m.confirmConfiguration(outcome, sentAt)
+	return nil
+}
+
 // readConfiguration reads the configuration row once, on more than one way.
 func (m *Manager) readConfiguration() error {
 	sentAt := m.Uptime.Uptime()
@@ -215,10 +252,6 @@
 	if err != nil {
 		return err
 	}
-	found := make([]connector.Row, 0, len(rows))
-	for _, row := range rows {
-		found = append(found, row)
-	}
-	m.confirmConfiguration(m.applyConfiguration(found, true), sentAt)
+	m.confirmConfiguration(m.applyConfiguration(slices.Collect(maps.Values(rows)), true), sentAt)
 	return nil
 }
--- a/internal/cellmanager/slowlink_test.go
+++ b/internal/cellmanager/slowlink_test.go
@@ -48,6 +48,9 @@
 		part := min(rest, c.speeds[instance]*int(transferTick)/int(time.Second)/c.active[instance])
 		rest -= part
 		c.received[instance] += part
+		c.mu.Unlock()
+		connector.ReportReceived(ctx, part)
+		c.mu.Lock()
 	}
 	return nil
 }
