Answers that an outdated configuration can make false need a proof

Callers saw 404 for a route that had been acknowledged 4.1 s before, from instances that refused all keys at the same moment because they knew that their configuration was 9 to 10 s old. Only keys were judged by that age, and only by revoke_ms; config_apply_ms was not read.

The proof is kept with or without teams, renewed after three quarters of the shorter limit, also while it is late every 0.3 s instead of every second. An instance without it is not ready.

Weighed and left: refusing the state of jobs, too.

--- a/internal/cellmanager/access.go
+++ b/internal/cellmanager/access.go
@@ -37,7 +37,8 @@
 	if current := configuration.Queue(queue.Name); current != nil {
 		queue = current
 	}
-	age, recent := m.recentEnough(confirmedAt, confirmed)
+	age, recent := m.recentEnough(confirmedAt, confirmed, m.settings.RevocationLimit)
+	_, proven := m.recentEnough(confirmedAt, confirmed, m.settings.ConfigurationLimit)
 	caller := cellscheduler.Caller{ConfigurationVersion: configuration.Version, Key: authenticator.DigestOf(credential)}
 	denial := cellscheduler.Denial{Job: id, Queue: queue.Name, Version: configuration.Version}
 	if recent {
@@ -47,12 +48,13 @@
 	case queue.Public:
 		caller.PublicQueue = queue.Name
 		return caller, nil
-	case !recent:
+	case recent && caller.Team != "":
+		return caller, nil
+	case !recent || !proven:
+		// A newer version may have added the key.
 		denial.Cause, denial.Age = cellscheduler.ConfigurationAge, age
 		m.keys.denials.Record(denial)
 		return cellscheduler.Caller{}, cellscheduler.UnprovenConfigurationError()
-	case caller.Team != "":
-		return caller, nil
 	case credential == "":
 		denial.Cause = cellscheduler.NoKey
 	default:
--- a/internal/cellmanager/accessenv_test.go
+++ b/internal/cellmanager/accessenv_test.go
@@ -24,6 +24,8 @@
 // keyFaults are the faults of a cluster that matter to keys.
 type keyFaults struct {
 	revocationLimit time.Duration
+	// configurationLimit is 0 unless a test sets it.
+	configurationLimit time.Duration
 	// The store does not answer the instances in hanging. If historyLost is set, it answers watches with
 	// the loss of its history and refuses reads.
 	hanging     map[string]bool
--- a/internal/cellmanager/cellmanager.go
+++ b/internal/cellmanager/cellmanager.go
@@ -67,6 +67,9 @@
 	// RevocationLimit is how long after the removal of a key this instance may still act on it, whether
 	// or not it reaches the store; 0 means no limit.
 	RevocationLimit time.Duration
+	// ConfigurationLimit is how long after its acknowledgement a configuration must be in force at all
+	// instances; 0 means no limit.
+	ConfigurationLimit time.Duration
 }
 
 // UptimeReader reads the time since the machine started, including the time for which it was suspended.
--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -267,7 +267,7 @@
 func (c *cluster) start(name string) (*cellmanager.Manager, func()) {
 	manager, stop := cellmanager.New(cellmanager.Settings{
 		Name: name, Region: "r", Processors: c.processors[name], Scheduler: cellscheduler.Settings{Lease: time.Second, MaxLease: time.Second, StateRetention: time.Minute, MaxOpenJobs: 1000},
-		RevocationLimit: c.revocationLimit,
+		RevocationLimit: c.revocationLimit, ConfigurationLimit: c.configurationLimit,
 	}, cellmanager.Dependencies{
 		Clock: clockwork.NewRealClock(), Uptime: c.uptimeReader(name), Log: c.logger(), Store: &store{cluster: c, instance: name},
 		Workers: stubWorkers{}, Advisor: stubWorkers{}, Metrics: cellscheduler.NewMetrics(),
--- a/internal/cellmanager/proof.go
+++ b/internal/cellmanager/proof.go
@@ -11,26 +11,25 @@
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
+	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/tablewatcher"
 )
 
 const (
-	// clockDriftPercent is subtracted from the revocation limit: the clock of this machine may be that much
-	// slower than the one by which the limit counts.
+	// clockDriftPercent is subtracted from a limit: the clock of this machine may be that much slower than
+	// the one by which the limit counts.
 	clockDriftPercent = 2
-	// minWatchesPerLimit is how many watches of the configuration that wait for a change end within the
-	// revocation limit.
-	minWatchesPerLimit = 5
-	// renewalPercent is the part of the revocation limit after which the configuration is confirmed
-	// beside the watch. In undisturbed operation the configuration gets no older than two watches: a
-	// watch is sent when the one before it is answered, and counts from then.
-	renewalPercent = 50
-	// renewalTimeout bounds one such call. renewalPause is the time between two of them, and
-	// lateRenewalPause that once keys can't be verified any more.
-	renewalTimeout   = 800 * time.Millisecond
-	renewalPause     = 300 * time.Millisecond
-	lateRenewalPause = time.Second
+	// minWatchesPerLimit is how many watches of the configuration that wait for a change end within a
+	// limit.
+	minWatchesPerLimit = 3
+	// renewalPercent is the part of a limit after which the configuration is confirmed beside the watch. In
+	// undisturbed operation the configuration gets no older than two watches: a watch is sent when the one
+	// before it is answered, and counts from then.
+	renewalPercent = 75
+	// renewalTimeout bounds one such call. renewalPause is the time between two of them.
+	renewalTimeout = 800 * time.Millisecond
+	renewalPause   = 300 * time.Millisecond
 	// transferStall is how long a configuration that arrives may pause before it is requested again.
 	transferStall = time.Second
 )
@@ -151,33 +150,55 @@
 
 func (u clockUptime) Uptime() time.Duration { return u.clock.Since(u.startedAt) }
 
+// proofLimit returns the shortest of the limits on the age of a configuration, or 0 if there is none.
+func (m *Manager) proofLimit() time.Duration {
+	limit := m.settings.ConfigurationLimit
+	if revocation := m.settings.RevocationLimit; limit == 0 || revocation > 0 && revocation < limit {
+		limit = revocation
+	}
+	return limit
+}
+
 // configurationWatchTimeout returns how long a watch of the configuration waits for a change.
 func (m *Manager) configurationWatchTimeout() time.Duration {
-	if m.settings.RevocationLimit == 0 {
+	if m.proofLimit() == 0 {
 		return watchTimeout
 	}
-	return min(watchTimeout, m.settings.RevocationLimit/minWatchesPerLimit)
+	return min(watchTimeout, m.proofLimit()/minWatchesPerLimit)
 }
 
-// maxKeyAge returns how old the configuration may be by which keys are verified, or 0 if any age will do.
-func (m *Manager) maxKeyAge() time.Duration {
-	return m.settings.RevocationLimit * (100 - clockDriftPercent) / 100
-}
-
-// recentEnough reports whether a configuration that was the newest one at an uptime may be used to verify
-// keys now, and returns its age.
-func (m *Manager) recentEnough(confirmedAt time.Duration, confirmed bool) (age time.Duration, recent bool) {
+// recentEnough reports whether a configuration that was the newest one at an uptime is younger than a limit, and
+// returns its age. A limit of 0 allows any age.
+func (m *Manager) recentEnough(confirmedAt time.Duration, confirmed bool, limit time.Duration) (age time.Duration, recent bool) {
 	age = m.Uptime.Uptime() - confirmedAt
-	return age, m.settings.RevocationLimit == 0 || confirmed && age <= m.maxKeyAge()
+	return age, limit == 0 || confirmed && age <= limit*(100-clockDriftPercent)/100
 }
 
 // keysProven reports whether keys can be verified now.
 func (m *Manager) keysProven() bool {
 	_, confirmedAt, confirmed := m.configuration.Confirmed()
-	_, recent := m.recentEnough(confirmedAt, confirmed)
+	_, recent := m.recentEnough(confirmedAt, confirmed, m.settings.RevocationLimit)
 	return recent
 }
 
+// ProvenConfiguration returns the active configuration, or nil if there is none, and whether each version that was
+// acknowledged longer ago than the configuration limit is known not to be newer. If it is not proven, it does not
+// show that a queue or a key does not exist, nor that a queue still does.
+func (m *Manager) ProvenConfiguration() (configuration *configprovider.Configuration, proven bool) {
+	configuration, confirmedAt, confirmed := m.configuration.Confirmed()
+	_, proven = m.recentEnough(confirmedAt, confirmed, m.settings.ConfigurationLimit)
+	return configuration, proven
+}
+
+// RefuseUnproven records that a call was refused because the configuration is not proven, and returns the error.
+func (m *Manager) RefuseUnproven(queue, id string) error {
+	status := m.configurationStatus()
+	m.keys.denials.Record(cellscheduler.Denial{
+		Job: id, Queue: queue, Version: status.Version, Cause: cellscheduler.ConfigurationAge, Age: time.Duration(status.AgeMillis) * time.Millisecond,
+	})
+	return cellscheduler.UnprovenConfigurationError()
+}
+
 // configurationStatus returns the status of the active configuration for the metrics.
 func (m *Manager) configurationStatus() cellscheduler.ConfigurationStatus {
 	_, confirmedAt, confirmed := m.configuration.Confirmed()
@@ -193,11 +214,12 @@
 // another call would only slow it down.
 func (m *Manager) renewProof() {
 	configuration, confirmedAt, confirmed := m.configuration.Confirmed()
-	if m.settings.RevocationLimit == 0 || configuration == nil || !configuration.HasTeams() {
+	limit := m.proofLimit()
+	if limit == 0 || configuration == nil {
 		return
 	}
-	age, recent := m.recentEnough(confirmedAt, confirmed)
-	if recent && age <= m.settings.RevocationLimit*renewalPercent/100 {
+	age, recent := m.recentEnough(confirmedAt, confirmed, limit)
+	if recent && age <= limit*renewalPercent/100 {
 		return
 	}
 	if m.Uptime.Uptime()-time.Duration(m.keys.receivedAt.Load()) < transferStall {
@@ -215,11 +237,7 @@
 		if err := m.confirmByChanges(); err != nil {
 			m.Log.Warn("configuration could not be confirmed", "version", configuration.Version, "age-ms", age.Milliseconds(), "error", err)
 		}
-		if m.keysProven() {
-			m.sleep(renewalPause)
-		} else {
-			m.sleep(lateRenewalPause)
-		}
+		m.sleep(renewalPause)
 	})
 }
 
--- a/internal/cellmanager/readiness.go
+++ b/internal/cellmanager/readiness.go
@@ -34,8 +34,8 @@
 	log.Info("readiness", append([]any{"ready", reason == "", "reason", reason}, status...)...)
 }
 
-// Ready reports whether this instance can serve callers: it has a configuration, can tell which keys
-// are valid, and knows a live owner of every service's cell.
+// Ready reports whether this instance can serve callers: it has a configuration, can tell which queues there are
+// and which keys are valid, and knows a live owner of every service's cell.
 func (m *Manager) Ready() bool {
 	reason := m.unreadyReason()
 	status := m.configurationStatus()
@@ -44,13 +44,13 @@
 }
 
 func (m *Manager) unreadyReason() unreadyReason {
-	configuration := m.configuration.Current()
+	configuration, proven := m.ProvenConfiguration()
 	switch {
 	case configuration == nil:
 		return noConfiguration
 	case m.leaving.Load():
 		return leaving
-	case !m.canVerifyKeys():
+	case !proven, !m.canVerifyKeys():
 		return unprovenConfiguration
 	}
 	m.mu.Lock()
--- a/internal/cellscheduler/access.go
+++ b/internal/cellscheduler/access.go
@@ -53,7 +53,7 @@
 	UnknownKey DenialCause = "unknown-key"
 	OtherTeam  DenialCause = "other-team"
 	// ConfigurationAge means that the newest configuration that this instance knows is too old to
-	// tell which keys are valid.
+	// tell which queues and keys are valid.
 	ConfigurationAge DenialCause = "configuration-age"
 )
 
@@ -81,18 +81,18 @@
 }
 
 const (
-	// unprovenRetryAfter is the Retry-After time while an instance can't tell which keys are valid. It
-	// attempts to read the configuration at least this often.
+	// unprovenRetryAfter is the Retry-After time while an instance can't tell which queues and keys are
+	// valid. It attempts to confirm the configuration more often.
 	unprovenRetryAfter = time.Second
 	// unprovenRetryJitter is the maximum random addition to unprovenRetryAfter.
 	unprovenRetryJitter = 500 * time.Millisecond
 )
 
-// UnprovenConfigurationError returns the refusal of a call whose key can't be verified because the
+// UnprovenConfigurationError returns the refusal of a call whose queue or key can't be verified because the
 // configuration may be out of date.
 func UnprovenConfigurationError() *RefusedError {
 	return &RefusedError{
-		Reason: "which keys are valid is not known for now", Unavailable: true,
+		Reason: "the configuration of this instance may be out of date", Unavailable: true,
 		RetryAfter: unprovenRetryAfter + time.Duration(rand.Int64N(int64(unprovenRetryJitter))),
 	}
 }
--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -119,7 +119,7 @@
 			StateRetention: settings.StateRetention,
 			MaxOpenJobs:    maxOpenJobs,
 		},
-		RevocationLimit: settings.RevocationLimit,
+		RevocationLimit: settings.RevocationLimit, ConfigurationLimit: settings.ConfigurationLimit,
 	}, cellmanager.Dependencies{
 		Clock: clock, Uptime: uptimereader.New(clock), Log: log, Store: store, Workers: repeater, Advisor: advisor, Metrics: metrics, OnOwnershipChanged: setGCPercent,
 		Decoders: cellmanager.Decoders{
