Entries of workers: what no worker can be is refused

Tried here on DecodeWorker: a capacity of 2^63-1 processors or accelerators was taken and added up, 2^44 MB wrapped around to no memory, a remaining time of 1e300 ms was converted to whatever the processor makes of it, port 0 and unspecified and multicast addresses and a start in the year 292 million were taken, and an entry of 64 KiB was quoted whole in the log. Deep nesting, 1e400, port 70000, null and lists were refused already. Nothing ended a process.

--- a/internal/modeler/resources.go
+++ b/internal/modeler/resources.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"time"
 
@@ -34,10 +35,21 @@
 	if err := json.Unmarshal(text, &amount); err != nil {
 		return err
 	}
+	if math.Abs(amount) > maxProcessors {
+		return &AmountError{Amount: amount}
+	}
 	*p = Processors(math.Ceil(amount*millisPerProcessor - 1e-6))
 	return nil
 }
 
+// maxProcessors is the largest number of processors that can be decoded; sums of such amounts do not overflow.
+const maxProcessors = 1e9
+
+// AmountError reports a number of processors that is too large for any cluster.
+type AmountError struct{ Amount float64 }
+
+func (e *AmountError) Error() string { return fmt.Sprintf("%g processors are out of range", e.Amount) }
+
 // Duration is a time.Duration that is encoded as text such as "1m30s".
 type Duration time.Duration
 
@@ -61,6 +73,20 @@
 	Accelerators int64             `json:"accelerators,omitempty"`
 }
 
+// The limits of one worker. The largest worker of the users' sheets has 64 processors and 128 GB; an entry that claims
+// far more does not describe a worker.
+const (
+	MaxWorkerProcessors   Processors        = 1024 * millisPerProcessor
+	MaxWorkerMemory       datasize.ByteSize = 16 * datasize.TB
+	MaxWorkerAccelerators int64             = 64
+)
+
+// FitOneWorker reports whether one worker can have these resources.
+func (r Resources) FitOneWorker() bool {
+	return r.Processors >= 0 && r.Accelerators >= 0 &&
+		r.Fits(Resources{Processors: MaxWorkerProcessors, Memory: MaxWorkerMemory, Accelerators: MaxWorkerAccelerators})
+}
+
 // Times returns r multiplied by count.
 func (r Resources) Times(count int) Resources {
 	r.Processors *= Processors(count)
