List of workers: an invalid entry is logged once and names no worker

A worker that is unlisted already is not logged as gone again. An invalid configuration row is logged once a version.

Simulated workers now state why an order is in doubt.

--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -244,15 +244,15 @@
 type stubWorkers struct{}
 
 func (stubWorkers) Start(context.Context, *workerdriver.Worker, *workerdriver.Start) (workerdriver.ReplyHeader, error) {
-	return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{}
+	return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Err: context.DeadlineExceeded}
 }
 
 func (stubWorkers) Stop(context.Context, *workerdriver.Worker, workerdriver.Stop) (workerdriver.ReplyHeader, error) {
-	return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{}
+	return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Err: context.DeadlineExceeded}
 }
 
 func (stubWorkers) Sync(context.Context, *workerdriver.Worker, workerdriver.Sync) (workerdriver.SyncReply, error) {
-	return workerdriver.SyncReply{}, &workerdriver.InDoubtError{}
+	return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Err: context.DeadlineExceeded}
 }
 
 func (stubWorkers) Throttle(context.Context, *workerdriver.Worker, workerdriver.Throttle) error {
@@ -274,9 +274,7 @@
 		Decoders: cellmanager.Decoders{
 			ConfigurationTable: "op", ConfigurationKey: "op//config", WorkersTable: "servers",
 			Configuration: decodeConfiguration,
-			Worker: func(string, []byte) (workerdriver.Worker, error) {
-				return workerdriver.Worker{}, &workerdriver.BusyError{}
-			},
+			Worker:        decodeWorker,
 		},
 	})
 	m := &mesh{cluster: c, incarnation: manager.Incarnation(), heartbeats: make(map[string]*messenger.Heartbeat), lastHeard: make(map[string]time.Time)}
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -12,7 +12,6 @@
 	"dotterelpost.example/dotterelpost/internal/elector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/tablewatcher"
-	"dotterelpost.example/dotterelpost/internal/workerdriver"
 	"dotterelpost.example/dotterelpost/internal/workerrelayer"
 )
 
@@ -147,8 +146,8 @@
 		stop()
 	}
 	m.reportOwnership()
-	scheduler := c.scheduler
-	m.watchTable(ctx, m.Decoders.WorkersTable, "", func(rows []connector.Row, snapshot bool) { m.applyWorkers(scheduler, relays, rows, snapshot) })
+	list := &workerList{manager: m, scheduler: c.scheduler, relays: relays, invalid: make(map[string]bool)}
+	m.watchTable(ctx, m.Decoders.WorkersTable, "", list.apply)
 }
 
 // forgetScheduler records that this instance no longer schedules a cell. The caller holds the mutex.
@@ -185,47 +184,6 @@
 	}
 }
 
-func (m *Manager) applyWorkers(scheduler *cellscheduler.Scheduler, relays *relaySelector, rows []connector.Row, snapshot bool) {
-	var workers []workerdriver.Worker
-	var removed []string
-	for _, row := range rows {
-		if row.Value == nil {
-			if id, known := rowID(row.Key); known {
-				removed = append(removed, id)
-			}
-			continue
-		}
-		worker, err := m.Decoders.Worker(row.Key, row.Value)
-		if err != nil {
-			m.Log.Warn("invalid worker row", "row", row.Key, "version", row.Version, "error", err)
-			continue
-		}
-		workers = append(workers, worker)
-	}
-	cell := scheduler.Claim().Cell
-	ofCell := workers[:0:0]
-	for i := range workers {
-		if workers[i].Service == cell {
-			ofCell = append(ofCell, workers[i])
-		}
-	}
-	relays.updateWorkers(ofCell, removed, snapshot)
-	scheduler.UpdateWorkers(ofCell, removed, snapshot)
-}
-
-// rowID returns the part of a row's key after the second slash, and false if it is empty or missing.
-func rowID(key string) (string, bool) {
-	slashes := 0
-	for i := range key {
-		if key[i] == '/' {
-			if slashes++; slashes == 2 {
-				return key[i+1:], i+1 < len(key)
-			}
-		}
-	}
-	return "", false
-}
-
 func (m *Manager) applyPeers() func([]connector.Row, bool) {
 	peers := make(map[string]instanceRow)
 	return func(rows []connector.Row, snapshot bool) {
--- a/internal/cellmanager/proof.go
+++ b/internal/cellmanager/proof.go
@@ -43,6 +43,8 @@
 	// at which a part of an answer to the watch last arrived.
 	version    atomic.Int64
 	receivedAt atomic.Int64
+	// invalidVersion is the version of the row that was last logged as invalid.
+	invalidVersion atomic.Int64
 
 	mu sync.Mutex
 	// unreadable is set while the newest configuration row that was read can't be used. unreadableAt is the
@@ -100,7 +102,9 @@
 		}
 		configuration, err := m.Decoders.Configuration(row.Value)
 		if err != nil {
-			m.Log.Error("invalid configuration row", "row", row.Key, "version", row.Version, "error", err)
+			if m.keys.invalidVersion.Swap(row.Version) != row.Version {
+				m.Log.Error("invalid configuration row", "row", row.Key, "version", row.Version, "error", err)
+			}
 			outcome = rowUnreadable
 			continue
 		}
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -143,7 +143,7 @@
 			}
 		}
 		for _, id := range removed {
-			if w := c.workers[id]; w != nil {
+			if w := c.workers[id]; w != nil && w.listed {
 				w.listed = false
 				c.Log.Info("worker gone from the list", "worker", id, "places", len(w.placements))
 			}
