Stand-alone scheduler: one odd entry of the platform's list hides no other

The list of instances and workers was decoded as one document, so that an entry with 20,000 levels of nesting, a number out of range or a port of 70000 kept every instance from reading it: new workers were not noticed, leaving ones got tasks until they were gone. 1e300 processors were converted to whatever the processor makes of them.

Change: each entry is decoded on its own, split off without a limit on nesting; entries that can't be a worker are counted and logged when their number changes. modeler.Worker.Valid has the same limits as the users' platform.

--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"net/url"
 
-	"github.com/go-faster/errors"
-
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -121,55 +119,6 @@
 	return c.call(ctx, http.MethodDelete, c.endpoint("objects", url.PathEscape(name)), nil, nil)
 }
 
-// InstanceList is the platform's list of live and leaving instances and workers. It lags behind the
-// actual state.
-type InstanceList struct {
-	Instances []modeler.Instance `json:"instances"`
-	Workers   []modeler.Worker   `json:"workers"`
-}
-
-// List returns the instance list with the workers of one region. The platform sends the list only if
-// it changed since the last call, because every instance polls it and it grows to hundreds of
-// kilobytes at the cluster size expected in two years. The result must not be modified.
-func (c *Client) List(ctx context.Context, region string) (InstanceList, error) {
-	c.cacheMu.Lock()
-	cached := c.cache
-	c.cacheMu.Unlock()
-	target := c.endpoint("instances") + "?" + url.Values{"region": {region}}.Encode()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
-	if err != nil {
-		return InstanceList{}, errors.Wrap(err, "build request to "+target)
-	}
-	if cached.etag != "" && cached.region == region {
-		request.Header.Set("If-None-Match", cached.etag)
-	}
-	status, header, body, err := c.send(request)
-	if err != nil {
-		return InstanceList{}, err
-	}
-	if status == http.StatusNotModified {
-		return cached.list, nil
-	}
-	if status != http.StatusOK {
-		return InstanceList{}, &RefusedError{Call: "GET " + target, Status: status, Reason: string(body)}
-	}
-	fresh := cachedList{region: region, etag: header.Get("ETag")}
-	if err := json.Unmarshal(body, &fresh.list); err != nil {
-		return InstanceList{}, &UnreachableError{Call: "GET " + target, Err: err}
-	}
-	c.cacheMu.Lock()
-	defer c.cacheMu.Unlock()
-	c.cache = fresh
-	return fresh.list, nil
-}
-
-// cachedList is the last list received for a region, with its entity tag.
-type cachedList struct {
-	region string
-	etag   string
-	list   InstanceList
-}
-
 // Register adds an instance with its addresses to the instance list.
 func (c *Client) Register(ctx context.Context, instance modeler.Instance) error {
 	return c.call(ctx, http.MethodPost, c.endpoint("instances"), instance, nil)
--- a/internal/modeler/worker.go
+++ b/internal/modeler/worker.go
@@ -18,6 +18,16 @@
 	Leaving          bool           `json:"leaving,omitempty"`
 }
 
+// maxSlots limits the slots of a worker: a task takes at least a thousandth of a processor.
+const maxSlots = int(MaxWorkerProcessors)
+
+// Valid reports whether w describes a worker that can be used. The platform's list may contain entries by other
+// writers.
+func (w *Worker) Valid() bool {
+	return w.Name != "" && w.Address.IsValid() && w.Address.Port() != 0 && !w.Address.Addr().IsUnspecified() && !w.Address.Addr().IsMulticast() &&
+		w.Capacity.FitOneWorker() && w.Slots >= 0 && w.Slots <= maxSlots
+}
+
 // Instance is one running process of the scheduler, as listed by the platform. Mesh is the address
 // of its listener for mesh connections (gnet), and Peer that of its Peer service (Connect RPC).
 type Instance struct {
--- a/internal/partitionserver/follow.go
+++ b/internal/partitionserver/follow.go
@@ -77,6 +77,9 @@
 	s.peers.set(list.Instances)
 	s.mesh.SetPeers(list.Instances)
 	s.controller.SetWorkers(list.Workers)
+	if invalid := int64(list.Invalid); s.invalidEntries.Swap(invalid) != invalid {
+		s.log.Warn("invalid entries in the instance list", "entries", invalid)
+	}
 	return nil
 }
 
--- a/internal/partitionserver/partitionserver.go
+++ b/internal/partitionserver/partitionserver.go
@@ -74,11 +74,13 @@
 	leaving              atomic.Bool
 	partitionsHandedOver chan struct{}
 	ticketAppliedAt      atomic.Int64
-	goroutines           sync.WaitGroup
-	cleanups             []func()
-	closeOnce            sync.Once
-	tableReads           atomic.Int64
-	tableWrites          atomic.Int64
+	// invalidEntries is the number of invalid entries in the last instance list.
+	invalidEntries atomic.Int64
+	goroutines     sync.WaitGroup
+	cleanups       []func()
+	closeOnce      sync.Once
+	tableReads     atomic.Int64
+	tableWrites    atomic.Int64
 }
 
 // Limits of the HTTP servers.
