Stand-alone scheduler: a missing contract is not stated from an old ticket

A contract that a newer ticket added more than 13 s before was denied for good by an instance that could not read the table.

Change: the follower knows when it was last confirmed by a read of the table. Known contracts are served as before.

TestMissingContractIsNotStatedFromAnOldTicket fails without the condition: 403. Left: the head of the table is still read whole at each poll, and the clock does not count the time for which a machine is suspended.

--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -54,9 +54,11 @@
 type Dependencies struct {
 	Router        Router
 	Authenticator Authenticator
-	// Tickets returns the state of the ticket in force.
-	Tickets func() *ticketer.State
-	Log     *slog.Logger
+	// Tickets returns the state of the ticket in force, and TicketsProven whether that state shows which
+	// contracts exist.
+	Tickets       func() *ticketer.State
+	TicketsProven func() bool
+	Log           *slog.Logger
 	// ShuttingDown is closed when the instance has handed over its partitions and is about to stop.
 	ShuttingDown <-chan struct{}
 }
@@ -93,6 +95,8 @@
 			newProblem("not-admitted", "No valid token", http.StatusUnauthorized, RanNo, "send the caller's bearer token").write(w)
 			return
 		}
+		// The proof is asked for first: a state that is read later is not older.
+		proven := s.TicketsProven()
 		tickets := s.Tickets()
 		contract, found := tickets.ContractOf(caller)
 		if !found && tickets.Number == 0 {
@@ -101,6 +105,13 @@
 			problem.write(w)
 			return
 		}
+		if !found && !proven {
+			problem := newProblem("old-ticket", "Newest ticket not known", http.StatusServiceUnavailable, RanNo,
+				fmt.Sprintf("caller %s has no contract in ticket %d, and this instance can't read whether there is a newer one", caller, tickets.Number))
+			problem.retryAfter = time.Second
+			problem.write(w)
+			return
+		}
 		if !found {
 			newProblem("no-contract", "No contract in force", http.StatusForbidden, RanNo,
 				fmt.Sprintf("caller %s has no contract in ticket %d", caller, tickets.Number)).write(w)
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -48,14 +48,15 @@
 func newServer(r *fakeRouter) *apiserver.Server {
 	state := &ticketer.State{Number: 1}
 	state.Contracts = []ticketer.Contract{{Caller: "crew", Team: "roofers", HomeRegion: "north", RequestsInFlight: 1}}
-	return newServerWithTickets(r, state)
+	return newServerWithTickets(r, state, true)
 }
 
-func newServerWithTickets(r *fakeRouter, state *ticketer.State) *apiserver.Server {
+func newServerWithTickets(r *fakeRouter, state *ticketer.State, proven bool) *apiserver.Server {
 	return apiserver.New(apiserver.Dependencies{
 		Router:        r,
 		Authenticator: authenticator.New(map[string]string{"crew": "token-of-the-crew", "stranger": "token-of-a-stranger"}),
 		Tickets:       func() *ticketer.State { return state },
+		TicketsProven: func() bool { return proven },
 		Log:           slog.New(slog.DiscardHandler),
 		ShuttingDown:  make(chan struct{}),
 	})
@@ -154,7 +155,7 @@
 // TestCallersRetryWhileNoTicketIsRead: an instance that has just started knows no contract. It must not
 // answer that a caller has none, which is final, but when to try again.
 func TestCallersRetryWhileNoTicketIsRead(t *testing.T) {
-	server := newServerWithTickets(&fakeRouter{}, &ticketer.State{})
+	server := newServerWithTickets(&fakeRouter{}, &ticketer.State{}, false)
 	recorder := send(t.Context(), server, http.MethodPost, "/v1/requests", "token-of-the-crew", "k", quickRequest)
 	if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
 		t.Errorf("status %d, Retry-After %q, want 503 and a time: %s", recorder.Code, recorder.Header().Get("Retry-After"), recorder.Body)
@@ -164,3 +165,15 @@
 		t.Errorf("a caller without a contract in the ticket got status %d, want 403", recorder.Code)
 	}
 }
+
+// TestMissingContractIsNotStatedFromAnOldTicket: a newer ticket, which this instance can't read, may have added the
+// contract. A contract that is known is served.
+func TestMissingContractIsNotStatedFromAnOldTicket(t *testing.T) {
+	state := &ticketer.State{Number: 7}
+	state.Contracts = []ticketer.Contract{{Caller: "crew", Team: "roofers", HomeRegion: "north", RequestsInFlight: 1}}
+	server := newServerWithTickets(&fakeRouter{}, state, false)
+	expectProblem(t, send(t.Context(), server, http.MethodPost, "/v1/requests", "token-of-a-stranger", "k", quickRequest), http.StatusServiceUnavailable, apiserver.RanNo, "ticket 7")
+	if reply := send(t.Context(), server, http.MethodPost, "/v1/requests", "token-of-the-crew", "k", quickRequest); reply.Code/100 != 2 {
+		t.Errorf("a caller with a contract: status %d", reply.Code)
+	}
+}
--- a/internal/partitionserver/follow.go
+++ b/internal/partitionserver/follow.go
@@ -147,11 +147,13 @@
 }
 
 func (s *Server) fetchFromTable(ctx context.Context) error {
+	sentAt := s.clock.Now()
 	state, err := s.tickets.Head(ctx)
 	if err != nil {
 		return err
 	}
 	s.follower.Advance(state)
+	s.follower.Confirm(sentAt)
 	return nil
 }
 
--- a/internal/partitionserver/partitionserver.go
+++ b/internal/partitionserver/partitionserver.go
@@ -292,6 +292,7 @@
 	}
 	s.addresses.Callers = bound
 	s.callerServer = s.serve(listener, apiserver.New(apiserver.Dependencies{
+		TicketsProven: func() bool { return s.follower.Proven(s.clock.Now()) },
 		Router:        s.router,
 		Authenticator: authenticator.New(s.options.Secrets.Callers),
 		Tickets:       s.follower.State,
--- a/internal/ticketer/store.go
+++ b/internal/ticketer/store.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
@@ -161,6 +162,7 @@
 // Follower holds the state in force on one instance. It is safe for concurrent use.
 type Follower struct {
 	current   atomic.Pointer[State]
+	confirmed atomic.Pointer[time.Time]
 	mu        sync.Mutex
 	listeners []func(*State)
 }
@@ -179,6 +181,30 @@
 // State returns the state in force on this instance. Its number never decreases.
 func (f *Follower) State() *State { return f.current.Load() }
 
+// InForceLimit is how long after its acceptance a ticket must be in force at all instances.
+const InForceLimit = 13 * time.Second
+
+// clockDriftPercent is subtracted from InForceLimit: the clock of an instance may be that much slower than the
+// one by which the limit counts.
+const clockDriftPercent = 2
+
+// Confirm records that no newer state was in the table when a read was sent, at a time of this instance's clock.
+func (f *Follower) Confirm(sentAt time.Time) {
+	for {
+		known := f.confirmed.Load()
+		if known != nil && !known.Before(sentAt) || f.confirmed.CompareAndSwap(known, &sentAt) {
+			return
+		}
+	}
+}
+
+// Proven reports whether each ticket that was accepted longer ago than InForceLimit is known not to be newer than the
+// state on this instance. If it is not, the state does not show that a contract does not exist.
+func (f *Follower) Proven(now time.Time) bool {
+	known := f.confirmed.Load()
+	return known != nil && now.Sub(*known) <= InForceLimit*(100-clockDriftPercent)/100
+}
+
 // Advance puts a state in force if its number is higher than the current one, and reports whether it
 // did.
 func (f *Follower) Advance(state *State) bool {
--- a/internal/ticketer/ticket_test.go
+++ b/internal/ticketer/ticket_test.go
@@ -104,3 +104,19 @@
 		ticketer.Check("fuzz", &ticketer.State{}, ticket)
 	})
 }
+
+func TestFollowerIsProvenForALimitedTime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	follower := ticketer.NewFollower()
+	if follower.Proven(start) {
+		t.Error("proven before the table was read")
+	}
+	follower.Confirm(start)
+	// An answer that arrives late does not shorten the proof.
+	follower.Confirm(start.Add(-time.Second))
+	for after, want := range map[time.Duration]bool{0: true, 12 * time.Second: true, ticketer.InForceLimit: false} {
+		if got := follower.Proven(start.Add(after)); got != want {
+			t.Errorf("proven after %s: %t", after, got)
+		}
+	}
+}
