Rounds: steps for which the advisor has answered are visited in the next round

Change: after the first half of a round's time, which is for the highest ranks, come the steps for which the advisor has answered since their last visit, then the turns.

TestLateGangGetsItsRoomInALongBacklog failed before: not started after 20 s and 6 to 8 calls of the advisor, on a clock that passes while a round works. Tried and left out: reservations that late gangs keep between rounds; neither test showed a difference. The pause between renewals is ruled out by the same test: it is unchanged.

--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -167,6 +167,7 @@
 		}
 		return
 	}
+	s.answered = true
 	c.advisor.latencies[queue] = updateLatency(c.advisor.latencies[queue], c.now.Sub(sentAt))
 	c.Log.Info("advised", "job", s.key.Job, "step", s.key.Step, "named", len(startMillis), "good", len(answer.Tickets), "took-ms", c.now.Sub(sentAt).Milliseconds())
 	for _, token := range answer.Tickets {
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -37,6 +37,8 @@
 	reserved, reservedInRound map[string]int
 	// unusedAdvice counts the consecutive token renewals whose tokens were not used.
 	unusedAdvice int
+	// answered is set from an answer of the advisor until the step is visited.
+	answered bool
 	// renewing is set while tokens are renewed for runs that wait for their start order.
 	renewing bool
 	// failedOn are the workers on which a task of the step failed.
@@ -138,9 +140,10 @@
 	ranked := c.rankedSteps()
 	c.beginQuotaRound(ranked)
 	visitedFrom := c.Clock.Now()
-	c.visitor.visit(len(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
+	c.visitor.visit(len(ranked), answeredSteps(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
 		s := ranked[index]
 		c.load.visited++
+		s.answered = false
 		c.returnReservation(s)
 		if c.hasQuotaRoom(s) && s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
@@ -159,6 +162,17 @@
 	}
 }
 
+// answeredSteps returns the indexes of the steps for which the advisor has answered since they were last visited.
+func answeredSteps(ranked []*step) []int {
+	var indexes []int
+	for index, s := range ranked {
+		if s.answered {
+			indexes = append(indexes, index)
+		}
+	}
+	return indexes
+}
+
 // collectCandidates builds the list of workers that may get new tasks in this round.
 func (c *Scheduler) collectCandidates() {
 	c.candidates, c.candidateWorkers = c.candidates[:0], c.candidateWorkers[:0]
--- a/internal/cellscheduler/round_test.go
+++ b/internal/cellscheduler/round_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
@@ -92,6 +94,69 @@
 	})
 }
 
+// busyClock is the clock of a machine on which everything takes time: time passes whenever the clock is read.
+type busyClock struct{ clockwork.Clock }
+
+func (c busyClock) Now() time.Time {
+	sleep(50 * time.Microsecond)
+	return c.Clock.Now()
+}
+
+// TestLateGangGetsItsRoomInALongBacklog: a late gang that a round does not always reach must not lose its room to work
+// of lower rank while tokens are requested for it, nor let the tokens expire.
+func TestLateGangGetsItsRoomInALongBacklog(t *testing.T) {
+	for _, advisor := range []configprovider.AdvisorSettings{
+		{BaseLatency: 5 * time.Millisecond, TokenLifetime: 500 * time.Millisecond},
+		{BaseLatency: 800 * time.Millisecond, TokenLifetime: 1500 * time.Millisecond},
+	} {
+		t.Run(advisor.BaseLatency.String(), func(t *testing.T) { runLateGangInALongBacklog(t, advisor) })
+	}
+}
+
+func runLateGangInALongBacklog(t *testing.T, advisor configprovider.AdvisorSettings) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		env.adviceDelay = advisor.BaseLatency
+		env.clock = busyClock{clockwork.NewRealClock()}
+		env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
+			{Name: "waiting", Service: "cell", MaxFailures: 2, Stretch: 0.8},
+			{Name: "late", Service: "cell", MaxFailures: 2, Stretch: 0.9, Advisor: &advisor},
+			{Name: "expired", Service: "cell", MaxFailures: 2, Stretch: 0.1},
+		}})
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		whole := step(4, 1000)
+		whole.Gang = true
+		submit(t, c, job("expired", "expired", whole))
+		// Steps that come first and can't be placed take most of a round.
+		unplaceable := step(1, 1000)
+		unplaceable.Label, unplaceable.Estimate = "none", time.Hour
+		for i := range 300 {
+			submit(t, c, job(fmt.Sprintf("waiting-%d", i), "waiting", unplaceable))
+		}
+		for i := range 300 {
+			submit(t, c, job(fmt.Sprintf("expired-%d", i), "expired", whole))
+		}
+		// Its objective is shorter than its run, so that the gang is late but not expired.
+		late := whole
+		late.Estimate = 2 * time.Hour
+		submit(t, c, job("gang", "late", late))
+		submittedAt := time.Now()
+		for range 1000 {
+			sleep(20 * time.Millisecond)
+			env.withLock(func() {
+				if len(env.starts[steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "gang"}}]) > 0 {
+					t.Skip("started", time.Since(submittedAt), len(env.adviceCalls))
+				}
+			})
+		}
+		env.withLock(func() {
+			t.Errorf("the gang has not started after 20 s; the advisor was called %d times", len(env.adviceCalls))
+		})
+	})
+}
+
 // TestBestEffortTaskIsThrottled: the CPU share of a best-effort task is lowered when the tail
 // latency of a serving task on the same worker exceeds its target, and raised again once the
 // latency is well below it.
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -80,6 +80,8 @@
 	// unanswered reports whether the next order to a worker gets no answer and is carried out after a time; nil
 	// answers all.
 	unanswered func(kind string) (after time.Duration, lost bool)
+	// clock is the clock of schedulers.
+	clock clockwork.Clock
 	// onStart is called before a run starts; it may be nil.
 	onStart func(start *workerdriver.Start)
 }
@@ -94,7 +96,7 @@
 
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
-		t: t, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
+		t: t, clock: clockwork.NewRealClock(), rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
 		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), sentKeys: make(map[string]bool), schedulerMetrics: cellscheduler.NewMetrics(),
 		outcome: func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return time.Second, steptracker.Done
@@ -428,7 +430,7 @@
 	c, stop := cellscheduler.Start(cellscheduler.Claim{Cell: "cell", FencingToken: fencingToken, OwnerKey: "owners/cell/owner", OwnerVersion: version, NoPreviousOwner: fencingToken == 1},
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
-			Clock: clockwork.NewRealClock(), Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
+			Clock: env.clock, Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
 			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, Access: env.access, StoreSilence: env.storeSilence,
 		})
 	c.UpdateWorkers(listed, nil, true)
--- a/internal/cellscheduler/visitor.go
+++ b/internal/cellscheduler/visitor.go
@@ -1,6 +1,9 @@
 package cellscheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxRoundDuration bounds a round. With a backlog of a thousand steps on a thousand workers, a round
@@ -14,16 +17,18 @@
 
 // visitor visits the steps of a backlog within a bounded time. It is designed for a burst that leaves
 // more steps waiting than one round can look at: the highest ranks come first in every round, because
-// they are the most likely to be placed, and the rest take turns, because room that suits one of them
-// must not stay free behind others that need more.
+// they are the most likely to be placed; then those for which the advisor has answered, because the room
+// that is reserved for them and their placement tokens would be lost by the time of their next turn; and the rest
+// take turns, because room that suits one of them must not stay free behind others that need more.
 type visitor struct {
 	// next is the index at which the turns continue.
 	next int
 }
 
 // visit calls visit with indexes below count, in ascending order of rank, until the time is over. The
-// first half of the time is for the highest ranks. At least one index is visited.
-func (v *visitor) visit(count int, now func() time.Time, limit time.Duration, visit func(index int)) {
+// first half of the time is for the highest ranks. answered are the indexes that come next, in ascending order.
+// At least one index is visited, and none twice.
+func (v *visitor) visit(count int, answered []int, now func() time.Time, limit time.Duration, visit func(index int)) {
 	began := now()
 	index := 0
 	for index < count {
@@ -40,8 +45,17 @@
 	if v.next < index || v.next >= count {
 		v.next = index
 	}
+	first, _ := slices.BinarySearch(answered, index)
+	for _, index := range answered[first:] {
+		if now().Sub(began) >= limit {
+			return
+		}
+		visit(index)
+	}
 	for v.next < count && now().Sub(began) < limit {
-		visit(v.next)
+		if _, visited := slices.BinarySearch(answered, v.next); !visited {
+			visit(v.next)
+		}
 		v.next++
 	}
 }
--- a/internal/cellscheduler/visitor_test.go
+++ b/internal/cellscheduler/visitor_test.go
@@ -22,7 +22,7 @@
 	for ; now.Sub(began) < tokenLifetime; rounds++ {
 		roundBegan := now
 		previous := -1
-		v.visit(steps, func() time.Time { return now }, maxRoundDuration, func(index int) {
+		v.visit(steps, nil, func() time.Time { return now }, maxRoundDuration, func(index int) {
 			if index <= previous {
 				t.Fatalf("step %d was visited after step %d", index, previous)
 			}
@@ -46,15 +46,40 @@
 	}
 }
 
+// TestAnsweredStepsAreVisitedInTheNextRound: a step for which the advisor has answered does not wait for its turn, and no
+// step is visited twice in a round.
+func TestAnsweredStepsAreVisitedInTheNextRound(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	answered := []int{3, 500, 999}
+	var v visitor
+	for range 50 {
+		visited := make(map[int]int)
+		v.visit(1000, answered, func() time.Time { return now }, maxRoundDuration, func(index int) {
+			visited[index]++
+			now = now.Add(300 * time.Microsecond)
+		})
+		for index, count := range visited {
+			if count > 1 {
+				t.Errorf("step %d was visited %d times", index, count)
+			}
+		}
+		for _, index := range answered {
+			if visited[index] == 0 {
+				t.Errorf("step %d was not visited", index)
+			}
+		}
+	}
+}
+
 func TestShortBacklogIsVisitedWhole(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	var v visitor
 	for range 3 {
 		count := 0
-		v.visit(30, func() time.Time { return now }, maxRoundDuration, func(int) { count++ })
+		v.visit(30, nil, func() time.Time { return now }, maxRoundDuration, func(int) { count++ })
 		if count != 30 {
 			t.Errorf("%d of 30 steps were visited", count)
 		}
 	}
-	v.visit(0, func() time.Time { return now }, maxRoundDuration, func(int) { t.Error("a step of an empty backlog was visited") })
+	v.visit(0, nil, func() time.Time { return now }, maxRoundDuration, func(int) { t.Error("a step of an empty backlog was visited") })
 }
