Stress test: crashes that no owner can tell from a task's are not injected

TestAllJobsEndAfterRandomFaults had failed twice in some 25 runs of the package beside load: a job that crashes no worker was given up.

The test says that it leaves such crashes out, but looked at runs that had started, and not at orders that are delayed or whose replies are lost. Now a worker crashes only if it has answered an order 200 ms or more after the last start order that it got.

--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -27,6 +27,8 @@
 	changed     chan struct{}
 	startedAt   time.Time
 	leaseEndsAt time.Time
+	// orderedAt is when the last start order arrived, answeredAt when the worker last answered an order.
+	orderedAt, answeredAt time.Time
 	// unreachable makes every call end without an answer. loseStartReplies drops the replies to
 	// start orders that are carried out. startDelay delays the execution of start orders.
 	unreachable bool
@@ -45,6 +47,7 @@
 }
 
 func (f *fakeWorker) replyHeader() workerdriver.ReplyHeader {
+	f.answeredAt = time.Now()
 	return workerdriver.ReplyHeader{Clock: workerdriver.Clock(time.Since(f.startedAt)), StartMillis: f.info.StartMillis}
 }
 
@@ -172,6 +175,12 @@
 	})
 }
 
+// outlivedOrders reports whether the worker has answered an order after it has outlived, for a time, all start orders
+// that it got, whether it carried them out or not.
+func (f *fakeWorker) outlivedOrders(period time.Duration) bool {
+	return f.orderedAt.IsZero() || f.answeredAt.Sub(f.orderedAt) >= period
+}
+
 // startedRun reports whether a run has started on the worker within a time.
 func (f *fakeWorker) startedRun(within time.Duration) bool {
 	for _, run := range f.running {
--- a/internal/cellscheduler/stress_test.go
+++ b/internal/cellscheduler/stress_test.go
@@ -70,6 +70,20 @@
 	env.wantCrashes(t, maxCrashes)
 }
 
+// crashAnyWorker crashes the first worker from a number on of which the scheduler can know that it has outlived its
+// start orders. Two crashes shortly after starts of the same task, by chance, can't be told from crashes that the task
+// caused, and an order without an answer may have been a start. The caller holds the mutex.
+func (env *testEnv) crashAnyWorker(number int) {
+	for offset := range 16 {
+		worker := env.workers[fmt.Sprintf("w%d", (number+offset)%16)]
+		if !worker.crashed && !worker.replaced && !worker.unreachable &&
+			!worker.startedRun(2*crashattributor.SurvivalPeriod) && worker.outlivedOrders(2*crashattributor.SurvivalPeriod) {
+			worker.crash()
+			return
+		}
+	}
+}
+
 // injectRandomFault starts or ends a fault of one worker, or does nothing.
 func (env *testEnv) injectRandomFault(random *rand.Rand) {
 	env.mu.Lock()
@@ -80,11 +94,7 @@
 	}
 	switch random.IntN(12) {
 	case 0:
-		// Two crashes shortly after starts of the same task, by chance, can't be told from crashes that the
-		// task caused.
-		if !worker.startedRun(2 * crashattributor.SurvivalPeriod) {
-			worker.crash()
-		}
+		env.crashAnyWorker(random.IntN(16))
 	case 1:
 		// Shorter than the lease: a run that is done before its worker's lease expires unseen may run again.
 		worker.unreachable = true
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -309,6 +309,7 @@
 		return workerdriver.ReplyHeader{}, err
 	}
 	defer env.mu.Unlock()
+	worker.orderedAt = time.Now()
 	if worker.startDelay > 0 {
 		time.AfterFunc(worker.startDelay, func() {
 			env.mu.Lock()
