--- a/internal/cellmanager/proof_test.go
+++ b/internal/cellmanager/proof_test.go
@@ -67,7 +67,7 @@
 	const soon = 500 * time.Millisecond
 	for name, outage := range map[string]func(c *cluster, begins bool){
 		"refuses all": func(c *cluster, begins bool) { c.down = begins },
-		"answers nobody": func(c *cluster, begins bool) {
+		"answers no instance": func(c *cluster, begins bool) {
 			for _, manager := range c.managers {
 				c.hanging[name(manager)] = begins
 			}
