Proof of the configuration: a read that is behind proves nothing

That read told no version, and a state from before a revocation looked like proof that the key is still valid, past the revocation limit.

ReadHedged has no other use and becomes SnapshotHedged; its test has the same cases and times.

--- a/internal/cellmanager/accessenv_test.go
+++ b/internal/cellmanager/accessenv_test.go
@@ -30,6 +30,10 @@
 	// the loss of its history and refuses reads.
 	hanging     map[string]bool
 	historyLost bool
+	// stale, if it is set, is what all reads return, and watches are answered with the loss of the history.
+	stale map[string]connector.Row
+	// staleVersion is the version of these reads.
+	staleVersion int64
 	// suspended is for how long the machines were suspended, by instance name.
 	suspended map[string]time.Duration
 	// configurationReads counts the calls about the configuration row beside watches and snapshots.
@@ -71,6 +75,12 @@
 	return c.historyLost
 }
 
+func (c *cluster) readsAreStale() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stale != nil
+}
+
 func (c *cluster) record(call *messenger.Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cellmanager/cluster_test.go
+++ b/internal/cellmanager/cluster_test.go
@@ -125,9 +125,12 @@
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
 	s.cluster.configurationReads += strings.Count(strings.Join(keys, " "), "op//config")
-	rows := make(map[string]connector.Row)
+	rows, stored := make(map[string]connector.Row), s.cluster.rows
+	if s.cluster.stale != nil {
+		stored = s.cluster.stale
+	}
 	for _, key := range keys {
-		if row, found := s.cluster.rows[key]; found {
+		if row, found := stored[key]; found {
 			rows[key] = row
 		}
 	}
@@ -149,8 +152,11 @@
 func (s *store) after(prefix string, version int64) connector.Changes {
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
-	changes := connector.Changes{Version: s.cluster.version}
-	for key, row := range s.cluster.rows {
+	changes, stored := connector.Changes{Version: s.cluster.version}, s.cluster.rows
+	if s.cluster.stale != nil {
+		changes.Version, stored = s.cluster.staleVersion, s.cluster.stale
+	}
+	for key, row := range stored {
 		if strings.HasPrefix(key, prefix) && row.Version > version {
 			changes.Rows = append(changes.Rows, row)
 		}
@@ -166,7 +172,7 @@
 		if err := s.refuse(); err != nil {
 			return connector.Changes{}, err
 		}
-		if s.cluster.lostHistory() {
+		if s.cluster.lostHistory() || s.cluster.readsAreStale() {
 			return connector.Changes{}, &connector.CompactedError{Table: table, After: after}
 		}
 		if changes := s.after(table+"/", after); len(changes.Rows) > 0 || waited >= wait || ctx.Err() != nil {
--- a/internal/cellmanager/proof.go
+++ b/internal/cellmanager/proof.go
@@ -1,8 +1,6 @@
 package cellmanager
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -269,11 +267,15 @@
 
 // readConfiguration reads the configuration row once, on more than one way.
 func (m *Manager) readConfiguration() error {
-	sentAt := m.Uptime.Uptime()
-	rows, err := m.store.ReadHedged(m.ctx, renewalTimeout, m.Decoders.ConfigurationKey)
+	sentAt, newest := m.Uptime.Uptime(), m.keys.version.Load()
+	changes, err := m.store.SnapshotHedged(m.ctx, renewalTimeout, m.Decoders.ConfigurationTable, "")
 	if err != nil {
 		return err
 	}
-	m.confirmConfiguration(m.applyConfiguration(slices.Collect(maps.Values(rows)), true), sentAt)
+	if changes.Version < newest {
+		// A store that has discarded its history may answer with an earlier state.
+		return nil
+	}
+	m.confirmConfiguration(m.applyConfiguration(changes.Rows, true), sentAt)
 	return nil
 }
--- a/internal/cellmanager/proof_test.go
+++ b/internal/cellmanager/proof_test.go
@@ -1,11 +1,13 @@
 package cellmanager_test
 
 import (
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
+	"dotterelpost.example/dotterelpost/internal/connector"
 )
 
 func proven(manager *cellmanager.Manager) bool {
@@ -61,6 +63,33 @@
 	})
 }
 
+// TestStaleReadProvesNothing: the store has discarded its history and answers reads with an earlier state, in which a key
+// is valid that has been taken away.
+func TestStaleReadProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTeamCluster(t)
+		_, others, stop := startThree(t, c)
+		defer stopAll(stop)
+		stale, version := func() (map[string]connector.Row, int64) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return maps.Clone(c.rows), c.version
+		}()
+		// The instances have seen a later version of the store before.
+		c.putWorker("w", "ready")
+		sleep(3 * time.Second)
+		c.set(func() { c.stale, c.staleVersion = stale, version })
+		sleep(limit)
+		for range 100 {
+			wantVerdict(t, others[0], "q", "key-a", "503")
+			sleep(100 * time.Millisecond)
+		}
+		c.set(func() { c.stale = nil })
+		sleep(time.Second)
+		wantVerdict(t, others[0], "q", "key-a", "ok a")
+	})
+}
+
 // TestProofReturnsWithTheStore: once the store answers again after an outage, every instance soon knows that its
 // configuration is the newest one, also without teams.
 func TestProofReturnsWithTheStore(t *testing.T) {
--- a/internal/storerelayer/hedge.go
+++ b/internal/storerelayer/hedge.go
@@ -13,16 +13,16 @@
 // usually takes 10 ms, and from another region 80 ms.
 const hedgeDelay = 300 * time.Millisecond
 
-// ReadHedged returns the existing rows among the given keys like Read, but does not depend on one way to
+// SnapshotHedged returns all rows of a part of a table like Snapshot, but does not depend on one way to
 // the store: if it is not answered soon, it also reads through a peer, and returns the first result. It
 // waits up to timeout for an answer, and up to that for each further part of it.
-func (r *Relayer) ReadHedged(ctx context.Context, timeout time.Duration, keys ...string) (map[string]connector.Row, error) {
-	answer, err := r.hedge(ctx, timeout, &request{Read: keys})
-	return answer.Rows, err
+func (r *Relayer) SnapshotHedged(ctx context.Context, timeout time.Duration, table, part string) (connector.Changes, error) {
+	answer, err := r.hedge(ctx, timeout, &request{Snapshot: &snapshotRequest{Table: table, Part: part}})
+	return answer.Changes, err
 }
 
 // ChangesHedged returns the rows of a table that have changed after a version, like a Watch that does not wait, but
-// is hedged like ReadHedged.
+// is hedged like SnapshotHedged.
 func (r *Relayer) ChangesHedged(ctx context.Context, timeout time.Duration, table string, after int64) (connector.Changes, error) {
 	answer, err := r.hedge(ctx, timeout, &request{Watch: &watchRequest{Table: table, After: after}})
 	return answer.Changes, err
--- a/internal/storerelayer/hedge_test.go
+++ b/internal/storerelayer/hedge_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +15,7 @@
 	"dotterelpost.example/dotterelpost/internal/storerelayer"
 )
 
-// hedgedStore answers reads after a delay with a row of its own.
+// hedgedStore answers snapshots and reads after a delay with a row of its own.
 type hedgedStore struct {
 	store
 	name  string
@@ -30,7 +32,12 @@
 	return map[string]connector.Row{keys[0]: {Key: keys[0], Value: []byte(s.name), Version: 3}}, s.err
 }
 
-func TestReadHedged(t *testing.T) {
+func (s *hedgedStore) Snapshot(ctx context.Context, table, part string) (connector.Changes, error) {
+	rows, err := s.Read(ctx, table+"/"+part+"/k")
+	return connector.Changes{Rows: slices.Collect(maps.Values(rows)), Version: 3}, err
+}
+
+func TestSnapshotHedged(t *testing.T) {
 	const never = time.Hour
 	refused := &connector.RefusedError{Status: 503}
 	for name, test := range map[string]struct {
@@ -76,9 +83,13 @@
 					_, _ = r.Read(ctx, "t/p/k")
 				}
 				startedAt := time.Now()
-				rows, err := r.ReadHedged(t.Context(), 800*time.Millisecond, "t/p/k")
-				if took := time.Since(startedAt); string(rows["t/p/k"].Value) != test.want || took != test.took || (err == nil) != (test.want != "") {
-					t.Errorf("got %q after %s, error %v; want %q after %s", rows["t/p/k"].Value, took, err, test.want, test.took)
+				changes, err := r.SnapshotHedged(t.Context(), 800*time.Millisecond, "t", "p")
+				got := ""
+				for _, row := range changes.Rows {
+					got += string(row.Value)
+				}
+				if took := time.Since(startedAt); got != test.want || took != test.took || (err == nil) != (test.want != "") {
+					t.Errorf("got %q after %s, error %v; want %q after %s", got, took, err, test.want, test.took)
 				}
 			})
 		})
@@ -97,7 +108,7 @@
 			CallPeer: func(ctx context.Context, _ string, request []byte) ([]byte, error) { return peer.Serve(ctx, request) },
 		})
 		defer stop()
-		if _, err := r.ReadHedged(t.Context(), time.Second, "t/p/k"); err != nil {
+		if _, err := r.SnapshotHedged(t.Context(), time.Second, "t", "p"); err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
--- a/internal/storerelayer/slowtransfer_test.go
+++ b/internal/storerelayer/slowtransfer_test.go
@@ -14,7 +14,7 @@
 	"dotterelpost.example/dotterelpost/internal/storerelayer"
 )
 
-// transferringStore answers reads of a large row, with parts that arrive every 100 ms for two seconds, and refuses
+// transferringStore answers reads of a large row and watches, with parts that arrive every 100 ms for two seconds, and refuses
 // snapshots.
 type transferringStore struct {
 	store
@@ -42,6 +42,11 @@
 	return map[string]connector.Row{largeKey: {Key: largeKey, Version: 3}}, nil
 }
 
+func (s *transferringStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (connector.Changes, error) {
+	_, err := s.Read(ctx, largeKey)
+	return connector.Changes{Version: 3}, err
+}
+
 func (s *transferringStore) Snapshot(context.Context, string, string) (connector.Changes, error) {
 	return connector.Changes{}, &connector.RefusedError{Status: 503}
 }
@@ -54,8 +59,8 @@
 			_, err := r.Read(context.Background(), largeKey)
 			return err
 		},
-		"hedged read": func(r *storerelayer.Relayer) error {
-			_, err := r.ReadHedged(context.Background(), 800*time.Millisecond, largeKey)
+		"hedged call": func(r *storerelayer.Relayer) error {
+			_, err := r.ChangesHedged(context.Background(), 800*time.Millisecond, "t", 1)
 			return err
 		},
 	} {
