Reservations: a late gang keeps its room while the advisor is asked

A late gang made a reservation in the round in which it asked, and lost it in the next one; steps that are late as well, but come before it, took the room.

Change: a late gang keeps its reservation while the call is in flight or its tokens are valid, as gangs in time do. Steps in time are visited before such reservations are subtracted, so that a late gang takes nothing from them.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -205,6 +205,8 @@
 	// index, eligible those that one step may use.
 	candidates, eligible []cellplacer.Candidate
 	candidateWorkers     []*worker
+	// lateReservations are the late steps whose reservations are not subtracted from the candidates yet.
+	lateReservations []*step
 	// allIndexes are the indexes of all candidates. selector chooses the candidates to name to
 	// the advisor.
 	allIndexes []int
--- a/internal/cellscheduler/reservations.go
+++ b/internal/cellscheduler/reservations.go
@@ -24,26 +24,42 @@
 	}
 }
 
-// applyReservations subtracts the reservations of all pending steps from the candidates of a new
-// round.
+// applyReservations subtracts the reservations of all pending steps that can meet their target from the
+// candidates of a new round.
 func (c *Scheduler) applyReservations() {
+	c.lateReservations = c.lateReservations[:0]
 	for _, s := range c.pendingSteps {
 		s.reservedInRound = nil
-		if !c.keepsReservation(s) {
-			s.reserved = nil
+		if s.reserved == nil {
+			continue
 		}
-		if !c.shares.yielding || !s.job.beyondShare {
+		late := c.rank(s).Tier > prioritizer.TierOnTime
+		switch {
+		case !c.keepsReservation(s, late):
+			s.reserved = nil
+		case c.shares.yielding && s.job.beyondShare:
+		case late:
+			c.lateReservations = append(c.lateReservations, s)
+		default:
 			c.applyReservation(s)
 		}
 	}
 }
 
-// keepsReservation reports whether a step's reservation remains in force. The step must still be
-// able to meet its target, and its advisor call must be in flight. A gang also keeps its
-// reservation while it has valid placement tokens, because the rest of its room becomes free
-// gradually.
-func (c *Scheduler) keepsReservation(s *step) bool {
-	if s.reserved == nil || c.rank(s).Tier > prioritizer.TierOnTime {
+// applyLateReservations subtracts the reservations of late steps, once in a round. Steps that can still meet their
+// target come before them and may take that room.
+func (c *Scheduler) applyLateReservations() {
+	for _, s := range c.lateReservations {
+		c.applyReservation(s)
+	}
+	c.lateReservations = c.lateReservations[:0]
+}
+
+// keepsReservation reports whether a step's reservation remains in force. Its advisor call must be in flight. A
+// gang also keeps its reservation while it has valid placement tokens, because the rest of its room becomes free
+// gradually. Of the late steps only gangs keep one: room for all of their tasks at once is rare.
+func (c *Scheduler) keepsReservation(s *step, late bool) bool {
+	if late && !s.def.Gang {
 		return false
 	}
 	return s.adviceInFlight || s.def.Gang && c.hasValidToken(s)
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -37,8 +37,10 @@
 	reserved, reservedInRound map[string]int
 	// unusedAdvice counts the consecutive token renewals whose tokens were not used.
 	unusedAdvice int
-	// answered is set from an answer of the advisor until the step is visited.
+	// answered is set from an answer of the advisor until the step is visited. tier is that of the last
+	// ranking.
 	answered bool
+	tier     prioritizer.Tier
 	// renewing is set while tokens are renewed for runs that wait for their start order.
 	renewing bool
 	// failedOn are the workers on which a task of the step failed.
@@ -144,6 +146,9 @@
 		s := ranked[index]
 		c.load.visited++
 		s.answered = false
+		if s.tier > prioritizer.TierOnTime {
+			c.applyLateReservations()
+		}
 		c.returnReservation(s)
 		if c.hasQuotaRoom(s) && s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
@@ -220,7 +225,9 @@
 func (c *Scheduler) rankPendingSteps() []rankedStep {
 	entries := make([]rankedStep, 0, len(c.pendingSteps))
 	for _, s := range c.pendingSteps {
-		entries = append(entries, rankedStep{s, c.rank(s)})
+		rank := c.rank(s)
+		s.tier = rank.Tier
+		entries = append(entries, rankedStep{s, rank})
 	}
 	sortByRank(entries)
 	return entries
--- a/internal/cellscheduler/round_test.go
+++ b/internal/cellscheduler/round_test.go
@@ -157,6 +157,42 @@
 	})
 }
 
+// TestLateGangKeepsItsRoomDuringALongAdvisorCall: all workers are free for a moment every two seconds. Tasks that are late as
+// well must not take the room of a late gang while new tokens are requested for it.
+func TestLateGangKeepsItsRoomDuringALongAdvisorCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		env.adviceDelay = 700 * time.Millisecond
+		env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
+			{Name: "first", Service: "cell", MaxFailures: 2, Stretch: 0.5},
+			{Name: "late", Service: "cell", MaxFailures: 2, Stretch: 0.9, Advisor: &configprovider.AdvisorSettings{
+				BaseLatency: 700 * time.Millisecond, TokenLifetime: 600 * time.Millisecond,
+			}},
+		}})
+		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+			return 1900 * time.Millisecond, steptracker.Done
+		}
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		// The objectives are shorter than the runs, so that all are late but not expired.
+		single, gang := step(1, 1000), step(4, 1000)
+		single.Estimate, gang.Estimate, gang.Gang = time.Hour, 2*time.Hour, true
+		for i := range 10 {
+			submit(t, c, job(fmt.Sprintf("first-%d", i), "first", single))
+			if i == 0 {
+				submit(t, c, job("gang", "late", gang))
+			}
+			sleep(2 * time.Second)
+		}
+		env.withLock(func() {
+			if len(env.starts[steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "gang"}}]) == 0 {
+				t.Errorf("the gang has not started after 20 s; the advisor was called %d times", len(env.adviceCalls))
+			}
+		})
+	})
+}
+
 // TestBestEffortTaskIsThrottled: the CPU share of a best-effort task is lowered when the tail
 // latency of a serving task on the same worker exceeds its target, and raised again once the
 // latency is well below it.
