Paths: a job keeps its cell when its path moves to another service

Cause: the cell of a job was looked up by the service of the newest configuration; nothing told where a job had been accepted.

With several services, the store has a row for each path. A job that its path's cell does not know is looked up in the former cells, which then accept no more jobs of the path; what can't be settled is left open (504), not refused. With one service nothing is stored or sent.

Ruled out: an instance with an old version (all five answer alike); rows that are lost with the route (the first runs go on). Not done: a list of former versions in each process, which a restart of all instances would lose.

--- a/internal/cellmanager/access.go
+++ b/internal/cellmanager/access.go
@@ -97,56 +97,59 @@
 type jobCall struct {
 	steptracker.Job
 	Caller *wireCaller `json:"caller,omitempty"`
+	Via    *wirePath   `json:"via,omitempty"`
 }
 
-func encodeJobCall(job *steptracker.Job, caller cellscheduler.Caller) ([]byte, error) {
+func encodeJobCall(job *steptracker.Job, caller cellscheduler.Caller, via *wirePath) ([]byte, error) {
 	wire := encodeCaller(caller)
 	if wire != nil && !caller.Anonymous() {
 		wire.Key = caller.Key[:]
 	}
-	body, err := json.Marshal(jobCall{Job: *job, Caller: wire})
+	body, err := json.Marshal(jobCall{Job: *job, Caller: wire, Via: via})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode job")
 	}
 	return body, nil
 }
 
-func decodeJobCall(call *messenger.Call) (*steptracker.Job, cellscheduler.Caller, error) {
+func decodeJobCall(call *messenger.Call) (*steptracker.Job, cellscheduler.Caller, *wirePath, error) {
 	var decoded jobCall
 	if err := json.Unmarshal(call.GetJob(), &decoded); err != nil {
-		return nil, cellscheduler.Caller{}, &badCallError{Reason: err.Error()}
+		return nil, cellscheduler.Caller{}, nil, &badCallError{Reason: err.Error()}
 	}
 	caller, err := decoded.Caller.caller()
-	return &decoded.Job, caller, err
+	return &decoded.Job, caller, decoded.Via, err
 }
 
 // callerCall is the content of a call that has a caller and no job.
 type callerCall struct {
-	Caller *wireCaller `json:"caller"`
+	Caller *wireCaller `json:"caller,omitempty"`
+	Via    *wirePath   `json:"via,omitempty"`
 }
 
-// encodeCallerCall returns nil if the deployment has no teams.
-func encodeCallerCall(caller cellscheduler.Caller) ([]byte, error) {
+// encodeCallerCall returns nil if the deployment has no teams and the call has no path.
+func encodeCallerCall(caller cellscheduler.Caller, via *wirePath) ([]byte, error) {
 	wire := encodeCaller(caller)
-	if wire == nil {
+	if wire == nil && via == nil {
 		return nil, nil
 	}
-	body, err := json.Marshal(callerCall{Caller: wire})
+	body, err := json.Marshal(callerCall{Caller: wire, Via: via})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode caller")
 	}
 	return body, nil
 }
 
-func decodeCallerCall(call *messenger.Call) (cellscheduler.Caller, error) {
+func decodeCallerCall(call *messenger.Call) (cellscheduler.Caller, *wirePath, error) {
 	if len(call.GetJob()) == 0 {
-		return cellscheduler.Caller{}, nil
+		return cellscheduler.Caller{}, nil, nil
 	}
 	var decoded callerCall
 	if err := json.Unmarshal(call.GetJob(), &decoded); err != nil {
-		return cellscheduler.Caller{}, &badCallError{Reason: err.Error()}
+		return cellscheduler.Caller{}, nil, &badCallError{Reason: err.Error()}
 	}
-	return decoded.Caller.caller()
+	caller, err := decoded.Caller.caller()
+	return caller, decoded.Via, err
 }
 
 // The values of messenger.Reply.Refusal for calls that are denied. Instances of versions that do not know
--- a/internal/cellmanager/accessenv_test.go
+++ b/internal/cellmanager/accessenv_test.go
@@ -116,6 +116,9 @@
 	Version int64
 	Teams   bool
 	Keys    map[string]string
+	// Service is the service of the queue q, empty for "desk". Services are the services beside "desk".
+	Service  string
+	Services []string
 	// Padding makes the row as large as one with many queues.
 	Padding string
 }
@@ -128,9 +131,15 @@
 	}
 	configuration := &configprovider.Configuration{
 		Version:  max(1, row.Version),
-		Queues:   []configprovider.Queue{{Name: "q", Service: "desk", MaxFailures: 1}, {Name: "open", Service: "desk", MaxFailures: 1, Public: true}},
+		Queues:   []configprovider.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "desk", MaxFailures: 1}, {Name: "open", Service: "desk", MaxFailures: 1, Public: true}},
 		Services: []configprovider.Service{{Name: "desk"}},
 	}
+	if row.Service != "" {
+		configuration.Queues[0].Service = row.Service
+	}
+	for _, name := range row.Services {
+		configuration.Services = append(configuration.Services, configprovider.Service{Name: name})
+	}
 	if row.Teams {
 		configuration.Teams = []configprovider.Team{}
 	}
--- a/internal/cellmanager/calls.go
+++ b/internal/cellmanager/calls.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
-	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/mesher"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -33,50 +32,15 @@
 	State     steptracker.State    `json:"state,omitempty"`
 	Pending   int                  `json:"pending,omitempty"`
 	Advice    *workerdriver.Advice `json:"advice,omitempty"`
-}
-
-// Submit submits a job to the owner of the queue's cell. A *cellscheduler.RefusedError, a *NoOwnerError or
-// the error of a denial means that the job was not accepted.
-func (m *Manager) Submit(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, job *steptracker.Job) error {
-	body, err := encodeJobCall(job, caller)
-	if err != nil {
-		return err
-	}
-	_, err = m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_SUBMIT, Key: job.ID, Job: body})
-	return err
-}
-
-// State returns the state of a job. The error is a *cellscheduler.UnknownJobError if there is no
-// such job.
-func (m *Manager) State(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, id string) (steptracker.State, error) {
-	body, err := encodeCallerCall(caller)
-	if err != nil {
-		return "", err
-	}
-	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_STATUS, Key: id, Job: body})
-	if err == nil && reply.Unknown {
-		err = &cellscheduler.UnknownJobError{ID: id}
-	}
-	return reply.State, err
-}
-
-// Cancel cancels a job.
-func (m *Manager) Cancel(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, id string) error {
-	body, err := encodeCallerCall(caller)
-	if err != nil {
-		return err
-	}
-	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_CANCEL, Key: id, Job: body})
-	if err == nil && reply.Unknown {
-		err = &cellscheduler.UnknownJobError{ID: id}
-	}
-	return err
-}
-
-// Pending returns the number of accepted jobs of a queue that have not started any task.
-func (m *Manager) Pending(ctx context.Context, queue *configprovider.Queue) (int, error) {
-	reply, err := m.route(ctx, queue.Service, &messenger.Call{Kind: messenger.CallKind_CALL_KIND_PENDING, Key: queue.Name})
-	return reply.Pending, err
+	// Elsewhere are the other cells that may know the job or hold pending jobs. If it is set in the answer to
+	// a submission, the job was not accepted.
+	Elsewhere []string `json:"elsewhere,omitempty"`
+	// Cleared is set in the answer to a look-up if the job is not known and will not be accepted, and Empty if
+	// the cell holds no job of the path.
+	Cleared bool `json:"cleared,omitempty"`
+	Empty   bool `json:"empty,omitempty"`
+	// Outdated is set if a newer configuration leads the path of the call to another cell.
+	Outdated bool `json:"outdated,omitempty"`
 }
 
 // route sends a call to the owner of a cell and retries it until there is an answer or the context
@@ -226,31 +190,37 @@
 	var err error
 	switch call.GetKind() {
 	case messenger.CallKind_CALL_KIND_SUBMIT:
-		job, caller, badCall := decodeJobCall(call)
+		job, caller, path, badCall := decodeJobCall(call)
 		if badCall != nil {
 			return reply, badCall
 		}
 		var outcome cellscheduler.SubmitResult
-		outcome, err = local.SubmitFor(ctx, caller, job)
+		outcome, err = local.SubmitVia(ctx, caller, job, path.call())
 		reply.Duplicate = outcome.Duplicate
-	case messenger.CallKind_CALL_KIND_STATUS, messenger.CallKind_CALL_KIND_CANCEL:
-		caller, badCall := decodeCallerCall(call)
+	case messenger.CallKind_CALL_KIND_STATUS:
+		reply, err = serveStatus(ctx, local, call)
+	case messenger.CallKind_CALL_KIND_CANCEL:
+		caller, path, badCall := decodeCallerCall(call)
 		if badCall != nil {
 			return reply, badCall
 		}
-		if call.GetKind() == messenger.CallKind_CALL_KIND_CANCEL {
-			err = local.CancelFor(ctx, caller, call.GetKey())
-		} else {
-			reply.State, err = local.StateFor(ctx, caller, call.GetKey())
-		}
+		err = local.CancelVia(ctx, caller, call.GetKey(), path.call())
 	case messenger.CallKind_CALL_KIND_PENDING:
-		reply.Pending, err = local.PendingJobs(ctx, call.GetKey())
+		reply, err = servePending(ctx, local, call)
 	case messenger.CallKind_CALL_KIND_ADVISE, messenger.CallKind_CALL_KIND_TRANSACT, messenger.CallKind_CALL_KIND_ORDER, messenger.CallKind_CALL_KIND_UNSPECIFIED:
 		err = &badCallError{Reason: call.GetKind().String()}
 	}
 	var unknown *cellscheduler.UnknownJobError
-	if errors.As(err, &unknown) {
+	var elsewhere *cellscheduler.ElsewhereError
+	var outdated *cellscheduler.OutdatedRouteError
+	var unavailable *cellscheduler.PathUnavailableError
+	switch {
+	case errors.As(err, &unknown):
 		return answer{Unknown: true}, nil
+	case errors.As(err, &elsewhere):
+		return answer{Unknown: true, Elsewhere: elsewhere.Cells}, nil
+	case errors.As(err, &outdated) && !errors.As(err, &unavailable):
+		return answer{Outdated: true}, nil
 	}
 	return reply, err
 }
--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -133,6 +133,7 @@
 		AdvisorClient:      m,
 		Committers:         m.newCommitters(c, claim.FencingToken),
 		SnapshotReader:     m.store,
+		PathTable:          m.store,
 		Configuration:      m.configuration,
 		OwnershipConfirmed: m.mayGrantLeases,
 		StoreRestored:      m.store.Restored,
--- a/internal/cellscheduler/admission.go
+++ b/internal/cellscheduler/admission.go
@@ -227,7 +227,7 @@
 		b.writeDone()
 	}
 	c.removeSteps(j)
-	delete(c.jobs, j.id)
+	c.removeJob(j)
 	c.openJobs--
 	c.returnShare(j)
 	if j.replacesRow && !c.unreadable[j.id] {
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -85,6 +85,7 @@
 	// Committers commit transactions to the store concurrently, each under its own writer name.
 	Committers     []Committer
 	SnapshotReader SnapshotReader
+	PathTable      PathTable
 	Configuration  *configprovider.Provider
 	// OwnershipConfirmed reports whether this instance may still consider itself the owner:
 	// either it has heard from the store recently, or no instance has.
@@ -192,6 +193,7 @@
 	// queues holds the last known settings of each queue by name.
 	queues map[string]*configprovider.Queue
 	quotas quotas
+	paths  paths
 	// roundNeeded is set if a placement round may have something to do; nextRoundAt is its
 	// earliest time.
 	roundNeeded bool
@@ -243,6 +245,7 @@
 	c.random = rand.New(rand.NewPCG(uint64(claim.FencingToken), uint64(c.claimedAt.UnixNano())))
 	c.advisor.init()
 	c.quotas.init()
+	c.paths.init(claim.Cell)
 	c.interference.detector = interferencedetector.New()
 	c.journal.limiter, c.journal.batches = inflightlimiter.New(len(c.Committers)), make([]*batch, len(c.Committers))
 	c.journal.forecaster = writeforecaster.New(len(c.Committers), maxTransactionRows)
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -108,8 +108,15 @@
 // *ForbiddenError means that this call will never cause the job to run; after any other error the job
 // may have been accepted.
 func (c *Scheduler) SubmitFor(ctx context.Context, caller Caller, definition *steptracker.Job) (SubmitResult, error) {
+	return c.SubmitVia(ctx, caller, definition, PathCall{})
+}
+
+// SubmitVia is SubmitFor for a call that was routed by a path. An *ElsewhereError means that the job was not
+// accepted and that other cells have to be asked first.
+func (c *Scheduler) SubmitVia(ctx context.Context, caller Caller, definition *steptracker.Job, via PathCall) (SubmitResult, error) {
 	var result SubmitResult
-	err := c.call(ctx, func(reply func(error)) {
+	var submit func(reply func(error))
+	submit = func(reply func(error)) {
 		if err := c.denySubmission(caller, definition); err != nil {
 			reply(err)
 			return
@@ -119,6 +126,9 @@
 			c.joinSubmission(j, &result, reply)
 			return
 		}
+		if !c.admitPath(ctx, definition, via, reply, func() { submit(reply) }) {
+			return
+		}
 		if c.shuttingDown {
 			reply(c.shutdownError())
 			return
@@ -129,7 +139,8 @@
 			return
 		}
 		c.accept(ctx, definition, reply)
-	})
+	}
+	err := c.call(ctx, submit)
 	return result, err
 }
 
@@ -164,6 +175,7 @@
 	}
 	j.replacesRow = c.journal.cancelRemoval(j.id) || c.unreadable[j.id]
 	c.jobs[j.id] = j
+	count(c.paths.jobs, j.progress.Path, 1)
 	c.openJobs++
 	c.acceptShare(j)
 	c.markDirty(j, func() {
@@ -204,11 +216,17 @@
 // StateFor returns the state of a job as callers may see it. The error is a *ForbiddenError if the job
 // belongs to another team.
 func (c *Scheduler) StateFor(ctx context.Context, caller Caller, id string) (steptracker.State, error) {
+	return c.StateVia(ctx, caller, id, PathCall{})
+}
+
+// StateVia is StateFor for a call that was routed by a path. The error is an *ElsewhereError if other cells
+// may know the job.
+func (c *Scheduler) StateVia(ctx context.Context, caller Caller, id string, via PathCall) (steptracker.State, error) {
 	var state steptracker.State
 	err := c.call(ctx, func(reply func(error)) {
 		j, known := c.jobs[id]
 		if !known || !j.stored {
-			reply(&UnknownJobError{ID: id})
+			reply(c.elsewhere(id, via))
 			return
 		}
 		if !caller.mayAccess(j.progress) {
@@ -224,10 +242,16 @@
 // CancelFor cancels a job and returns once the cancellation is written. The error is a *ForbiddenError if
 // the job belongs to another team.
 func (c *Scheduler) CancelFor(ctx context.Context, caller Caller, id string) error {
+	return c.CancelVia(ctx, caller, id, PathCall{})
+}
+
+// CancelVia is CancelFor for a call that was routed by a path. The error is an *ElsewhereError if other cells
+// may know the job.
+func (c *Scheduler) CancelVia(ctx context.Context, caller Caller, id string, via PathCall) error {
 	return c.call(ctx, func(reply func(error)) {
 		j, known := c.jobs[id]
 		if !known {
-			reply(&UnknownJobError{ID: id})
+			reply(c.elsewhere(id, via))
 			return
 		}
 		if !caller.mayAccess(j.progress) {
@@ -261,11 +285,8 @@
 	if !j.stored || j.visibleState != steptracker.Queued {
 		return
 	}
-	queue := j.progress.Queue
-	c.queuedJobs[queue] += delta
-	if c.queuedJobs[queue] == 0 {
-		delete(c.queuedJobs, queue)
-	}
+	count(c.queuedJobs, j.progress.Queue, delta)
+	count(c.paths.queued, j.progress.Path, delta)
 }
 
 // setVisibleState changes the state that callers are told.
@@ -351,10 +372,16 @@
 			c.markDirty(j, nil)
 			continue
 		}
-		delete(c.jobs, id)
+		c.removeJob(j)
 		c.journal.removals = append(c.journal.removals, id)
 	}
 }
 
+// removeJob removes a job from memory.
+func (c *Scheduler) removeJob(j *job) {
+	delete(c.jobs, j.id)
+	count(c.paths.jobs, j.progress.Path, -1)
+}
+
 // retentionMargin is added to the retention time because the clocks of instances differ.
 const retentionMargin = 10 * time.Second
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -2,9 +2,10 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -240,9 +241,9 @@
 func (c *Scheduler) recover() {
 	delay := initialRetryDelay
 	for c.ctx.Err() == nil {
-		definitions, progress, err := c.readRows()
+		rows, err := c.readRows()
 		if err == nil {
-			c.post(func() { c.restoreRows(definitions.Rows, progress.Rows) })
+			c.post(func() { c.restoreRows(rows) })
 			return
 		}
 		c.Log.Warn("rows could not be read; retrying", "cell", c.claim.Cell, "error", err)
@@ -254,25 +255,34 @@
 	}
 }
 
-// readRows reads the definitions and the progress of all jobs. The two reads need not see the same
-// moment: no earlier owner can write since this one has claimed the cell.
-func (c *Scheduler) readRows() (definitions, progress connector.Changes, err error) {
-	var definitionsErr error
-	var group sync.WaitGroup
-	group.Go(func() { definitions, definitionsErr = c.SnapshotReader.Snapshot(c.ctx, "jobs", c.claim.Cell) })
-	progress, err = c.SnapshotReader.Snapshot(c.ctx, "progress", c.claim.Cell)
-	group.Wait()
-	if err == nil {
-		err = definitionsErr
+// storedRows are the rows from which a new owner restores the state.
+type storedRows struct{ definitions, progress, paths []connector.Row }
+
+// readRows reads the definitions and the progress of all jobs, and the entries of paths. The reads need not
+// see the same moment: no earlier owner can write since this one has claimed the cell.
+func (c *Scheduler) readRows() (storedRows, error) {
+	var rows storedRows
+	var group errgroup.Group
+	read := func(into *[]connector.Row, table, part string) {
+		group.Go(func() error {
+			changes, err := c.SnapshotReader.Snapshot(c.ctx, table, part)
+			*into = changes.Rows
+			return err
+		})
 	}
-	return definitions, progress, err
+	read(&rows.definitions, "jobs", c.claim.Cell)
+	read(&rows.progress, "progress", c.claim.Cell)
+	read(&rows.paths, pathsTable, pathsPart)
+	err := group.Wait()
+	return rows, err
 }
 
 // restoreRows restores the state from the stored rows. Assigned runs are unconfirmed until their
 // worker has listed its runs under the new fencing token.
-func (c *Scheduler) restoreRows(definitions, progress []connector.Row) {
-	accepted := make(map[string]*job, len(definitions))
-	for _, row := range definitions {
+func (c *Scheduler) restoreRows(rows storedRows) {
+	c.restorePaths(rows.paths)
+	accepted := make(map[string]*job, len(rows.definitions))
+	for _, row := range rows.definitions {
 		definition, acceptedAt, err := steptracker.DecodeJob(row.Value)
 		if err != nil {
 			c.Log.Error("row could not be decoded", "row", row.Key, "version", row.Version, "error", err)
@@ -282,7 +292,7 @@
 		p := steptracker.NewProgress(definition, acceptedAt)
 		accepted[definition.ID] = &job{id: definition.ID, definition: definition, progress: p, stored: true, visibleState: visibleStateOf(p)}
 	}
-	for _, row := range progress {
+	for _, row := range rows.progress {
 		id := row.Key[len(progressKey(c.claim.Cell, "")):]
 		p, err := steptracker.Decode(row.Value)
 		if err != nil {
@@ -313,6 +323,7 @@
 			continue
 		}
 		c.jobs[id] = j
+		count(c.paths.jobs, j.progress.Path, 1)
 		c.countQueued(j, 1)
 		if !j.progress.State.Final() {
 			c.openJobs++
--- a/internal/configprovider/configprovider.go
+++ b/internal/configprovider/configprovider.go
@@ -44,6 +44,8 @@
 	Host       string
 	PathPrefix string
 	Service    string
+	// Version is the version of the configuration that the queue is part of. It is set by Apply.
+	Version int64
 	// Timeout is how long a caller waits for an answer unless its request states another time.
 	Timeout time.Duration
 	// Target and Stretch define the objective for the completion time of a job: Stretch times the
@@ -60,6 +62,9 @@
 	Public bool
 }
 
+// Path returns the host and the path prefix, under which callers address the jobs of the queue.
+func (q *Queue) Path() string { return q.Host + q.PathPrefix }
+
 // Team is a group of callers that share keys, a share of the workers and a quota.
 type Team struct {
 	Name string
@@ -205,6 +210,9 @@
 		if current != nil && current.configuration.Version >= configuration.Version {
 			return false
 		}
+		for i := range configuration.Queues {
+			configuration.Queues[i].Version = configuration.Version
+		}
 		if configuration.HasTeams() && configuration.keys == nil {
 			configuration.indexKeys()
 		}
--- a/internal/steptracker/job.go
+++ b/internal/steptracker/job.go
@@ -76,7 +76,10 @@
 	Queue string `json:"queue"`
 	// Team is the team that submitted the job, empty if the configuration knows no teams or the queue is
 	// public.
-	Team     string   `json:"team,omitempty"`
+	Team string `json:"team,omitempty"`
+	// Path is the host and the path prefix of the queue, empty if the job was accepted while there was one
+	// service.
+	Path     string   `json:"path,omitempty"`
 	Payload  string   `json:"payload,omitempty"`
 	Steps    []Step   `json:"steps"`
 	Schedule Schedule `json:"schedule,omitzero"`
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -133,6 +133,8 @@
 	Queue string `json:"queue"`
 	// Team is the team that submitted the job.
 	Team string `json:"team,omitempty"`
+	// Path is the path of the job.
+	Path string `json:"path,omitempty"`
 	// State is set only when it is final.
 	State      State     `json:"state,omitempty"`
 	Reason     string    `json:"reason,omitempty"`
@@ -149,7 +151,7 @@
 
 // NewProgress returns the progress of a job that has just been accepted.
 func NewProgress(job *Job, acceptedAt time.Time) *Progress {
-	return &Progress{Queue: job.Queue, Team: job.Team, AcceptedAt: acceptedAt}
+	return &Progress{Queue: job.Queue, Team: job.Team, Path: job.Path, AcceptedAt: acceptedAt}
 }
 
 // OpenDue opens the occurrences that are due.
