Lists of workers: absence proves nothing while more ends may wait

Cause: a worker lists 500 ends at a time. A run that was in neither list counted as lost, or as never started, although its end might wait behind the listed ones.

Change: SyncReply.AllEnds tells whether the list is whole, and package absenceverifier (pure) is the one place that decides what absence proves: confirmed runs, runs in doubt, runs of an earlier owner.

--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/absenceverifier"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -180,29 +181,34 @@
 		}
 		c.runListed(p, running)
 	}
+	absence := absenceverifier.Listing{RequestedAt: sentAt, AllEnds: listing.AllEnds}
 	for _, p := range w.placements {
 		if run, found := listed[p.key]; found && run == p.run {
 			continue
 		}
-		switch p.state {
-		case runUnconfirmed:
-			// The worker has seen the new fencing token, so no start order of an earlier owner
-			// can take effect.
-			reason := steptracker.NeverStarted
-			if p.onEarlierIncarnation() {
-				reason = steptracker.WorkerLost
-				c.recordUnprovedRun(p)
-			}
-			c.endRun(p, reason, "")
-		case runStarted:
-			if p.startedAt.Before(sentAt) {
-				c.endRun(p, steptracker.WorkerLost, "")
-			}
-		case runInDoubt:
-			if !p.stopConfirmedAt.IsZero() && p.stopConfirmedAt.Before(sentAt) {
-				c.endRun(p, steptracker.NeverStarted, "")
-			}
-		case runSending, runUnsent:
+		reason, proven := absence.Verify(p.absentRun())
+		if !proven {
+			continue
 		}
+		if p.state == runUnconfirmed && reason == steptracker.WorkerLost {
+			c.recordUnprovedRun(p)
+		}
+		c.endRun(p, reason, "")
 	}
 }
+
+// absentRun returns what is known about a run that its worker does not list.
+func (p *placement) absentRun() absenceverifier.Run {
+	run := absenceverifier.Run{StartedAt: p.startedAt, StopConfirmedAt: p.stopConfirmedAt, OnEarlierIncarnation: p.onEarlierIncarnation()}
+	switch p.state {
+	case runStarted:
+		run.State = absenceverifier.Started
+	case runInDoubt:
+		run.State = absenceverifier.InDoubt
+	case runUnconfirmed:
+		run.State = absenceverifier.Unconfirmed
+	case runSending, runUnsent:
+		run.State = absenceverifier.Unsettled
+	}
+	return run
+}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -80,6 +80,8 @@
 	// unanswered reports whether the next order to a worker gets no answer and is carried out after a time; nil
 	// answers all.
 	unanswered func(kind string) (after time.Duration, lost bool)
+	// maxListedEnds is how many ends a worker lists at a time.
+	maxListedEnds int
 	// clock is the clock of schedulers.
 	clock clockwork.Clock
 	// onStart is called before a run starts; it may be nil.
@@ -96,7 +98,7 @@
 
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
-		t: t, clock: clockwork.NewRealClock(), rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
+		t: t, clock: clockwork.NewRealClock(), maxListedEnds: 500, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
 		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), sentKeys: make(map[string]bool), schedulerMetrics: cellscheduler.NewMetrics(),
 		outcome: func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return time.Second, steptracker.Done
@@ -408,7 +410,8 @@
 	if worker.unreachable || worker.crashed {
 		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
-	listing := workerdriver.SyncReply{ReplyHeader: worker.replyHeader(), Ended: slices.Clone(worker.ended)}
+	listed := min(len(worker.ended), env.maxListedEnds)
+	listing := workerdriver.SyncReply{ReplyHeader: worker.replyHeader(), Ended: slices.Clone(worker.ended[:listed]), AllEnds: listed < env.maxListedEnds}
 	for task, run := range worker.running {
 		listing.Running = append(listing.Running, workerdriver.RunningTask{Task: task, Run: run.number, Metric: env.metrics[task]})
 	}
--- a/internal/workerdriver/workerdriver.go
+++ b/internal/workerdriver/workerdriver.go
@@ -130,6 +130,8 @@
 	ReplyHeader
 	Running []RunningTask
 	Ended   []EndedTask
+	// AllEnds is set if Ended holds all ends that are not acknowledged. A worker lists a limited number.
+	AllEnds bool
 }
 
 // Reason is why a worker refused an order.
--- a/internal/workerrelayer/workerrelayer.go
+++ b/internal/workerrelayer/workerrelayer.go
@@ -75,9 +75,11 @@
 // reply is the worker's reply to an order.
 type reply struct {
 	Header workerdriver.ReplyHeader `json:"header"`
-	// Running and Ended are set in the reply to a Sync.
+	// Running, Ended and AllEnds are set in the reply to a Sync. Relays of versions that do not know AllEnds
+	// leave it unset.
 	Running []workerdriver.RunningTask `json:"running,omitempty"`
 	Ended   []workerdriver.EndedTask   `json:"ended,omitempty"`
+	AllEnds bool                       `json:"all-ends,omitempty"`
 	// Refused is why the worker refused the order, InDoubt why it is unknown whether the worker has
 	// carried it out. NeverSent is set if it certainly has not.
 	Refused   workerdriver.Reason `json:"refused,omitempty"`
@@ -121,7 +123,7 @@
 	if relay := c.Relays.Relay(to); relay != "" {
 		answer, sent, err := c.send(ctx, relay, to, &request{Sync: &order}, order.MaxWait)
 		if sent {
-			return workerdriver.SyncReply{ReplyHeader: answer.Header, Running: answer.Running, Ended: answer.Ended}, err
+			return workerdriver.SyncReply{ReplyHeader: answer.Header, Running: answer.Running, Ended: answer.Ended, AllEnds: answer.AllEnds}, err
 		}
 	}
 	return c.Direct.Sync(ctx, to, order)
@@ -194,7 +196,7 @@
 	case order.Sync != nil:
 		var listing workerdriver.SyncReply
 		listing, err = workers.Sync(ctx, to, *order.Sync)
-		answer.Header, answer.Running, answer.Ended = listing.ReplyHeader, listing.Running, listing.Ended
+		answer.Header, answer.Running, answer.Ended, answer.AllEnds = listing.ReplyHeader, listing.Running, listing.Ended, listing.AllEnds
 	case order.Throttle != nil:
 		err = workers.Throttle(ctx, to, *order.Throttle)
 	default:
--- a/internal/workerrelayer/workerrelayer_test.go
+++ b/internal/workerrelayer/workerrelayer_test.go
@@ -81,6 +81,7 @@
 		ReplyHeader: workerdriver.ReplyHeader{Clock: 11, StartMillis: 5},
 		Running:     []workerdriver.RunningTask{{Task: task, Run: 2, Checkpoint: "0c", ProgressPercent: 40, Metric: 3}},
 		Ended:       []workerdriver.EndedTask{{Sequence: 4, Task: task, Run: 1, Reason: steptracker.Done, Checkpoint: "0a"}},
+		AllEnds:     true,
 	}}
 	client := newClient(direct, remote, &oneRelay{relay: "r"}, nil)
 	stop := workerdriver.Stop{Task: task, Run: 2, FencingToken: 9}
