Orders to workers: each incarnation of a worker has a fencing token of its own

Cause: a worker may restart under its ID, and then counts its ends anew. A sync that was sent to the former incarnation and carried out late, or repeated, acknowledged ends of the new one that no list had named. The owner found the runs in neither list and took them for lost.

Change: an owner has 2^20 fencing tokens and uses a higher one for each incarnation of a worker, which it sends as soon as it learns of the restart; what was meant for the former incarnation is refused from then on. A refusal of an outdated token of the owner's own is no sign of another owner, and leaves a start in doubt. Until a worker that did not answer is known to be the same incarnation, syncs and repeated copies acknowledge nothing.

Tests: the fake worker carried out late syncs and stops whatever their token, which the protocol excludes; it refuses them now. It also fails a start after an acknowledged end.

--- a/internal/cellmanager/ownership.go
+++ b/internal/cellmanager/ownership.go
@@ -120,7 +120,8 @@
 		FencingToken:    c.ownership.FencingToken,
 		OwnerKey:        elector.OwnerKey(c.name),
 		OwnerVersion:    c.ownership.Version,
-		NoPreviousOwner: c.ownership.FencingToken == 1,
+		LastToken:       c.ownership.LastToken(),
+		NoPreviousOwner: c.ownership.HadNoPreviousOwner(),
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
 	var stop func()
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -52,8 +52,8 @@
 // Claim describes the ownership of a cell by this instance.
 type Claim struct {
 	Cell string
-	// FencingToken increases with each change of owner.
-	FencingToken int64
+	// FencingToken increases with each change of owner. The owner may use the tokens from it to LastToken.
+	FencingToken, LastToken int64
 	// OwnerKey and OwnerVersion identify the owner's row, which is a precondition of every
 	// transaction.
 	OwnerKey     string
@@ -177,6 +177,8 @@
 	// pendingSteps are the steps with tasks to place.
 	pendingSteps map[steptracker.StepKey]*step
 	workers      map[string]*worker
+	// fencingToken is the highest token in use.
+	fencingToken int64
 	// workerOrder holds all workers sorted by ID, or is nil if workers have come or gone since it was
 	// sorted. checkFrom is the index of the worker that is checked next.
 	workerOrder []*worker
@@ -233,6 +235,7 @@
 		mailbox:        make(chan func(), mailboxSize),
 		done:           make(chan struct{}),
 		claimedAt:      dependencies.Clock.Now(),
+		fencingToken:   claim.FencingToken,
 		jobs:           make(map[string]*job),
 		queuedJobs:     make(map[string]int),
 		unreadable:     make(map[string]bool),
--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -98,8 +98,11 @@
 	return nil
 }
 
-// stop ends a run or prevents its start.
+// stop ends a run or prevents its start, unless its token is too low.
 func (f *fakeWorker) stop(order workerdriver.Stop) {
+	if order.FencingToken < f.highestFencingToken {
+		return
+	}
 	f.highestFencingToken = max(f.highestFencingToken, order.FencingToken)
 	f.refusedRuns[order.Task] = max(f.refusedRuns[order.Task], order.Run)
 	if run := f.running[order.Task]; run != nil && run.number <= order.Run {
@@ -107,13 +110,22 @@
 	}
 }
 
-// renew extends the lease and forgets the acknowledged ends.
+// renew extends the lease and forgets the acknowledged ends, unless its token is too low.
 func (f *fakeWorker) renew(order workerdriver.Sync) {
+	if order.FencingToken < f.highestFencingToken {
+		return
+	}
 	f.highestFencingToken = max(f.highestFencingToken, order.FencingToken)
 	if order.LeaseExpiry > 0 {
 		f.extend(order.LeaseExpiry)
 	}
-	f.ended = slices.DeleteFunc(f.ended, func(e workerdriver.EndedTask) bool { return e.Sequence <= order.AckedSequence })
+	f.ended = slices.DeleteFunc(f.ended, func(e workerdriver.EndedTask) bool {
+		acked := e.Sequence <= order.AckedSequence
+		if acked && e.Reason == steptracker.Done {
+			f.env.ackedDone[e.Task] = e.Run
+		}
+		return acked
+	})
 }
 
 func (f *fakeWorker) extend(until workerdriver.Clock) {
@@ -147,7 +159,7 @@
 // workerCrash is the outcome of a run that crashes its worker.
 const workerCrash steptracker.EndReason = "worker crash"
 
-// restartDelay is how long after a crash a worker starts at the address.
+// restartDelay is the usual time after a crash after which a worker starts at the address.
 const restartDelay = 3 * time.Second
 
 // crash ends a worker with all of its runs. After restartDelay a worker starts at its address. The caller
@@ -157,7 +169,7 @@
 	f.unreachable, f.crashed = false, true
 	close(f.changed)
 	f.changed = make(chan struct{})
-	time.AfterFunc(restartDelay, func() {
+	time.AfterFunc(f.env.restartDelay, func() {
 		f.env.mu.Lock()
 		successor := f.info
 		successor.StartMillis = time.Now().UnixMilli()
--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -86,6 +86,8 @@
 	var group sync.WaitGroup
 	group.Go(func() { submit(t, c, job("before", "plain", step(1, 1000))) })
 	sleep(250 * time.Millisecond)
+	// The second job has the ID of the first one and is another job.
+	env.withLock(func() { clear(env.ackedDone) })
 	group.Go(func() { submit(t, c, job("again", queue, step(1, 1000))) })
 	sleep(50 * time.Millisecond)
 	env.withLock(func() { close(blocked); env.blocked = nil })
--- a/internal/cellscheduler/latestarts.go
+++ b/internal/cellscheduler/latestarts.go
@@ -38,7 +38,7 @@
 func (c *Scheduler) refuseLateStarts(w *worker) {
 	c.expireLateStarts(w)
 	for _, late := range w.lateStarts {
-		info, order := w.info, workerdriver.Stop{Task: late.task, Run: late.run, FencingToken: c.claim.FencingToken}
+		info, order := w.info, workerdriver.Stop{Task: late.task, Run: late.run, FencingToken: w.fencingToken}
 		c.group.Go(func() {
 			if _, err := c.WorkerClient.Stop(c.ctx, &info, order); err != nil {
 				c.Log.Warn("late start could not be ruled out", "task", order.Task.String(), "run", order.Run, "worker", info.Worker, "error", err)
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -82,8 +82,7 @@
 	j.placements[key] = p
 	w := c.workers[task.AssignedTo.Worker]
 	if w == nil {
-		w = &worker{info: workerdriver.Worker{Incarnation: task.AssignedTo}, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement), leaseEndsAt: c.inheritedLeaseEnd()}
-		c.addWorker(w)
+		w = c.newWorker(workerdriver.Worker{Incarnation: task.AssignedTo})
 	}
 	p.worker = w
 	w.placements[key] = p
@@ -271,13 +270,13 @@
 		Checkpoint:     c.checkpoint(p),
 		PlacementToken: token,
 		LeaseExpiry:    c.extendLease(w),
-		FencingToken:   c.claim.FencingToken,
+		FencingToken:   w.fencingToken,
 	}
 	p.state, p.sentAt, p.orderedAt = runSending, c.now, c.now
 	info := w.info
 	c.group.Go(func() {
 		header, err := c.WorkerClient.Start(c.ctx, &info, order)
-		c.post(func() { c.startAnswered(p, info.StartMillis, header, err) })
+		c.post(func() { c.startAnswered(p, order.FencingToken, header, err) })
 	})
 }
 
@@ -296,7 +295,7 @@
 }
 
 // startAnswered handles the result of a start order.
-func (c *Scheduler) startAnswered(p *placement, startMillis int64, header workerdriver.ReplyHeader, err error) {
+func (c *Scheduler) startAnswered(p *placement, token int64, header workerdriver.ReplyHeader, err error) {
 	if p.job.placements[p.key] != p {
 		return
 	}
@@ -316,7 +315,8 @@
 		return
 	}
 	var refused *workerdriver.RefusedError
-	if !errors.As(err, &refused) {
+	if !errors.As(err, &refused) || refused.Reason == workerdriver.StaleFencingToken && token != w.fencingToken {
+		// A new incarnation that refuses the token of the one before may have carried out another copy.
 		switch {
 		case p.state == runSending && isNeverSent(err):
 			c.markUnreachable(w)
@@ -352,12 +352,15 @@
 }
 
 // requestListing requests a worker's listing at once, in addition to the sync that may be waiting
-// for a run to end.
+// for a run to end. It acknowledges nothing, as it is requested when the worker may have restarted.
 func (c *Scheduler) requestListing(w *worker) {
-	info, token, acked := w.info, c.claim.FencingToken, w.lastWrittenEnd
+	if !c.recovered || c.ownershipLost {
+		return
+	}
+	info, token := w.info, w.fencingToken
 	sentAt := c.now
 	c.group.Go(func() {
-		listing, err := c.WorkerClient.Sync(c.ctx, &info, workerdriver.Sync{FencingToken: token, AckedSequence: acked})
+		listing, err := c.WorkerClient.Sync(c.ctx, &info, workerdriver.Sync{FencingToken: token})
 		if err != nil {
 			return
 		}
@@ -393,7 +396,7 @@
 	}
 	p.stopSent = true
 	info := p.worker.info
-	order := workerdriver.Stop{Task: p.key, Run: p.run, FencingToken: c.claim.FencingToken}
+	order := workerdriver.Stop{Task: p.key, Run: p.run, FencingToken: p.worker.fencingToken}
 	c.group.Go(func() {
 		header, err := c.WorkerClient.Stop(c.ctx, &info, order)
 		c.post(func() { c.stopAnswered(p, header, err) })
@@ -423,7 +426,7 @@
 	}
 	c.Log.Warn("stray run", "task", running.Task.String(), "run", running.Run, "worker", w.info.Worker)
 	info := w.info
-	order := workerdriver.Stop{Task: running.Task, Run: running.Run, FencingToken: c.claim.FencingToken}
+	order := workerdriver.Stop{Task: running.Task, Run: running.Run, FencingToken: w.fencingToken}
 	c.group.Go(func() {
 		if _, err := c.WorkerClient.Stop(c.ctx, &info, order); err != nil {
 			c.Log.Warn("stray run could not be stopped", "task", order.Task.String(), "run", order.Run, "error", err)
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -15,7 +15,12 @@
 	if w.syncInFlight || c.ownershipLost || !c.recovered || c.now.Before(w.nextSyncAt) {
 		return
 	}
-	order := workerdriver.Sync{FencingToken: c.claim.FencingToken, AckedSequence: w.lastWrittenEnd}
+	order := workerdriver.Sync{FencingToken: w.fencingToken}
+	if w.syncFailures == 0 {
+		// A worker that did not answer may have restarted. Its new incarnation counts its ends anew and would
+		// discard those up to the number.
+		order.AckedSequence = w.lastWrittenEnd
+	}
 	switch {
 	case !w.synced:
 		// The first listing of an incarnation is requested without waiting.
@@ -43,7 +48,11 @@
 		listing, err := c.WorkerClient.Sync(c.ctx, &info, order)
 		c.post(func() {
 			w.syncInFlight = false
-			c.syncAnswered(w, listing, err, sentAt)
+			if err != nil {
+				c.syncFailed(w, order.FencingToken, err)
+				return
+			}
+			c.syncAnswered(w, listing, sentAt)
 		})
 	})
 }
@@ -73,11 +82,7 @@
 	return true
 }
 
-func (c *Scheduler) syncAnswered(w *worker, listing workerdriver.SyncReply, err error, sentAt time.Time) {
-	if err != nil {
-		c.syncFailed(w, err)
-		return
-	}
+func (c *Scheduler) syncAnswered(w *worker, listing workerdriver.SyncReply, sentAt time.Time) {
 	if c.now.Sub(sentAt) > c.unresponsiveAfter() && w.syncFailures > 0 {
 		c.Log.Info("worker answers again", "worker", w.info.Worker)
 	}
@@ -93,7 +98,7 @@
 	if !w.synced {
 		w.synced = true
 		c.roundNeeded = true
-		c.Log.Info("worker listed", "worker", w.info.Worker, "running", len(listing.Running), "ended", len(listing.Ended), "fence", c.claim.FencingToken)
+		c.Log.Info("worker listed", "worker", w.info.Worker, "running", len(listing.Running), "ended", len(listing.Ended), "fence", w.fencingToken)
 	}
 	if w.lastEnd > w.lastWrittenEnd {
 		lastEnd, startMillis := w.lastEnd, w.info.StartMillis
@@ -112,7 +117,13 @@
 	c.syncWorker(w)
 }
 
-func (c *Scheduler) syncFailed(w *worker, err error) {
+func (c *Scheduler) syncFailed(w *worker, token int64, err error) {
+	if token != w.fencingToken {
+		// The order was meant for an earlier incarnation, and says nothing about this one.
+		w.nextSyncAt = c.now
+		c.syncWorker(w)
+		return
+	}
 	w.syncFailures++
 	if w.syncFailures == 1 || w.syncFailures%16 == 0 {
 		c.Log.Warn("worker does not answer", "worker", w.info.Worker, "failures", w.syncFailures, "places", len(w.placements),
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -82,6 +82,10 @@
 	unanswered func(kind string) (after time.Duration, lost bool)
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds int
+	// ackedDone holds the runs of tasks that have ended as done and were acknowledged.
+	ackedDone map[steptracker.TaskKey]int
+	// restartDelay is how long after a crash a worker starts at the address.
+	restartDelay time.Duration
 	// clock is the clock of schedulers.
 	clock clockwork.Clock
 	// onStart is called before a run starts; it may be nil.
@@ -93,12 +97,15 @@
 
 const testLease = 5 * time.Second
 
+// testTokens is the number of fencing tokens of an owner.
+const testTokens = 1000
+
 // maxTransactionEntries is the number of entries that the store accepts in one transaction.
 const maxTransactionEntries = 100
 
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
-		t: t, clock: clockwork.NewRealClock(), maxListedEnds: 500, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
+		t: t, clock: clockwork.NewRealClock(), maxListedEnds: 500, ackedDone: make(map[steptracker.TaskKey]int), restartDelay: restartDelay, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
 		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), sentKeys: make(map[string]bool), schedulerMetrics: cellscheduler.NewMetrics(),
 		outcome: func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return time.Second, steptracker.Done
@@ -342,6 +349,9 @@
 			}
 		}
 	}
+	if run, acked := env.ackedDone[order.Task]; acked {
+		env.t.Errorf("task %s run %d started after run %d was done and acknowledged", order.Task, order.Run, run)
+	}
 	if len(f.running) >= 4 {
 		env.t.Errorf("worker %s has %d tasks, which exceeds its capacity", f.info.Worker, len(f.running)+1)
 	}
@@ -431,7 +441,7 @@
 	env.mu.Unlock()
 	log := slog.New(slog.DiscardHandler)
 	workers := orderrepeater.New(orderrepeater.Dependencies{Workers: env, Clock: clockwork.NewRealClock(), Log: log, Metrics: env.schedulerMetrics})
-	c, stop := cellscheduler.Start(cellscheduler.Claim{Cell: "cell", FencingToken: fencingToken, OwnerKey: "owners/cell/owner", OwnerVersion: version, NoPreviousOwner: fencingToken == 1},
+	c, stop := cellscheduler.Start(cellscheduler.Claim{Cell: "cell", FencingToken: fencingToken * testTokens, LastToken: (fencingToken+1)*testTokens - 1, OwnerKey: "owners/cell/owner", OwnerVersion: version, NoPreviousOwner: fencingToken == 1},
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
 			Clock: env.clock, Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
--- a/internal/cellscheduler/throttling.go
+++ b/internal/cellscheduler/throttling.go
@@ -51,7 +51,7 @@
 	p.cpuPercent, p.worker.neighboursChangedAt = percent, c.now
 	c.Log.Info("paced", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "percent", percent)
 	info := p.worker.info
-	order := workerdriver.Throttle{Task: p.key, Run: p.run, Percent: percent, FencingToken: c.claim.FencingToken}
+	order := workerdriver.Throttle{Task: p.key, Run: p.run, Percent: percent, FencingToken: p.worker.fencingToken}
 	c.group.Go(func() {
 		if err := c.WorkerClient.Throttle(c.ctx, &info, order); err != nil {
 			c.post(func() {
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -51,6 +51,8 @@
 	listed bool
 	// synced is set once this incarnation has listed its runs under this owner's fencing token.
 	synced bool
+	// fencingToken is the token of the orders for this incarnation.
+	fencingToken int64
 	// clock is the worker's clock at clockAt. The true reading at that time may have been later,
 	// never earlier.
 	clock   workerdriver.Clock
@@ -154,9 +156,7 @@
 func (c *Scheduler) updateWorker(info workerdriver.Worker) {
 	w := c.workers[info.Worker]
 	if w == nil {
-		w = &worker{info: info, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement)}
-		w.leaseEndsAt = c.inheritedLeaseEnd()
-		c.addWorker(w)
+		w = c.newWorker(info)
 		c.Log.Info("worker joined", "worker", info.Worker, "born", info.StartMillis, "zone", info.AvailabilityZone, "rack", info.Rack)
 	}
 	if info.Draining && !w.info.Draining {
@@ -208,6 +208,9 @@
 	c.Log.Info("worker started anew", "worker", w.info.Worker, "born", startMillis, "places", len(w.placements))
 	c.recordCrash(w)
 	w.info.StartMillis, w.crashRecorded = startMillis, false
+	// The new incarnation refuses what was sent to the one before, once it has seen this token.
+	c.fencingToken = min(c.fencingToken+1, max(c.claim.FencingToken, c.claim.LastToken))
+	w.fencingToken = c.fencingToken
 	w.latestClock, w.latestClockAt = 0, time.Time{}
 	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
 	w.clockAt = time.Time{}
@@ -225,6 +228,7 @@
 		case runSending, runUnsent:
 		}
 	}
+	c.requestListing(w)
 }
 
 // workerReplaced handles another worker answering at the address. The old worker is gone and no
@@ -245,6 +249,16 @@
 	w.nextSyncAt = c.now.Add(replacedRetryDelay)
 }
 
+// newWorker adds the worker that an entry of the platform's list or a stored run names.
+func (c *Scheduler) newWorker(info workerdriver.Worker) *worker {
+	w := &worker{
+		info: info, candidateIndex: -1, placements: make(map[steptracker.TaskKey]*placement),
+		fencingToken: c.fencingToken, leaseEndsAt: c.inheritedLeaseEnd(),
+	}
+	c.addWorker(w)
+	return w
+}
+
 // addWorker adds a worker.
 func (c *Scheduler) addWorker(w *worker) {
 	c.workers[w.info.Worker] = w
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -44,7 +44,8 @@
 	// instance row may be unreachable when this row is not. Mesh is invalid if the cell has no owner.
 	Region string
 	Mesh   netip.AddrPort
-	// FencingToken increases with every claim; 0 means that the cell never had an owner.
+	// FencingToken increases by TokensPerOwner with every claim, by 1 with those of earlier versions; 0 means
+	// that the cell never had an owner.
 	FencingToken int64
 	// Version is the version of the row.
 	Version int64
@@ -65,6 +66,16 @@
 	Mesh        netip.AddrPort
 }
 
+// TokensPerOwner is how many fencing tokens belong to one claim: that of the claim and those after it. The
+// owner uses a higher one for each incarnation of a worker, so that orders for the one before are refused.
+const TokensPerOwner = 1 << 20
+
+// HadNoPreviousOwner reports whether the claim with the fencing token was the first one of the cell.
+func (o Ownership) HadNoPreviousOwner() bool { return o.FencingToken <= TokensPerOwner }
+
+// LastToken returns the highest fencing token that the owner may use.
+func (o Ownership) LastToken() int64 { return o.FencingToken + TokensPerOwner - 1 }
+
 // OwnersTable is the table of the owner rows. Each is in the same part of the store as the cell's
 // other rows.
 const OwnersTable = "owners"
@@ -104,7 +115,7 @@
 // if the row has changed. After any other error the outcome of the claim is unknown until the row
 // is read.
 func Claim(ctx context.Context, table Table, claimant Claimant, known Ownership) (Ownership, error) {
-	return writeOwner(ctx, table, known, ownerRow{Owner: claimant.Incarnation, FencingToken: known.FencingToken + 1, Region: claimant.Region, Mesh: claimant.Mesh})
+	return writeOwner(ctx, table, known, ownerRow{Owner: claimant.Incarnation, FencingToken: known.FencingToken + TokensPerOwner, Region: claimant.Region, Mesh: claimant.Mesh})
 }
 
 // Release leaves a cell without an owner. The row keeps the fencing token, so that the next owner's
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -36,7 +36,7 @@
 	rows := &table{}
 	vacant := elector.Ownership{Cell: "c"}
 	first, err := elector.Claim(t.Context(), rows, elector.Claimant{Incarnation: "a"}, vacant)
-	if err != nil || first.FencingToken != 1 {
+	if err != nil || first.FencingToken != elector.TokensPerOwner || !first.HadNoPreviousOwner() {
 		t.Fatalf("claimed %+v, %v", first, err)
 	}
 	var conflict *elector.ClaimConflictError
@@ -44,11 +44,11 @@
 		t.Errorf("second claim: got error %v, want ClaimConflictError with owner a", err)
 	}
 	released, err := elector.Release(t.Context(), rows, first)
-	if err != nil || released.Owner != "" || released.FencingToken != 1 {
+	if err != nil || released.Owner != "" || released.FencingToken != elector.TokensPerOwner {
 		t.Errorf("released %+v, %v", released, err)
 	}
 	second, err := elector.Claim(t.Context(), rows, elector.Claimant{Incarnation: "b", Region: "r", Mesh: netip.MustParseAddrPort("10.0.0.1:7")}, released)
-	if err != nil || second.FencingToken != 2 {
+	if err != nil || second.FencingToken != first.LastToken()+1 || second.HadNoPreviousOwner() {
 		t.Errorf("claimed %+v, %v", second, err)
 	}
 	if read, err := elector.ParseOwnership("c", rows.row); err != nil || read != second {
--- a/internal/orderrepeater/orderrepeater.go
+++ b/internal/orderrepeater/orderrepeater.go
@@ -105,8 +105,9 @@
 		reply, err := c.send(ctx, to, kindSync, part.MaxWait, func(ctx context.Context, attempt int) (workerdriver.SyncReply, error) {
 			sent := part
 			if attempt > 1 {
-				// The worker has had its time to wait.
-				sent.MaxWait = 0
+				// The worker has had its time to wait. It may have restarted, and would discard ends that it has
+				// not listed.
+				sent.MaxWait, sent.AckedSequence = 0, 0
 			}
 			return c.Workers.Sync(ctx, to, sent)
 		})
