Recovery of a cell: each part is read until it is served

Callers got 504 for seconds after all processes had been killed while the store refused most calls.

Change: each read is retried by itself. The entries of paths are needed for submissions only, which wait for them; states, cancellations and the scheduling of stored jobs do not.

--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -2,10 +2,9 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/inflightlimiter"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -237,50 +236,47 @@
 	})
 }
 
-// recover reads the cell's rows and retries until it succeeds.
+// storedRows are the rows from which a new owner restores the state.
+type storedRows struct{ definitions, progress []connector.Row }
+
+// recover reads the cell's rows: the definitions and the progress of all jobs and, for submissions, the entries
+// of paths. The reads need not see the same moment: no earlier owner can write since this one has claimed the
+// cell.
 func (c *Scheduler) recover() {
+	c.group.Go(func() {
+		entries := c.readPart(pathsTable, pathsPart)
+		c.post(func() { c.restorePaths(entries) })
+	})
+	var rows storedRows
+	var group sync.WaitGroup
+	group.Go(func() { rows.definitions = c.readPart("jobs", c.claim.Cell) })
+	rows.progress = c.readPart("progress", c.claim.Cell)
+	group.Wait()
+	c.post(func() { c.restoreRows(rows) })
+}
+
+// readPart reads a part of a table and retries until it succeeds or the scheduler stops. Each part is retried
+// by itself: a store that refuses most calls would hardly ever serve several at once.
+func (c *Scheduler) readPart(table, part string) []connector.Row {
 	delay := initialRetryDelay
 	for c.ctx.Err() == nil {
-		rows, err := c.readRows()
+		changes, err := c.SnapshotReader.Snapshot(c.ctx, table, part)
 		if err == nil {
-			c.post(func() { c.restoreRows(rows) })
-			return
+			return changes.Rows
 		}
-		c.Log.Warn("rows could not be read; retrying", "cell", c.claim.Cell, "error", err)
+		c.Log.Warn("rows could not be read; retrying", "cell", c.claim.Cell, "table", table, "error", err)
 		select {
 		case <-c.ctx.Done():
 		case <-c.Clock.After(delay):
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
-}
-
-// storedRows are the rows from which a new owner restores the state.
-type storedRows struct{ definitions, progress, paths []connector.Row }
-
-// readRows reads the definitions and the progress of all jobs, and the entries of paths. The reads need not
-// see the same moment: no earlier owner can write since this one has claimed the cell.
-func (c *Scheduler) readRows() (storedRows, error) {
-	var rows storedRows
-	var group errgroup.Group
-	read := func(into *[]connector.Row, table, part string) {
-		group.Go(func() error {
-			changes, err := c.SnapshotReader.Snapshot(c.ctx, table, part)
-			*into = changes.Rows
-			return err
-		})
-	}
-	read(&rows.definitions, "jobs", c.claim.Cell)
-	read(&rows.progress, "progress", c.claim.Cell)
-	read(&rows.paths, pathsTable, pathsPart)
-	err := group.Wait()
-	return rows, err
+	return nil
 }
 
 // restoreRows restores the state from the stored rows. Assigned runs are unconfirmed until their
 // worker has listed its runs under the new fencing token.
 func (c *Scheduler) restoreRows(rows storedRows) {
-	c.restorePaths(rows.paths)
 	accepted := make(map[string]*job, len(rows.definitions))
 	for _, row := range rows.definitions {
 		definition, acceptedAt, err := steptracker.DecodeJob(row.Value)
--- a/internal/cellscheduler/journal_test.go
+++ b/internal/cellscheduler/journal_test.go
@@ -382,3 +382,35 @@
 		})
 	})
 }
+
+// TestRecoveryFromStoreThatRefusesMostReads: a new owner repeated all reads when one was refused, and was without the
+// cell's jobs for seconds.
+func TestRecoveryFromStoreThatRefusesMostReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		first, stopFirst := env.startScheduler(1)
+		submit(t, first, job("stored", "plain", step(1, 1000)))
+		stopFirst()
+		env.withLock(func() {
+			clear(env.snapshots)
+			env.refusedSnapshots = map[string]int{"progress": 2, "paths": 8}
+		})
+		c, stop := env.startScheduler(2)
+		defer stop()
+		submitted := make(chan error, 1)
+		go func() {
+			_, err := c.Submit(t.Context(), job("new", "plain", step(1, 1000)))
+			submitted <- err
+		}()
+		sleep(2 * time.Second)
+		wantState(t, c, "stored", steptracker.Completed)
+		env.withLock(func() {
+			if env.snapshots["jobs"] != 1 || env.snapshots["progress"] != 3 {
+				t.Errorf("%d reads of the definitions and %d of the progress, want 1 and 3", env.snapshots["jobs"], env.snapshots["progress"])
+			}
+		})
+		if err := <-submitted; err != nil {
+			t.Errorf("submission while the entries of paths could not be read: %v", err)
+		}
+	})
+}
--- a/internal/cellscheduler/paths.go
+++ b/internal/cellscheduler/paths.go
@@ -82,6 +82,9 @@
 	jobs, queued map[string]int
 	// writes holds the functions that wait for the write of the entry of a path.
 	writes map[string][]func(error)
+	// restored is set once the stored entries have been read; deferred are the submissions that wait for it.
+	restored bool
+	deferred []func()
 }
 
 func (p *paths) init(cell string) {
@@ -119,12 +122,22 @@
 
 // admitPath decides whether a job that the cell does not know may be accepted, as far as other cells may
 // know it. If so, it sets the job's path and returns true. Otherwise it replies, or calls again once the
-// entry of the path is stored, unless the caller has stopped waiting by then.
+// entries are known and that of the path is stored, unless the caller has stopped waiting by then.
 func (c *Scheduler) admitPath(ctx context.Context, definition *steptracker.Job, via PathCall, reply func(error), again func()) bool {
 	if c.PathTable == nil {
 		return true
 	}
 	route := via.Route
+	if !c.paths.restored {
+		c.paths.deferred = append(c.paths.deferred, func() {
+			if err := ctx.Err(); err != nil {
+				reply(&PathUnavailableError{Path: route.Path, Err: err})
+				return
+			}
+			again()
+		})
+		return false
+	}
 	if route.Path == "" {
 		return c.admitWithoutPath(definition, reply)
 	}
@@ -237,6 +250,10 @@
 		}
 		c.paths.recorder.Learn(stored)
 	}
+	c.paths.restored = true
+	deferred := c.paths.deferred
+	c.paths.deferred = nil
+	runAll(deferred)
 }
 
 // queueNamed returns the last known settings of a queue, or nil.
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -82,6 +82,8 @@
 	unanswered func(kind string) (after time.Duration, lost bool)
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds int
+	// snapshots counts the reads of each table, of which the first refusedSnapshots are refused.
+	snapshots, refusedSnapshots map[string]int
 	// ackedDone holds the runs of tasks that have ended as done and were acknowledged.
 	ackedDone map[steptracker.TaskKey]int
 	// restartDelay is how long after a crash a worker starts at the address.
@@ -105,7 +107,7 @@
 
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
-		t: t, clock: clockwork.NewRealClock(), maxListedEnds: 500, ackedDone: make(map[steptracker.TaskKey]int), restartDelay: restartDelay, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
+		t: t, clock: clockwork.NewRealClock(), maxListedEnds: 500, snapshots: make(map[string]int), refusedSnapshots: make(map[string]int), ackedDone: make(map[steptracker.TaskKey]int), restartDelay: restartDelay, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
 		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), sentKeys: make(map[string]bool), schedulerMetrics: cellscheduler.NewMetrics(),
 		outcome: func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return time.Second, steptracker.Done
@@ -230,6 +232,10 @@
 	}
 	env.mu.Lock()
 	defer env.mu.Unlock()
+	env.snapshots[table]++
+	if env.snapshots[table] <= env.refusedSnapshots[table] {
+		return connector.Changes{}, &connector.RefusedError{Status: 503}
+	}
 	prefix := table + "/" + part + "/"
 	changes := connector.Changes{Version: env.version}
 	for key, row := range env.rows {
@@ -240,6 +246,19 @@
 	return changes, nil
 }
 
+// Read returns the existing rows among the keys.
+func (env *testEnv) Read(_ context.Context, keys ...string) (map[string]connector.Row, error) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	rows := make(map[string]connector.Row)
+	for _, key := range keys {
+		if row, found := env.rows[key]; found {
+			rows[key] = row
+		}
+	}
+	return rows, nil
+}
+
 // Instances returns the instances through which the advisor can be called.
 func (env *testEnv) Instances() []string { return []string{"a", "b", "c"} }
 
@@ -444,7 +463,7 @@
 	c, stop := cellscheduler.Start(cellscheduler.Claim{Cell: "cell", FencingToken: fencingToken * testTokens, LastToken: (fencingToken+1)*testTokens - 1, OwnerKey: "owners/cell/owner", OwnerVersion: version, NoPreviousOwner: fencingToken == 1},
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
-			Clock: env.clock, Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, Configuration: env.configuration,
+			Clock: env.clock, Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, PathTable: env, Configuration: env.configuration,
 			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, Access: env.access, StoreSilence: env.storeSilence,
 		})
 	c.UpdateWorkers(listed, nil, true)
