--- a/internal/cellmanager/paths_test.go
+++ b/internal/cellmanager/paths_test.go
@@ -103,7 +103,7 @@
 				wantHeldBy(t, c, "k", "annex")
 				wantHeldBy(t, c, "l", "desk")
 				var unknown *cellscheduler.UnknownJobError
-				if _, err := others[0].State(t.Context(), queueOf(others[0]), cellscheduler.Caller{}, "nobody"); !errors.As(err, &unknown) {
+				if _, err := others[0].State(t.Context(), queueOf(others[0]), cellscheduler.Caller{}, "unknown"); !errors.As(err, &unknown) {
 					t.Errorf("state of a job that was never submitted: %v", err)
 				}
 			})
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -175,7 +175,7 @@
 	}
 	j.replacesRow = c.journal.cancelRemoval(j.id) || c.unreadable[j.id]
 	c.jobs[j.id] = j
-	count(c.paths.jobs, j.progress.Path, 1)
+	addCount(c.paths.jobs, j.progress.Path, 1)
 	c.openJobs++
 	c.acceptShare(j)
 	c.markDirty(j, func() {
@@ -285,8 +285,8 @@
 	if !j.stored || j.visibleState != steptracker.Queued {
 		return
 	}
-	count(c.queuedJobs, j.progress.Queue, delta)
-	count(c.paths.queued, j.progress.Path, delta)
+	addCount(c.queuedJobs, j.progress.Queue, delta)
+	addCount(c.paths.queued, j.progress.Path, delta)
 }
 
 // setVisibleState changes the state that callers are told.
@@ -380,7 +380,7 @@
 // removeJob removes a job from memory.
 func (c *Scheduler) removeJob(j *job) {
 	delete(c.jobs, j.id)
-	count(c.paths.jobs, j.progress.Path, -1)
+	addCount(c.paths.jobs, j.progress.Path, -1)
 }
 
 // retentionMargin is added to the retention time because the clocks of instances differ.
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -319,7 +319,7 @@
 			continue
 		}
 		c.jobs[id] = j
-		count(c.paths.jobs, j.progress.Path, 1)
+		addCount(c.paths.jobs, j.progress.Path, 1)
 		c.countQueued(j, 1)
 		if !j.progress.State.Final() {
 			c.openJobs++
--- a/internal/cellscheduler/paths.go
+++ b/internal/cellscheduler/paths.go
@@ -92,10 +92,10 @@
 	p.jobs, p.queued, p.writes = make(map[string]int), make(map[string]int), make(map[string][]func(error))
 }
 
-// count adds delta to a counter by path, and removes the counter at 0.
-func count(counters map[string]int, path string, delta int) {
-	if counters[path] += delta; counters[path] == 0 {
-		delete(counters, path)
+// addCount adds delta to a counter by name, and removes the counter at 0.
+func addCount(counters map[string]int, name string, delta int) {
+	if counters[name] += delta; counters[name] == 0 {
+		delete(counters, name)
 	}
 }
 
