--- a/internal/pathrecorder/pathrecorder_test.go
+++ b/internal/pathrecorder/pathrecorder_test.go
@@ -186,3 +186,18 @@
 		t.Error("after the move new jobs must be accepted, and only these")
 	}
 }
+
+// TestOutdatedLookUpDoesNotCloseThePath: a look-up by an older configuration than the stored one made the cell store its
+// entry and ask the other cells again.
+func TestOutdatedLookUpDoesNotCloseThePath(t *testing.T) {
+	w := newWorld("a", "b")
+	if !w.submit("1", "a", 3) {
+		t.Fatal("the first job was not accepted")
+	}
+	if w.owners["a"].Close(pathrecorder.Route{Path: path, Version: 2}, "b") {
+		t.Error("the path was closed by an older configuration")
+	}
+	if got := w.owners["a"].Admit(pathrecorder.Route{Path: path, Version: 3}, w.others("a"), []string{"b"}); got.Action != pathrecorder.Accept {
+		t.Errorf("action %d for the next job, want it to be accepted", got.Action)
+	}
+}
