--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -365,7 +365,7 @@
 		return
 	}
 	c.ownershipLost = true
-	c.Log.Warn("cell lost", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "reason", reason)
+	c.Log.Warn("cell lost", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "reason", reason, "unwritten-ends", c.unwrittenEnds())
 	c.cancel()
 	go c.OnOwnershipLost()
 }
@@ -376,6 +376,7 @@
 	done := make(chan struct{})
 	c.post(func() {
 		c.shuttingDown = true
+		c.Log.Info("cell shutting down", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "unwritten-ends", c.unwrittenEnds(), "unwritten-jobs", len(c.journal.dirty))
 		if !c.recovered {
 			close(done)
 			return
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -224,7 +224,7 @@
 		switch {
 		case err != nil:
 			// The committer retries until the scheduler stops, so the scheduler has been stopped.
-			c.Log.Warn("transaction abandoned", "cell", c.claim.Cell, "error", err)
+			c.Log.Warn("transaction abandoned", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "jobs", len(sent.jobs), "unwritten-ends", c.unwrittenEnds(), "error", err)
 		case !outcome.Committed:
 			c.loseOwnership("the owner's row has changed")
 		default:
@@ -327,12 +327,14 @@
 	}
 	c.recovered = true
 	c.restoreShares()
+	unconfirmed := 0
 	for _, j := range c.jobs {
 		c.restorePlacements(j)
+		unconfirmed += len(j.placements)
 		c.updateSteps(j)
 	}
 	c.Log.Info("cell taken over", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "jobs", len(c.jobs), "open", c.openJobs,
-		"took-ms", c.now.Sub(c.claimedAt).Milliseconds())
+		"unconfirmed", unconfirmed, "took-ms", c.now.Sub(c.claimedAt).Milliseconds())
 	deferred := c.deferredCalls
 	c.deferredCalls = nil
 	runAll(deferred)
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -109,6 +109,15 @@
 // RunEnded counts the end of a run.
 func (m *Metrics) RunEnded(how steptracker.EndReason) { m.root.Add("ended-"+string(how), 1) }
 
+// EndsWritten counts listed ends that were written and may be acknowledged, and records how long that took.
+func (m *Metrics) EndsWritten(ends int64, took time.Duration) {
+	m.root.Add("ends-written", ends)
+	m.record("ends-written", took)
+}
+
+// ForeignEndListed counts an end that is listed as done and is not of the current run of its task.
+func (m *Metrics) ForeignEndListed() { m.root.Add("done-runs-not-current", 1) }
+
 // WorkerCrashed counts an incarnation of a worker that has ended with runs on it, and these runs.
 func (m *Metrics) WorkerCrashed(runs int) {
 	m.root.Add("workers-crashed", 1)
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -122,13 +122,12 @@
 
 // endRun handles the end of a run. The change is written before callers or the worker learn of
 // it.
-func (c *Scheduler) endRun(p *placement, reason steptracker.EndReason, checkpoint string) {
-	j := p.job
+func (c *Scheduler) endRun(p *placement, end conclusion, checkpoint string) {
+	j, reason := p.job, end.reason
 	if j.placements[p.key] != p {
 		return
 	}
-	c.Log.Info("ended", "task", p.key.String(), "run", p.run, "worker", p.worker.info.Worker, "how", reason,
-		"ran-ms", p.elapsed(c.now).Milliseconds(), "ordered-ms-ago", p.sinceOrder(c.now).Milliseconds(), "stopping", p.stopReason)
+	c.logEnd(p, &end)
 	c.Metrics.RunEnded(reason)
 	c.recordRunEnd(p, reason)
 	c.release(p)
@@ -236,7 +235,7 @@
 	}
 	if p.stopReason != "" || p.job.progress.State.Final() {
 		// The start order was never sent, so the run is over.
-		c.endRun(p, steptracker.NeverStarted, "")
+		c.endRun(p, neverSent, "")
 		return
 	}
 	w := p.worker
@@ -247,17 +246,17 @@
 		return
 	}
 	if w.clockAt.IsZero() || !w.synced || !valid {
-		c.endRun(p, steptracker.NeverStarted, "")
+		c.endRun(p, neverSent, "")
 		return
 	}
 	if !w.used.Fits(w.info.Capacity) {
 		// The capacity has shrunk while the assignment was being written.
 		c.Log.Info("start dropped, the worker's capacity has shrunk", "task", p.key.String(), "run", p.run, "worker", w.info.Worker)
-		c.endRun(p, steptracker.NeverStarted, "")
+		c.endRun(p, neverSent, "")
 		return
 	}
 	if c.exceedsQuota(p) {
-		c.endRun(p, steptracker.NeverStarted, "")
+		c.endRun(p, neverSent, "")
 		return
 	}
 	if c.deferIsolatedStart(p) {
@@ -276,7 +275,7 @@
 	info := w.info
 	c.group.Go(func() {
 		header, err := c.WorkerClient.Start(c.ctx, &info, order)
-		c.post(func() { c.startAnswered(p, order.FencingToken, header, err) })
+		c.post(func() { c.startAnswered(p, &info, order.FencingToken, header, err) })
 	})
 }
 
@@ -294,20 +293,21 @@
 	return ""
 }
 
-// startAnswered handles the result of a start order.
-func (c *Scheduler) startAnswered(p *placement, token int64, header workerdriver.ReplyHeader, err error) {
+// startAnswered handles the result of a start order that was sent to an incarnation.
+func (c *Scheduler) startAnswered(p *placement, sentTo *workerdriver.Worker, token int64, header workerdriver.ReplyHeader, err error) {
 	if p.job.placements[p.key] != p {
 		return
 	}
 	w := p.worker
 	c.Metrics.StartAnswered(c.now.Sub(p.sentAt), err)
 	if err == nil {
+		c.noteClock(w, header, p.orderedAt)
 		c.updateClock(w, header)
 		p.copyInDoubt = header.Unanswered
 		if p.state == runSending {
 			c.markStarted(p, header.Clock)
 			c.startLatency = updateLatency(c.startLatency, c.now.Sub(p.sentAt))
-			c.Log.Info("started", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "took-ms", c.now.Sub(p.sentAt).Milliseconds())
+			c.Log.Info("started", p.startFields(sentTo, token, header, "took-ms", c.now.Sub(p.sentAt).Milliseconds())...)
 		}
 		if p.stopReason != "" {
 			c.sendStop(p)
@@ -320,17 +320,17 @@
 		switch {
 		case p.state == runSending && isNeverSent(err):
 			c.markUnreachable(w)
-			c.Log.Info("start not sent", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "error", err)
-			c.endRun(p, steptracker.NeverStarted, "")
+			c.Log.Info("start not sent", p.startFields(sentTo, token, header, "error", err)...)
+			c.endRun(p, neverSent, "")
 		case p.state == runSending:
 			p.state = runInDoubt
 			p.sentAt = c.now
-			c.Log.Warn("start in doubt", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "waited-ms", c.now.Sub(p.orderedAt).Milliseconds(), "error", err)
+			c.Log.Warn("start in doubt", p.startFields(sentTo, token, header, "waited-ms", c.now.Sub(p.orderedAt).Milliseconds(), "error", err)...)
 			c.requestListing(w)
 		}
 		return
 	}
-	c.Log.Info("start refused", "task", p.key.String(), "run", p.run, "worker", w.info.Worker, "reason", refused.Reason)
+	c.Log.Info("start refused", p.startFields(sentTo, token, header, "reason", refused.Reason, "status", refused.Status, "state", p.state.String())...)
 	c.startRefused(p, refused.Reason)
 }
 
@@ -348,7 +348,7 @@
 		w.synced = false
 	case workerdriver.StaleRun, workerdriver.OrderExpired:
 	}
-	c.endRun(p, steptracker.NeverStarted, "")
+	c.endRun(p, conclusion{reason: steptracker.NeverStarted, by: byRefusedStart}, "")
 }
 
 // requestListing requests a worker's listing at once, in addition to the sync that may be waiting
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -77,7 +77,7 @@
 		}
 		c.workerRestarted(w, header.StartMillis)
 	}
-	w.clock, w.clockAt = header.Clock, c.now
+	w.clock, w.clockAt, w.clockBorn = header.Clock, c.now, header.StartMillis
 	c.observeClock(w, header.Clock)
 	return true
 }
@@ -87,26 +87,30 @@
 		c.Log.Info("worker answers again", "worker", w.info.Worker)
 	}
 	w.syncFailures, w.unreachableSince = 0, time.Time{}
+	c.noteClock(w, listing.ReplyHeader, sentAt)
 	if !c.updateClock(w, listing.ReplyHeader) {
 		w.nextSyncAt = c.now.Add(initialRetryDelay)
 		return
 	}
 	w.lastReplyAt = c.now
-	c.processEnds(w, listing.Ended)
+	c.processEnds(w, listing.Ended, sentAt)
 	c.reconcileRunning(w, listing, sentAt)
 	c.updateThrottle(w)
 	if !w.synced {
-		w.synced = true
+		w.synced, w.hasListed = true, true
 		c.roundNeeded = true
 		c.Log.Info("worker listed", "worker", w.info.Worker, "running", len(listing.Running), "ended", len(listing.Ended), "fence", w.fencingToken)
 	}
 	if w.lastEnd > w.lastWrittenEnd {
-		lastEnd, startMillis := w.lastEnd, w.info.StartMillis
+		lastEnd, startMillis, processedAt := w.lastEnd, w.info.StartMillis, c.now
 		w.nextSyncAt = c.now.Add(unwrittenSyncDelay)
 		c.afterWrites(func() {
 			if w.info.StartMillis != startMillis {
 				return
 			}
+			if lastEnd > w.lastWrittenEnd {
+				c.Metrics.EndsWritten(lastEnd-w.lastWrittenEnd, c.now.Sub(processedAt))
+			}
 			w.lastWrittenEnd = max(w.lastWrittenEnd, lastEnd)
 			w.nextSyncAt = c.now
 			c.syncWorker(w)
@@ -151,7 +155,7 @@
 }
 
 // processEnds handles the ends of runs that were not processed before.
-func (c *Scheduler) processEnds(w *worker, ended []workerdriver.EndedTask) {
+func (c *Scheduler) processEnds(w *worker, ended []workerdriver.EndedTask, sentAt time.Time) {
 	for i := range ended {
 		e := &ended[i]
 		if e.Sequence <= w.lastEnd {
@@ -160,16 +164,18 @@
 		w.lastEnd = e.Sequence
 		j := c.jobs[e.Task.Job]
 		if j == nil {
+			c.noteForeignEnd(w, e)
 			continue
 		}
 		p := j.placements[e.Task]
 		if p == nil || p.run != e.Run || p.worker != w {
+			c.noteForeignEnd(w, e)
 			continue
 		}
 		if task := j.progress.Task(e.Task); task != nil {
 			task.CrashHistory.RecordSurvival()
 		}
-		c.endRun(p, e.Reason, e.Checkpoint)
+		c.endRun(p, conclusion{reason: e.Reason, by: byListedEnd, sequence: e.Sequence, listRequestedAt: sentAt}, e.Checkpoint)
 	}
 }
 
@@ -204,7 +210,7 @@
 		if p.state == runUnconfirmed && reason == steptracker.WorkerLost {
 			c.recordUnprovedRun(p)
 		}
-		c.endRun(p, reason, "")
+		c.endRun(p, conclusion{reason: reason, by: byAbsence, listRequestedAt: sentAt}, "")
 	}
 }
 
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -90,6 +90,11 @@
 	restartDelay time.Duration
 	// clock is the clock of schedulers.
 	clock clockwork.Clock
+	// startClockAhead is by how much the clock in answers to start orders, which name no incarnation then, is that
+	// of an earlier one.
+	startClockAhead time.Duration
+	// log is the log of schedulers.
+	log *slog.Logger
 	// onStart is called before a run starts; it may be nil.
 	onStart func(start *workerdriver.Start)
 }
@@ -107,7 +112,7 @@
 
 func newTestEnv(t *testing.T, workers int) *testEnv {
 	env := &testEnv{
-		t: t, clock: clockwork.NewRealClock(), maxListedEnds: 500, snapshots: make(map[string]int), refusedSnapshots: make(map[string]int), ackedDone: make(map[steptracker.TaskKey]int), restartDelay: restartDelay, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
+		t: t, log: slog.New(slog.DiscardHandler), clock: clockwork.NewRealClock(), maxListedEnds: 500, snapshots: make(map[string]int), refusedSnapshots: make(map[string]int), ackedDone: make(map[steptracker.TaskKey]int), restartDelay: restartDelay, rows: make(map[string]connector.Row), workers: make(map[string]*fakeWorker), configuration: &configprovider.Provider{}, maxOpenJobs: 1000, stateRetention: time.Minute, commitDelay: 10 * time.Millisecond, rowsInFlight: make(map[string]bool),
 		starts: make(map[steptracker.TaskKey][]int), throttled: make(map[steptracker.TaskKey]int), metrics: make(map[steptracker.TaskKey]int), crashes: make(map[steptracker.TaskKey]int), sentKeys: make(map[string]bool), schedulerMetrics: cellscheduler.NewMetrics(),
 		outcome: func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return time.Second, steptracker.Done
@@ -233,7 +238,11 @@
 	if worker.loseStartReplies {
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
-	return worker.replyHeader(), nil
+	header := worker.replyHeader()
+	if env.startClockAhead > 0 {
+		header.Clock, header.StartMillis = header.Clock+workerdriver.Clock(env.startClockAhead), 0
+	}
+	return header, nil
 }
 
 // checkStart fails the test if a start violates an invariant.
@@ -338,12 +347,11 @@
 		listed = append(listed, worker.info)
 	}
 	env.mu.Unlock()
-	log := slog.New(slog.DiscardHandler)
-	workers := orderrepeater.New(orderrepeater.Dependencies{Workers: env, Clock: clockwork.NewRealClock(), Log: log, Metrics: env.schedulerMetrics})
+	workers := orderrepeater.New(orderrepeater.Dependencies{Workers: env, Clock: clockwork.NewRealClock(), Log: env.log, Metrics: env.schedulerMetrics})
 	c, stop := cellscheduler.Start(cellscheduler.Claim{Cell: "cell", FencingToken: fencingToken * testTokens, LastToken: (fencingToken+1)*testTokens - 1, OwnerKey: "owners/cell/owner", OwnerVersion: version, NoPreviousOwner: fencingToken == 1},
 		cellscheduler.Settings{Lease: testLease, MaxLease: 2 * testLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
-			Clock: env.clock, Log: log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, PathTable: env, Configuration: env.configuration,
+			Clock: env.clock, Log: env.log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env, env, env}, SnapshotReader: env, PathTable: env, Configuration: env.configuration,
 			OwnershipConfirmed: func() bool { return true }, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, Access: env.access, StoreSilence: env.storeSilence,
 		})
 	c.UpdateWorkers(listed, nil, true)
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -51,12 +51,20 @@
 	listed bool
 	// synced is set once this incarnation has listed its runs under this owner's fencing token.
 	synced bool
+	// hasListed is set once any incarnation has listed its runs under this owner.
+	hasListed bool
 	// fencingToken is the token of the orders for this incarnation.
 	fencingToken int64
 	// clock is the worker's clock at clockAt. The true reading at that time may have been later,
 	// never earlier.
 	clock   workerdriver.Clock
 	clockAt time.Time
+	// clockBorn is the start time of the incarnation in the reply with that reading, 0 if the reply named none.
+	clockBorn int64
+	// unnamedClock is the latest reading in a reply that named no incarnation, which arrived at unnamedClockAt, 0
+	// once a later reply has named one.
+	unnamedClock   workerdriver.Clock
+	unnamedClockAt time.Time
 	// latestClock is the latest reading of the worker's clock in any reply of this incarnation, which
 	// arrived at latestClockAt.
 	latestClock   workerdriver.Clock
@@ -113,6 +121,14 @@
 	})
 }
 
+// clockAge returns the age of the reading of the worker's clock, 0 if there is none.
+func (w *worker) clockAge(now time.Time) time.Duration {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	return now.Sub(w.clockAt)
+}
+
 // usable reports whether a worker may get new tasks.
 func (c *Scheduler) usable(w *worker) bool {
 	return w.listed && w.synced && !w.info.Draining && w.isolatedRuns == 0 && w.unreachableSince.IsZero() && c.now.Sub(w.lastReplyAt) < c.unresponsiveAfter() &&
@@ -213,7 +229,7 @@
 	w.fencingToken = c.fencingToken
 	w.latestClock, w.latestClockAt = 0, time.Time{}
 	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
-	w.clockAt = time.Time{}
+	w.clockAt, w.clockBorn, w.unnamedClock = time.Time{}, 0, 0
 	w.health = workerHealth{}
 	c.refuseLateStarts(w)
 	for _, p := range w.placements {
@@ -238,7 +254,7 @@
 	c.recordCrash(w)
 	for _, p := range w.placements {
 		if p.state != runUnsent {
-			c.endRun(p, steptracker.WorkerLost, "")
+			c.endRun(p, conclusion{reason: steptracker.WorkerLost, by: byReplacedWorker}, "")
 		}
 	}
 	w.synced = false
@@ -305,10 +321,12 @@
 	// All runs that a worker may have are over once its lease has certainly expired. New start
 	// orders extend the lease, so only older runs are affected.
 	if len(w.placements) > 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
-		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.placements), "heard-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds())
+		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.placements), "heard-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds(),
+			"ended-ms-ago", c.now.Sub(w.leaseEndsAt).Milliseconds(), "clock-age-ms", w.clockAge(c.now).Milliseconds(), "clock-born", w.clockBorn, "born", w.info.StartMillis,
+			"fence", w.fencingToken, "decided-late-ms", c.Clock.Since(c.now).Milliseconds())
 		c.keepLapsedRuns(w)
 		for _, p := range w.placements {
-			c.endRun(p, steptracker.LeaseExpired, "")
+			c.endRun(p, conclusion{reason: steptracker.LeaseExpired, by: byLeaseEnd}, "")
 		}
 		w.synced = false
 	}
--- a/internal/orderrepeater/orderrepeater.go
+++ b/internal/orderrepeater/orderrepeater.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -65,10 +66,14 @@
 
 // RepeatRefusedError reports that the worker has refused a repeated start order. An earlier copy may have been
 // carried out, or may still be.
-type RepeatRefusedError struct{ Reason workerdriver.Reason }
+type RepeatRefusedError struct {
+	Reason workerdriver.Reason
+	// Status is the HTTP status of the refusal, 0 if unknown.
+	Status int
+}
 
 func (e *RepeatRefusedError) Error() string {
-	return "the repeated order was refused: " + string(e.Reason)
+	return fmt.Sprintf("the repeated order was refused: %s (status %d)", e.Reason, e.Status)
 }
 
 // Start sends a start order. In the header of the reply, Unanswered is set if a copy of the order may still
@@ -196,6 +201,9 @@
 // answered returns the result of an order of which a number of copies were sent, given the result of the copy
 // that decides, and whether no copy has reached the worker.
 func (c *Client) answered(kind string, r result, to *workerdriver.Worker, attempts int, neverSent bool) (workerdriver.SyncReply, error) {
+	if kind == kindStart {
+		r.reply.Copies = attempts
+	}
 	if r.err == nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -212,7 +220,7 @@
 	case errors.As(r.err, &inDoubt):
 		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, NeverSent: neverSent, Err: inDoubt.Err}
 	case attempts > 1 && kind == kindStart && errors.As(r.err, &refused) && refused.Reason != workerdriver.StaleFencingToken:
-		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, Err: &RepeatRefusedError{Reason: refused.Reason}}
+		return r.reply, &workerdriver.InDoubtError{Worker: to.Worker, Err: &RepeatRefusedError{Reason: refused.Reason, Status: refused.Status}}
 	default:
 		return r.reply, r.err
 	}
--- a/internal/workerdriver/workerdriver.go
+++ b/internal/workerdriver/workerdriver.go
@@ -61,6 +61,10 @@
 	// Unanswered is set if the order was repeated, so that another copy of it may reach the worker later. It is
 	// set by the sender, not by the worker.
 	Unanswered bool `json:",omitempty"`
+	// Copies is the number of copies of a start order that were sent, 0 if unknown. Relay is the instance that
+	// relayed it, empty if it was sent directly. Both are set by senders, also if the order failed.
+	Copies int    `json:",omitempty"`
+	Relay  string `json:"-"`
 }
 
 // Start orders a worker to start a run, which is one attempt to execute a task.
@@ -153,6 +157,8 @@
 type RefusedError struct {
 	Worker string
 	Reason Reason
+	// Status is the HTTP status of the reply, 0 if unknown.
+	Status int
 }
 
 func (e *RefusedError) Error() string {
--- a/internal/workerrelayer/workerrelayer.go
+++ b/internal/workerrelayer/workerrelayer.go
@@ -80,9 +80,10 @@
 	Running []workerdriver.RunningTask `json:"running,omitempty"`
 	Ended   []workerdriver.EndedTask   `json:"ended,omitempty"`
 	AllEnds bool                       `json:"all-ends,omitempty"`
-	// Refused is why the worker refused the order, InDoubt why it is unknown whether the worker has
+	// Refused is why the worker refused the order, Status the HTTP status with which it did, InDoubt why it is unknown whether the worker has
 	// carried it out. NeverSent is set if it certainly has not.
 	Refused   workerdriver.Reason `json:"refused,omitempty"`
+	Status    int                 `json:"status,omitempty"`
 	InDoubt   string              `json:"doubt,omitempty"`
 	NeverSent bool                `json:"never-sent,omitempty"`
 }
@@ -101,6 +102,7 @@
 	if relay := c.Relays.Relay(to); relay != "" {
 		answer, sent, err := c.send(ctx, relay, to, &request{Start: order}, 0)
 		if sent {
+			answer.Header.Relay = relay
 			return answer.Header, err
 		}
 	}
@@ -165,7 +167,7 @@
 	}
 	switch {
 	case answer.Refused != "":
-		return answer, true, &workerdriver.RefusedError{Worker: to.Worker, Reason: answer.Refused}
+		return answer, true, &workerdriver.RefusedError{Worker: to.Worker, Reason: answer.Refused, Status: answer.Status}
 	case answer.InDoubt != "":
 		return answer, true, &workerdriver.InDoubtError{Worker: to.Worker, NeverSent: answer.NeverSent, Err: &RelayError{Relay: relay, Reason: answer.InDoubt}}
 	default:
@@ -207,7 +209,7 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &refused):
-		answer.Refused = refused.Reason
+		answer.Refused, answer.Status = refused.Reason, refused.Status
 	case errors.As(err, &inDoubt):
 		answer.InDoubt, answer.NeverSent = inDoubt.Err.Error(), inDoubt.NeverSent
 	default:
--- a/internal/workerrelayer/workerrelayer_test.go
+++ b/internal/workerrelayer/workerrelayer_test.go
@@ -78,7 +78,7 @@
 
 func TestOrdersAndRepliesPassUnchanged(t *testing.T) {
 	direct, remote := &recordingWorkers{}, &recordingWorkers{listing: workerdriver.SyncReply{
-		ReplyHeader: workerdriver.ReplyHeader{Clock: 11, StartMillis: 5},
+		ReplyHeader: workerdriver.ReplyHeader{Clock: 11, StartMillis: 5, Copies: 2},
 		Running:     []workerdriver.RunningTask{{Task: task, Run: 2, Checkpoint: "0c", ProgressPercent: 40, Metric: 3}},
 		Ended:       []workerdriver.EndedTask{{Sequence: 4, Task: task, Run: 1, Reason: steptracker.Done, Checkpoint: "0a"}},
 		AllEnds:     true,
@@ -88,7 +88,9 @@
 	sync := workerdriver.Sync{LeaseExpiry: 7, FencingToken: 9, AckedSequence: 3, MaxWait: 5}
 	throttle := workerdriver.Throttle{Task: task, Run: 2, Percent: 30, FencingToken: 9}
 	header, err := client.Start(t.Context(), &worker, &start)
-	if err != nil || header != remote.listing.ReplyHeader {
+	relayed := remote.listing.ReplyHeader
+	relayed.Relay = "r"
+	if err != nil || header != relayed {
 		t.Errorf("start: %+v, %v", header, err)
 	}
 	if header, err := client.Stop(t.Context(), &worker, stop); err != nil || header != remote.listing.ReplyHeader {
@@ -114,7 +116,7 @@
 // relay or the worker does not reply, and that an order that the relay certainly did not get is sent
 // directly.
 func TestFailuresKeepTheirMeaning(t *testing.T) {
-	refusal := &workerdriver.RefusedError{Worker: "w", Reason: workerdriver.StaleFencingToken}
+	refusal := &workerdriver.RefusedError{Worker: "w", Reason: workerdriver.StaleFencingToken, Status: 409}
 	for name, test := range map[string]struct {
 		workerErr, callErr       error
 		refused                  workerdriver.Reason
@@ -136,10 +138,13 @@
 			if test.reply != "" {
 				client.CallPeer = func(context.Context, string, []byte) ([]byte, error) { return []byte(test.reply), nil }
 			}
-			_, err := client.Start(t.Context(), &worker, &start)
+			header, err := client.Start(t.Context(), &worker, &start)
+			if direct := header.Relay == ""; direct != (test.directOrders > 0) {
+				t.Errorf("the order went through %q, want directly %t", header.Relay, test.directOrders > 0)
+			}
 			var refused *workerdriver.RefusedError
 			var inDoubt *workerdriver.InDoubtError
-			if isRefused := errors.As(err, &refused); isRefused != (test.refused != "") || isRefused && refused.Reason != test.refused {
+			if isRefused := errors.As(err, &refused); isRefused != (test.refused != "") || isRefused && (refused.Reason != test.refused || refused.Status != refusal.Status) {
 				t.Errorf("got %v, want a refusal for %q", err, test.refused)
 			}
 			if isInDoubt := errors.As(err, &inDoubt); isInDoubt != test.inDoubt || isInDoubt && inDoubt.NeverSent != test.neverSent {
