--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -51,6 +51,24 @@
 	return workerdriver.ReplyHeader{Clock: workerdriver.Clock(time.Since(f.startedAt)), StartMillis: f.info.StartMillis}
 }
 
+// orderReplyHeader returns the header of the reply to an order that returns no list.
+func (f *fakeWorker) orderReplyHeader() workerdriver.ReplyHeader {
+	header := f.replyHeader()
+	if f.env.bornInListsOnly {
+		header.StartMillis = 0
+	}
+	return header
+}
+
+// restartUnnoticed starts a new incarnation under the ID at once, before the platform's list names it. The caller
+// holds the mutex.
+func (f *fakeWorker) restartUnnoticed() {
+	f.kill()
+	successor := f.info
+	successor.StartMillis = time.Now().UnixMilli()
+	f.env.addWorker(successor)
+}
+
 // start executes or refuses an order. The caller holds the mutex of the environment.
 func (f *fakeWorker) start(order *workerdriver.Start) error {
 	refuse := func(reason workerdriver.Reason) error {
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -95,6 +95,8 @@
 	startClockAhead time.Duration
 	// log is the log of schedulers.
 	log *slog.Logger
+	// bornInListsOnly leaves the start time of workers out of the replies to all orders but syncs, as the protocol does.
+	bornInListsOnly bool
 	// onStart is called before a run starts; it may be nil.
 	onStart func(start *workerdriver.Start)
 }
@@ -233,12 +235,12 @@
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
 	if err := worker.start(order); err != nil {
-		return worker.replyHeader(), err
+		return worker.orderReplyHeader(), err
 	}
 	if worker.loseStartReplies {
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
-	header := worker.replyHeader()
+	header := worker.orderReplyHeader()
 	if env.startClockAhead > 0 {
 		header.Clock, header.StartMillis = header.Clock+workerdriver.Clock(env.startClockAhead), 0
 	}
@@ -282,13 +284,13 @@
 		return workerdriver.ReplyHeader{}, err
 	}
 	if order.FencingToken < worker.highestFencingToken {
-		return worker.replyHeader(), &workerdriver.RefusedError{Worker: to.Worker, Reason: workerdriver.StaleFencingToken}
+		return worker.orderReplyHeader(), &workerdriver.RefusedError{Worker: to.Worker, Reason: workerdriver.StaleFencingToken}
 	}
 	if worker.dropsStops {
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
 	worker.stop(order)
-	return worker.replyHeader(), nil
+	return worker.orderReplyHeader(), nil
 }
 
 // Throttle records the order.
