Failing test: a late start is carried out by a worker that was removed and came back

removeWorker drops the late starts of the worker, of which keepLateStart keeps the record for 15 s, and newWorker uses the same token again. The next incarnation under the ID carries out the late order, though the task is done.

go test ./internal/cellscheduler -run TestLateStartIsNotCarriedOutByRelistedWorker: fails.

--- a/internal/cellscheduler/readded_test.go
+++ b/internal/cellscheduler/readded_test.go
@@ -56,3 +56,40 @@
 		wantState(t, c, "second", steptracker.Completed)
 	})
 }
+
+// TestLateStartIsNotCarriedOutByRelistedWorker: with a worker that has left the list, the owner forgets which of its
+// start orders may still be carried out, and the next incarnation under the ID obeys their token.
+func TestLateStartIsNotCarriedOutByRelistedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 2)
+		env.keepIDs, env.restartDelay = true, 7*time.Second
+		key := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "j"}}
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		submittedAt := time.Now()
+		env.withLock(func() {
+			env.unanswered = func(kind string) (time.Duration, bool) {
+				return 11 * time.Second, kind == "start" && time.Since(submittedAt) < 40*time.Millisecond
+			}
+		})
+		submit(t, c, job("j", "plain", step(1, 1000)))
+		sleep(2500 * time.Millisecond)
+		wantState(t, c, "j", steptracker.Completed)
+		left := ""
+		env.withLock(func() {
+			for id, worker := range env.workers {
+				if worker.refusedRuns[key] == 1 {
+					left = id
+					worker.crash()
+				}
+			}
+		})
+		if left == "" {
+			t.Fatal("no worker has refused the first run")
+		}
+		sleep(3 * time.Second)
+		c.UpdateWorkers(nil, []string{left}, false)
+		sleep(10 * time.Second)
+	})
+}
