Failing test: a removed worker is synced again and acknowledges ends of its successor's runs

checkWorker removes a worker that has left the list although a write that its last ends wait for is not done. When it is, the barrier of syncAnswered syncs the removed entry, and each answer leads to the next sync, beside those of the entry that the list has brought back. Two entries then have the same worker. processEnds skips runs of the other entry but counts their ends, so that the removed entry acknowledges what only the other may process; stopStrayRun stops the other's runs. If the list for the other entry is lost, or comes later than the acknowledgement, a task that is done starts again. The same holds for a removed entry whose sync in flight is answered after all (by reading).

go test ./internal/cellscheduler -run TestRemovedWorkerIsNotSynced -count=30: fails 28 times.

--- /dev/null
+++ b/internal/cellscheduler/removed_test.go
@@ -0,0 +1,54 @@
+package cellscheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dotterelpost.example/dotterelpost/internal/steptracker"
+	"dotterelpost.example/dotterelpost/internal/workerdriver"
+)
+
+// TestRemovedWorkerIsNotSynced: a worker leaves the list while its last end is being written, and is removed. It comes
+// back, the write is done, and the removed entry is synced again beside the new one. It acknowledged ends of runs on the
+// new entry, whose own list was lost.
+func TestRemovedWorkerIsNotSynced(t *testing.T) {
+	// Either of the two entries may be answered first.
+	for lost := range 2 {
+		t.Run(fmt.Sprint("list ", lost, " is lost"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, 1)
+				env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+					return 300 * time.Millisecond, steptracker.Done
+				}
+				c, stop := env.startScheduler(1)
+				defer stop()
+				sleep(100 * time.Millisecond)
+				submit(t, c, job("first", "plain", step(1, 1000)))
+				blocked := make(chan struct{})
+				env.withLock(func() { env.blocked = blocked })
+				sleep(400 * time.Millisecond)
+				c.UpdateWorkers(nil, []string{"w0"}, false)
+				sleep(8 * time.Second)
+				c.UpdateWorkers([]workerdriver.Worker{env.workers["w0"].info}, nil, false)
+				sleep(500 * time.Millisecond)
+				env.withLock(func() { env.blocked = nil })
+				close(blocked)
+				// The run begins and ends while both entries wait for an end.
+				sleep(1100 * time.Millisecond)
+				wantState(t, c, "first", steptracker.Completed)
+				lists := 0
+				env.withLock(func() {
+					env.losesList = func() bool {
+						lists++
+						return lists == lost+1
+					}
+				})
+				submit(t, c, job("second", "plain", step(1, 1000)))
+				sleep(5 * time.Second)
+				wantState(t, c, "second", steptracker.Completed)
+			})
+		})
+	}
+}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -80,6 +80,8 @@
 	// unanswered reports whether the next order to a worker gets no answer and is carried out after a time; nil
 	// answers all.
 	unanswered func(kind string) (after time.Duration, lost bool)
+	// losesList reports whether the next list that names an end gets lost on its way to the owner; nil loses none.
+	losesList func() bool
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds int
 	// snapshots counts the reads of each table, of which the first refusedSnapshots are refused.
@@ -384,6 +386,15 @@
 	for task, run := range worker.running {
 		listing.Running = append(listing.Running, workerdriver.RunningTask{Task: task, Run: run.number, Metric: env.metrics[task]})
 	}
+	if len(listing.Ended) > 0 && env.losesList != nil && env.losesList() {
+		env.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(orderTimeout):
+		}
+		env.mu.Lock()
+		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker}
+	}
 	return listing, nil
 }
 
