Failing test: a removed worker that is still synced ends the ownership

The removed entry and the current one each use a token of their own for the next incarnation. The worker refuses the lower of the two, which is the token of its entry, so that the scheduler takes its cell for lost.

--- a/internal/cellscheduler/removed_test.go
+++ b/internal/cellscheduler/removed_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -25,16 +26,7 @@
 				c, stop := env.startScheduler(1)
 				defer stop()
 				sleep(100 * time.Millisecond)
-				submit(t, c, job("first", "plain", step(1, 1000)))
-				blocked := make(chan struct{})
-				env.withLock(func() { env.blocked = blocked })
-				sleep(400 * time.Millisecond)
-				c.UpdateWorkers(nil, []string{"w0"}, false)
-				sleep(8 * time.Second)
-				c.UpdateWorkers([]workerdriver.Worker{env.workers["w0"].info}, nil, false)
-				sleep(500 * time.Millisecond)
-				env.withLock(func() { env.blocked = nil })
-				close(blocked)
+				env.relistDuringWrite(c)
 				// The run begins and ends while both entries wait for an end.
 				sleep(1100 * time.Millisecond)
 				wantState(t, c, "first", steptracker.Completed)
@@ -52,3 +44,46 @@
 		})
 	}
 }
+
+// TestRestartOfRelistedWorkerDoesNotEndOwnership: both the removed entry of a worker and the new one notice its restart
+// and use tokens of their own. The refusal of the lower one was taken for a sign of another owner.
+func TestRestartOfRelistedWorkerDoesNotEndOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 1)
+		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+			return 300 * time.Millisecond, steptracker.Done
+		}
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		env.relistDuringWrite(c)
+		sleep(1100 * time.Millisecond)
+		submit(t, c, job("second", "plain", step(1, 1000)))
+		// Both entries have listed the end, and none has a sync in flight.
+		sleep(250 * time.Millisecond)
+		env.withLock(func() { env.commitDelay = 700 * time.Millisecond })
+		sleep(150 * time.Millisecond)
+		env.withLock(func() { env.workers["w0"].restartUnnoticed() })
+		sleep(5 * time.Second)
+		env.withLock(func() {
+			if env.ownershipLosses > 0 {
+				t.Error("the only owner has taken its cell for lost")
+			}
+		})
+	})
+}
+
+// relistDuringWrite runs a job whose end is being written while its worker leaves the list and comes back.
+func (env *testEnv) relistDuringWrite(c *cellscheduler.Scheduler) {
+	submit(env.t, c, job("first", "plain", step(1, 1000)))
+	blocked := make(chan struct{})
+	env.withLock(func() { env.blocked = blocked })
+	// The worker has listed the end; the store does not answer.
+	sleep(1100 * time.Millisecond)
+	c.UpdateWorkers(nil, []string{"w0"}, false)
+	sleep(8 * time.Second)
+	c.UpdateWorkers([]workerdriver.Worker{env.workers["w0"].info}, nil, false)
+	sleep(500 * time.Millisecond)
+	env.withLock(func() { env.blocked = nil })
+	close(blocked)
+}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -82,6 +82,8 @@
 	unanswered func(kind string) (after time.Duration, lost bool)
 	// losesList reports whether the next list that names an end gets lost on its way to the owner; nil loses none.
 	losesList func() bool
+	// ownershipLosses counts the schedulers that have taken their cell for lost.
+	ownershipLosses int
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds int
 	// snapshots counts the reads of each table, of which the first refusedSnapshots are refused.
@@ -414,7 +416,7 @@
 		cellscheduler.Settings{Lease: env.lease, MaxLease: env.maxLease, StateRetention: env.stateRetention, MaxOpenJobs: env.maxOpenJobs},
 		cellscheduler.Dependencies{
 			Clock: env.clock, Log: env.log, WorkerClient: workers, AdvisorClient: env, Committers: []cellscheduler.Committer{env.newCommitter(), env.newCommitter(), env.newCommitter()}, SnapshotReader: env, PathTable: env, Configuration: env.configuration,
-			OwnershipConfirmed: env.ownershipConfirmed, OnOwnershipLost: func() {}, Metrics: env.schedulerMetrics, Access: env.access, StoreSilence: env.storeSilence,
+			OwnershipConfirmed: env.ownershipConfirmed, OnOwnershipLost: func() { env.withLock(func() { env.ownershipLosses++ }) }, Metrics: env.schedulerMetrics, Access: env.access, StoreSilence: env.storeSilence,
 		})
 	c.UpdateWorkers(listed, nil, true)
 	env.withLock(func() { env.schedulers = append(env.schedulers, c) })
