Owner: the clock is read for each message of a drain

The loop read the clock once for up to 128 messages. If the process was suspended or starved while it handled one of them, replies that had come meanwhile were taken to be as old as the first: the reading of the worker's clock was paired with a time that is too early, so leases lasted longer on the worker than by the owner's count, and the worker seemed to have been silent for longer. The owner took the lease for over, and started the runs elsewhere while they ran or had just ended as done.

Now each message has its own time. The pause between rounds still counts from when the goroutine woke.

Ruled out: the times that decide on absence from a list (marks of one message may be equal, which proves nothing, as before).

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -160,7 +160,9 @@
 	done chan struct{}
 
 	// The fields below are accessed by the control goroutine only.
-	now           time.Time
+	now time.Time
+	// wokenAt is when the control goroutine last began to handle messages or timers.
+	wokenAt       time.Time
 	claimedAt     time.Time
 	recovered     bool
 	ownershipLost bool
@@ -294,17 +296,20 @@
 			return
 		case <-restored:
 			c.now = c.Clock.Now()
+			c.wokenAt = c.now
 			restored = c.storeRestored()
 			c.journal.limiter.Restored(c.now)
 			c.journal.forecaster.Restored(c.now)
 			c.roundNeeded = true
 		case message := <-c.mailbox:
 			c.now = c.Clock.Now()
+			c.wokenAt = c.now
 			message()
 			c.drainMailbox()
-			c.load.handling += c.Clock.Since(c.now)
+			c.load.handling += c.Clock.Since(c.wokenAt)
 		case <-ticker.Chan():
 			c.now = c.Clock.Now()
+			c.wokenAt = c.now
 			c.onTick()
 		}
 		if c.recovered && !c.ownershipLost {
@@ -332,6 +337,9 @@
 	for range maxMessagesPerDrain {
 		select {
 		case message := <-c.mailbox:
+			// The process may have been suspended since the message before. Paired with an earlier time, the reading
+			// of a worker's clock would prolong its lease.
+			c.now = c.Clock.Now()
 			message()
 			c.load.messages++
 		default:
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -162,7 +162,7 @@
 	c.load.collecting += collected.Sub(began)
 	c.load.ranking += visitedFrom.Sub(collected)
 	c.load.visiting += ended.Sub(visitedFrom)
-	if next := ended.Add(roundPauseFactor * ended.Sub(c.now)); next.After(c.nextRoundAt) {
+	if next := ended.Add(roundPauseFactor * ended.Sub(c.wokenAt)); next.After(c.nextRoundAt) {
 		c.nextRoundAt = next
 	}
 }
