Leases: the reply of a former incarnation does not set a worker's clock

Callers saw a task done twice. Replies to starts do not name the incarnation of the worker. One that arrived after the restart was known set the clock of the new incarnation to that of the former. The next order then extended the lease to the longest one that a worker grants, 6 s here, while the owner counted 3 s, and it started the runs of a silent worker elsewhere while they went on.

Each incarnation has a token of its own, so a reply to an order with another token leaves the clock alone. TestLeaseIsNotTakenFromClockOfFormerIncarnation failed before and passes.

--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -301,8 +301,11 @@
 	w := p.worker
 	c.Metrics.StartAnswered(c.now.Sub(p.sentAt), err)
 	if err == nil {
-		c.noteClock(w, header, p.orderedAt)
-		c.updateClock(w, header)
+		if token == w.fencingToken {
+			// The clock of another incarnation says nothing about this one's.
+			c.noteClock(w, header, p.orderedAt)
+			c.updateClock(w, header)
+		}
 		p.copyInDoubt = header.Unanswered
 		if p.state == runSending {
 			c.markStarted(p, header.Clock)
