Leases: after a restart the longest lease is assumed

Callers saw a task done twice. Orders to a former incarnation that reach the new one before an order with its token are obeyed: late ones, and all that are sent until the restart is known. Their end of the lease is a reading of the former clock, so the worker grants the longest lease, and leases never shorten. The owner counted its own, and started the runs of a silent worker elsewhere while they went on.

An owner that learns of a restart, and again when the incarnation has listed its runs, assumes the longest lease from then on. TestLateSyncDoesNotExtendLeaseOfRestartedWorker failed before and passes.

--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -99,6 +99,11 @@
 	if !w.synced {
 		w.synced, w.hasListed = true, true
 		c.roundNeeded = true
+		if w.restarted {
+			// Until now the incarnation has obeyed orders with the token of the one before.
+			w.restarted = false
+			c.assumeLongestLease(w)
+		}
 		c.Log.Info("worker listed", "worker", w.info.Worker, "running", len(listing.Running), "ended", len(listing.Ended), "fence", w.fencingToken)
 	}
 	if w.lastEnd > w.lastWrittenEnd {
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -51,6 +51,8 @@
 	listed bool
 	// synced is set once this incarnation has listed its runs under this owner's fencing token.
 	synced bool
+	// restarted is set from a restart until the new incarnation has listed its runs.
+	restarted bool
 	// hasListed is set once any incarnation has listed its runs under this owner.
 	hasListed bool
 	// fencingToken is the token of the orders for this incarnation.
@@ -214,8 +216,20 @@
 	if c.claim.NoPreviousOwner {
 		return c.claimedAt
 	}
-	longest := time.Duration(float64(c.settings.MaxLease) * (1 + 2*maxClockDrift))
-	return c.claimedAt.Add(maxStoreSilence + longest)
+	return c.claimedAt.Add(maxStoreSilence + c.longestLease())
+}
+
+// longestLease returns how long a lease lasts at most after a worker has granted it, whatever end it was given.
+func (c *Scheduler) longestLease() time.Duration {
+	return time.Duration(float64(c.settings.MaxLease) * (1 + 2*maxClockDrift))
+}
+
+// assumeLongestLease updates the end of a worker's lease when orders for another incarnation may have extended it until
+// now: they name an end by the clock of that incarnation.
+func (c *Scheduler) assumeLongestLease(w *worker) {
+	if endsAt := c.now.Add(c.longestLease()); endsAt.After(w.leaseEndsAt) {
+		w.leaseEndsAt = endsAt
+	}
 }
 
 // workerRestarted handles the start of a new incarnation of a worker. The runs of the previous
@@ -230,6 +244,8 @@
 	w.latestClock, w.latestClockAt = 0, time.Time{}
 	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
 	w.clockAt, w.clockBorn, w.unnamedClock = time.Time{}, 0, 0
+	w.restarted = true
+	c.assumeLongestLease(w)
 	w.health = workerHealth{}
 	c.refuseLateStarts(w)
 	for _, p := range w.placements {
