Tests: schedulers learn late of a restarted worker

In production the list names a restarted worker only after a while, and orders reach it before that. listDelay is 0 by default; late-list in a play sets it to 1.2 s.

--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -202,7 +202,9 @@
 		f.crashed = false
 		f.env.addWorker(successor)
 		current := f.env.schedulers[len(f.env.schedulers)-1]
+		delay := f.env.listDelay
 		f.env.mu.Unlock()
+		sleep(delay)
 		current.UpdateWorkers([]workerdriver.Worker{successor}, removed, false)
 	})
 }
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -92,6 +92,8 @@
 	ackedDone map[steptracker.TaskKey]int
 	// restartDelay is how long after a crash a worker starts at the address.
 	restartDelay time.Duration
+	// listDelay is how long after the start of a worker schedulers learn of it from the list.
+	listDelay time.Duration
 	// clock is the clock of schedulers.
 	clock clockwork.Clock
 	// startClockAhead is by how much the clock in answers to start orders, which name no incarnation then, is that
--- a/internal/cellscheduler/troubles_test.go
+++ b/internal/cellscheduler/troubles_test.go
@@ -61,6 +61,9 @@
 	env.outcome = func(start *workerdriver.Start, _ string) (time.Duration, steptracker.EndReason) {
 		return time.Duration(300+550*(len(start.Task.Job)+start.Task.Index)) * time.Millisecond, steptracker.Done
 	}
+	if p.troubles["late-list"] {
+		env.listDelay = 1200 * time.Millisecond
+	}
 	if p.troubles["slow-clocks"] {
 		env.clockDrift = 0.02
 	}
