--- a/internal/cellscheduler/storeenv_test.go
+++ b/internal/cellscheduler/storeenv_test.go
@@ -115,8 +115,11 @@
 		return connector.Changes{}, &connector.RefusedError{Status: 503}
 	}
 	prefix := table + "/" + part + "/"
-	changes := connector.Changes{Version: env.version}
-	for key, row := range env.rows {
+	changes, rows := connector.Changes{Version: env.version}, env.rows
+	if env.staleRows != nil && env.snapshots[table] == 1 {
+		changes.Version, rows = env.staleVersion, env.staleRows
+	}
+	for key, row := range rows {
 		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
 			changes.Rows = append(changes.Rows, row)
 		}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -88,6 +88,9 @@
 	maxListedEnds int
 	// snapshots counts the reads of each table, of which the first refusedSnapshots are refused.
 	snapshots, refusedSnapshots map[string]int
+	// staleRows are the rows that the first snapshot of each table returns, as of staleVersion, if they are set.
+	staleRows    map[string]connector.Row
+	staleVersion int64
 	// ackedDone holds the runs of tasks that have ended as done and were acknowledged.
 	ackedDone map[steptracker.TaskKey]int
 	// restartDelay is how long after a crash a worker starts at the address.
