Failing test: a worker that is removed during a sync is synced on

The last sync for a removed entry is answered when the worker is back, and each answer leads to the next sync, beside those of the entry that the list has brought back (see TestRemovedWorkerIsNotSynced for what follows).

--- a/internal/cellscheduler/removed_test.go
+++ b/internal/cellscheduler/removed_test.go
@@ -73,6 +73,35 @@
 	})
 }
 
+// TestWorkerRemovedDuringSyncIsNotSynced: a worker leaves the list while it is unreachable, and is removed. It comes back
+// while the last sync for the removed entry is in flight, and that entry is synced on, beside the new one.
+func TestWorkerRemovedDuringSyncIsNotSynced(t *testing.T) {
+	for _, phase := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, 1)
+				c, stop := env.startScheduler(1)
+				defer stop()
+				sleep(100 * time.Millisecond)
+				env.withLock(func() { env.workers["w0"].unreachable, env.syncDelay = true, 800*time.Millisecond })
+				sleep(8*time.Second + phase)
+				c.UpdateWorkers(nil, []string{"w0"}, false)
+				sleep(200 * time.Millisecond)
+				env.withLock(func() { env.workers["w0"].unreachable = false })
+				c.UpdateWorkers([]workerdriver.Worker{env.workers["w0"].info}, nil, false)
+				sleep(time.Second)
+				env.withLock(func() { env.syncDelay = 0 })
+				sleep(5 * time.Second)
+				env.withLock(func() {
+					if env.maxWaitingSyncs > 1 {
+						t.Errorf("%d syncs waited for an end on the worker at once", env.maxWaitingSyncs)
+					}
+				})
+			})
+		})
+	}
+}
+
 // relistDuringWrite runs a job whose end is being written while its worker leaves the list and comes back.
 func (env *testEnv) relistDuringWrite(c *cellscheduler.Scheduler) {
 	submit(env.t, c, job("first", "plain", step(1, 1000)))
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -84,6 +84,10 @@
 	losesList func() bool
 	// ownershipLosses counts the schedulers that have taken their cell for lost.
 	ownershipLosses int
+	// syncDelay is how long syncs take to reach a worker. waitingSyncs counts the syncs in flight that let a worker
+	// wait, maxWaitingSyncs is the largest number of them at once.
+	syncDelay                     time.Duration
+	waitingSyncs, maxWaitingSyncs int
 	// maxListedEnds is how many ends a worker lists at a time.
 	maxListedEnds int
 	// snapshots counts the reads of each table, of which the first refusedSnapshots are refused.
@@ -359,7 +363,7 @@
 
 // Sync extends the lease and returns the worker's listing.
 func (env *testEnv) Sync(ctx context.Context, to *workerdriver.Worker, order workerdriver.Sync) (workerdriver.SyncReply, error) {
-	sleep(2 * time.Millisecond)
+	sleep(2*time.Millisecond + env.syncDelay)
 	if env.lose(ctx, to, "sync", order.MaxWait, func(worker *fakeWorker) { worker.renew(order) }) {
 		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker, Err: context.DeadlineExceeded}
 	}
@@ -375,6 +379,8 @@
 	worker.renew(order)
 	if len(worker.ended) == 0 && order.MaxWait > 0 {
 		changed := worker.changed
+		env.waitingSyncs++
+		env.maxWaitingSyncs = max(env.maxWaitingSyncs, env.waitingSyncs)
 		env.mu.Unlock()
 		select {
 		case <-changed:
@@ -382,6 +388,7 @@
 		case <-ctx.Done():
 		}
 		env.mu.Lock()
+		env.waitingSyncs--
 	}
 	if worker.unreachable || worker.crashed {
 		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker, Err: context.DeadlineExceeded}
