Recovery of a cell: rows are at least as new as the claim

Rows from before an end that the former owner had written and acknowledged make its first list prove that the run never started, and the task runs again.

TestOwnerDoesNotStartFromRowsOlderThanItsClaim failed before and passes.

--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -1,6 +1,7 @@
 package cellscheduler
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -255,12 +256,27 @@
 	c.post(func() { c.restoreRows(rows) })
 }
 
+// OutdatedRowsError reports that rows were read as of a version before that of the claim. Ends of runs that an earlier
+// owner has written and acknowledged may be missing from them.
+type OutdatedRowsError struct {
+	Table string
+	// Version is the version of the rows, Claim that of the owner's row.
+	Version, Claim int64
+}
+
+func (e *OutdatedRowsError) Error() string {
+	return fmt.Sprintf("rows of table %s are as of version %d, before the claim at version %d", e.Table, e.Version, e.Claim)
+}
+
 // readPart reads a part of a table and retries until it succeeds or the scheduler stops. Each part is retried
 // by itself: a store that refuses most calls would hardly ever serve several at once.
 func (c *Scheduler) readPart(table, part string) []connector.Row {
 	delay := initialRetryDelay
 	for c.ctx.Err() == nil {
 		changes, err := c.SnapshotReader.Snapshot(c.ctx, table, part)
+		if err == nil && changes.Version < c.claim.OwnerVersion {
+			err = &OutdatedRowsError{Table: table, Version: changes.Version, Claim: c.claim.OwnerVersion}
+		}
 		if err == nil {
 			return changes.Rows
 		}
