Workers: an entry is kept until no order to it can arrive, and a removed one is not synced

Callers saw a task done twice; an owner also took its cell for lost. An owner forgot a worker that had left the list and ran nothing, though a sync to it was in flight, the write of its last ends was waited for, or an unanswered order could still be carried out. Once the worker was back in the list - the removed entry was synced again, beside the new one, and acknowledged ends of runs that only the other could process; - the new entry used the same token, so the worker obeyed a late sync, which discarded ends that no list had named, and late starts, which had been forgotten with the entry; - after a restart both entries raised the token, and the refusal of the lower one was taken for another owner's.

An entry is kept while any of these can happen, 15 s after the last order at most, so that a worker that is back under its ID counts as restarted and gets a token of its own. An entry that is removed because another worker answers at its address is not synced any more.

--- a/internal/cellscheduler/latestarts.go
+++ b/internal/cellscheduler/latestarts.go
@@ -16,8 +16,8 @@
 	expiresAt time.Time
 }
 
-// lateStartPeriod is for how long after it was sent a start order may be carried out.
-const lateStartPeriod = 15 * time.Second
+// lateOrderPeriod is for how long after it was sent an order may be carried out.
+const lateOrderPeriod = 15 * time.Second
 
 // keepLateStart remembers a run that is over if one of its start orders may still be carried out.
 func (c *Scheduler) keepLateStart(p *placement) {
@@ -26,7 +26,7 @@
 	}
 	w := p.worker
 	c.expireLateStarts(w)
-	w.lateStarts = append(w.lateStarts, lateStart{task: p.key, run: p.run, expiresAt: p.orderedAt.Add(lateStartPeriod)})
+	w.lateStarts = append(w.lateStarts, lateStart{task: p.key, run: p.run, expiresAt: p.orderedAt.Add(lateOrderPeriod)})
 }
 
 func (c *Scheduler) expireLateStarts(w *worker) {
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -271,7 +271,7 @@
 		LeaseExpiry:    c.extendLease(w),
 		FencingToken:   w.fencingToken,
 	}
-	p.state, p.sentAt, p.orderedAt = runSending, c.now, c.now
+	p.state, p.sentAt, p.orderedAt, w.orderedAt = runSending, c.now, c.now, c.now
 	info := w.info
 	c.group.Go(func() {
 		header, err := c.WorkerClient.Start(c.ctx, &info, order)
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -12,7 +12,7 @@
 
 // syncWorker sends the next sync to a worker if it is due.
 func (c *Scheduler) syncWorker(w *worker) {
-	if w.syncInFlight || c.ownershipLost || !c.recovered || c.now.Before(w.nextSyncAt) {
+	if w.removed || w.syncInFlight || c.ownershipLost || !c.recovered || c.now.Before(w.nextSyncAt) {
 		return
 	}
 	order := workerdriver.Sync{FencingToken: w.fencingToken}
@@ -41,13 +41,16 @@
 	default:
 		order.LeaseExpiry = c.extendLease(w)
 	}
-	w.syncInFlight = true
+	w.syncInFlight, w.orderedAt = true, c.now
 	info := w.info
 	sentAt := c.now
 	c.group.Go(func() {
 		listing, err := c.WorkerClient.Sync(c.ctx, &info, order)
 		c.post(func() {
 			w.syncInFlight = false
+			if w.removed {
+				return
+			}
 			if err != nil {
 				c.syncFailed(w, order.FencingToken, err)
 				return
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -89,6 +89,10 @@
 	// that of the last one that was written.
 	lastEnd, lastWrittenEnd int64
 	syncInFlight            bool
+	// orderedAt is when an order was last sent to the worker.
+	orderedAt time.Time
+	// removed is set once the scheduler has forgotten the worker. Its ID may have another entry then.
+	removed bool
 	nextSyncAt              time.Time
 	syncFailures            int
 	// avoidUntil is the time until which the worker gets no new tasks after it refused an order.
@@ -297,8 +301,15 @@
 	c.workerOrder = nil
 }
 
+// mayObeyOrders reports whether an order to the worker may still be answered or carried out, or an end of a run that it
+// has listed is not written yet. Its next incarnation under the ID needs a token higher than those of these orders.
+func (w *worker) mayObeyOrders(now time.Time) bool {
+	return w.syncInFlight || w.lastEnd > w.lastWrittenEnd || now.Sub(w.orderedAt) <= lateOrderPeriod
+}
+
 // removeWorker removes a worker.
 func (c *Scheduler) removeWorker(w *worker) {
+	w.removed = true
 	c.replaceStrays(w, nil)
 	delete(c.workers, w.info.Worker)
 	c.workerOrder = nil
@@ -346,7 +357,7 @@
 		}
 		w.synced = false
 	}
-	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() && !c.hasLapsedRuns(w) {
+	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && !w.mayObeyOrders(c.now) && !c.hasLapsedRuns(w) {
 		c.removeWorker(w)
 		return
 	}
