Orders to workers: a status that refuses nothing leaves the order in doubt

Callers could see a task run twice. Every status from 500 on counted as a refusal that has done nothing, and every unknown one as a malformed order. The protocol says so of 429 and 503, of 400 and of the reasons of 409 only: a worker that answers 500 may have started the run. Its task was started elsewhere at once.

--- a/internal/cellscheduler/faultynetwork_test.go
+++ b/internal/cellscheduler/faultynetwork_test.go
@@ -39,7 +39,7 @@
 		return workerdriver.ReplyHeader{}, &workerdriver.InDoubtError{Worker: to.Worker, Err: context.DeadlineExceeded}
 	}
 	if err == nil && n.failsStarted != nil && n.failsStarted(to.Worker) {
-		return header, &workerdriver.RefusedError{Worker: to.Worker, Reason: workerdriver.Unhealthy}
+		return header, &workerdriver.InDoubtError{Worker: to.Worker, Err: &workerdriver.FailedError{Status: 500}}
 	}
 	return header, err
 }
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -92,9 +92,9 @@
 	// orderedAt is when an order was last sent to the worker.
 	orderedAt time.Time
 	// removed is set once the scheduler has forgotten the worker. Its ID may have another entry then.
-	removed bool
-	nextSyncAt              time.Time
-	syncFailures            int
+	removed      bool
+	nextSyncAt   time.Time
+	syncFailures int
 	// avoidUntil is the time until which the worker gets no new tasks after it refused an order.
 	avoidUntil time.Time
 	used       modeler.Resources
--- a/internal/workerdriver/workerdriver.go
+++ b/internal/workerdriver/workerdriver.go
@@ -179,6 +179,14 @@
 
 func (e *InDoubtError) Unwrap() error { return e.Err }
 
+// FailedError reports that a worker has answered with a status that neither confirms nor refuses an order.
+type FailedError struct {
+	// Status is the HTTP status of the reply.
+	Status int
+}
+
+func (e *FailedError) Error() string { return fmt.Sprintf("answered with status %d", e.Status) }
+
 // PlacementToken permits the tasks of one step to start on one incarnation of a worker.
 type PlacementToken struct {
 	Worker string
