Acknowledgements: none while a start may have reached an incarnation that was not listed

Callers saw a task done twice: the end of its first run was acknowledged, and the second started on another worker. An acknowledgement is a number, and each incarnation of a worker counts anew. A worker that restarts under its ID between two lists obeys starts and syncs under the token of the incarnation before. While the last ends were being written no list was requested, for up to 0.8 s; the next sync, which was neither late nor a repeat, acknowledged by the former count an end of the new incarnation that no list had named, and the run was taken for lost.

An owner acknowledges nothing while a start order is unanswered, nor from an answer whose clock is behind that of the listed incarnation, or a lost one, until the worker has been listed again. The sync waits for the answer, for 0.8 s at most, and then goes without an acknowledgement. An additional list from a newer incarnation now counts as news of the restart.

Not excluded: a start that is sent after the acknowledgement, overtakes it and ends before it arrives; the protocol names no incarnation in an order.

--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -273,9 +273,15 @@
 	}
 	p.state, p.sentAt, p.orderedAt, w.orderedAt = runSending, c.now, c.now, c.now
 	info := w.info
+	sent := w.incarnation.StartSent(c.now)
 	c.group.Go(func() {
 		header, err := c.WorkerClient.Start(c.ctx, &info, order)
-		c.post(func() { c.startAnswered(p, &info, order.FencingToken, header, err) })
+		c.post(func() {
+			if order.FencingToken == w.fencingToken {
+				c.verifyIncarnation(w, sent, header, err)
+			}
+			c.startAnswered(p, &info, order.FencingToken, header, err)
+		})
 	})
 }
 
@@ -368,9 +374,14 @@
 			return
 		}
 		c.post(func() {
-			if listing.StartMillis == 0 || listing.StartMillis == w.info.StartMillis {
+			switch {
+			case w.removed:
+			case listing.StartMillis == 0 || listing.StartMillis == w.info.StartMillis:
+				w.incarnation.Listed(sentAt, listing.Clock, c.now)
 				c.observeClock(w, listing.Clock)
 				c.reconcileRunning(w, listing, sentAt)
+			case listing.StartMillis > w.info.StartMillis && w.info.StartMillis != 0:
+				c.workerRestarted(w, listing.StartMillis)
 			}
 		})
 	})
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/absenceverifier"
+	"dotterelpost.example/dotterelpost/internal/incarnationverifier"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -16,16 +17,19 @@
 		return
 	}
 	order := workerdriver.Sync{FencingToken: w.fencingToken}
-	if w.syncFailures == 0 {
-		// A worker that did not answer may have restarted. Its new incarnation counts its ends anew and would
-		// discard those up to the number.
+	// A worker that did not answer may have restarted. Its new incarnation counts its ends anew and would discard those
+	// up to the number.
+	mayAcknowledge := w.syncFailures == 0 && w.incarnation.MayAcknowledge()
+	if mayAcknowledge {
 		order.AckedSequence = w.lastWrittenEnd
+	} else if w.deferAcknowledgement(c.now) {
+		return
 	}
 	switch {
 	case !w.synced:
 		// The first listing of an incarnation is requested without waiting.
-	case w.lastEnd > w.lastWrittenEnd:
-		// The worker would repeat its unwritten ends at once, so there is nothing to wait for.
+	case w.lastEnd > w.lastWrittenEnd || !mayAcknowledge:
+		// The worker would repeat its unacknowledged ends at once, so there is nothing to wait for.
 	case w.hasMixedLoad():
 		order.MaxWait = throttledSyncWait
 	default:
@@ -55,11 +59,43 @@
 				c.syncFailed(w, order.FencingToken, err)
 				return
 			}
+			if listing.StartMillis == w.info.StartMillis {
+				w.acknowledgedEnd = max(w.acknowledgedEnd, order.AckedSequence)
+			}
 			c.syncAnswered(w, listing, sentAt)
 		})
 	})
 }
 
+// deferAcknowledgement reports whether a sync should wait for the answer to a start order, after which it may
+// acknowledge ends. It does not wait for long, because a sync also extends the lease.
+func (w *worker) deferAcknowledgement(now time.Time) bool {
+	if w.lastWrittenEnd <= w.acknowledgedEnd || !w.incarnation.AwaitsAnswer() || !w.synced || w.syncFailures > 0 || w.acknowledgementDeferred {
+		w.acknowledgementDeferred = false
+		return false
+	}
+	w.acknowledgementDeferred = true
+	w.nextSyncAt = now.Add(unwrittenSyncDelay)
+	return true
+}
+
+// verifyIncarnation records the answer to a start order, and sends the sync that has waited for it.
+func (c *Scheduler) verifyIncarnation(w *worker, sent incarnationverifier.Start, header workerdriver.ReplyHeader, err error) {
+	var refused *workerdriver.RefusedError
+	switch {
+	case err == nil && !header.Unanswered:
+		w.incarnation.StartAnswered(sent, header.Clock, c.now)
+	case errors.As(err, &refused) || isNeverSent(err):
+		w.incarnation.StartRefused(sent)
+	default:
+		w.incarnation.StartUnanswered(sent, c.now)
+	}
+	if w.acknowledgementDeferred && !w.incarnation.AwaitsAnswer() {
+		w.nextSyncAt = c.now
+		c.syncWorker(w)
+	}
+}
+
 // extendLease returns the end, on the worker's clock, of a lease that starts now, and updates the
 // latest time at which it expires.
 func (c *Scheduler) extendLease(w *worker) workerdriver.Clock {
@@ -96,6 +132,7 @@
 		return
 	}
 	w.lastReplyAt = c.now
+	w.incarnation.Listed(sentAt, listing.Clock, c.now)
 	c.processEnds(w, listing.Ended, sentAt)
 	c.reconcileRunning(w, listing, sentAt)
 	c.updateThrottle(w)
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dotterelpost.example/dotterelpost/internal/cputhrottler"
+	"dotterelpost.example/dotterelpost/internal/incarnationverifier"
 	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -88,6 +89,12 @@
 	// lastEnd is the sequence number of the last end of a run that was processed, lastWrittenEnd
 	// that of the last one that was written.
 	lastEnd, lastWrittenEnd int64
+	// acknowledgedEnd is the number of the last end that the incarnation was told to discard.
+	acknowledgedEnd int64
+	// incarnation tracks which start orders may have reached another incarnation. acknowledgementDeferred is set while a
+	// sync waits for the answer to one.
+	incarnation             incarnationverifier.Verifier
+	acknowledgementDeferred bool
 	syncInFlight            bool
 	// orderedAt is when an order was last sent to the worker.
 	orderedAt time.Time
@@ -246,7 +253,8 @@
 	c.fencingToken = min(c.fencingToken+1, max(c.claim.FencingToken, c.claim.LastToken))
 	w.fencingToken = c.fencingToken
 	w.latestClock, w.latestClockAt = 0, time.Time{}
-	w.synced, w.lastEnd, w.lastWrittenEnd = false, 0, 0
+	w.synced, w.lastEnd, w.lastWrittenEnd, w.acknowledgedEnd = false, 0, 0, 0
+	w.incarnation, w.acknowledgementDeferred = incarnationverifier.Verifier{}, false
 	w.clockAt, w.clockBorn, w.unnamedClock = time.Time{}, 0, 0
 	w.restarted = true
 	c.assumeLongestLease(w)
