Syncs in parts: only the first part acknowledges ends

A worker that restarted between two parts discarded ends of its new incarnation, which no list had named; their tasks would be taken for lost and run again.

TestOnlyFirstPartOfSyncAcknowledgesEnds failed before (7 in each part) and passes.

--- a/internal/orderrepeater/orderrepeater.go
+++ b/internal/orderrepeater/orderrepeater.go
@@ -119,7 +119,8 @@
 		if err != nil || len(reply.Ended) > 0 || part.MaxWait == order.MaxWait {
 			return reply, err
 		}
-		order.MaxWait = max(0, waitEnds.Sub(c.Clock.Now()))
+		// The worker may restart between two parts.
+		order.MaxWait, order.AckedSequence = max(0, waitEnds.Sub(c.Clock.Now())), 0
 	}
 }
 
--- a/internal/orderrepeater/orderrepeater_test.go
+++ b/internal/orderrepeater/orderrepeater_test.go
@@ -18,6 +18,7 @@
 // scriptedWorker answers copy i of an order with answers[i]; errLost means that it doesn't answer, errNoConnection
 // that no connection is established within 600 ms.
 type scriptedWorker struct {
+	acknowledged []int64
 	mu      sync.Mutex
 	answers []error
 	sent    []time.Duration
@@ -60,6 +61,9 @@
 }
 
 func (w *scriptedWorker) Sync(ctx context.Context, _ *workerdriver.Worker, order workerdriver.Sync) (workerdriver.SyncReply, error) {
+	w.mu.Lock()
+	w.acknowledged = append(w.acknowledged, order.AckedSequence)
+	w.mu.Unlock()
 	<-time.After(order.MaxWait)
 	return workerdriver.SyncReply{}, w.answer(ctx)
 }
@@ -156,3 +160,26 @@
 		}
 	})
 }
+
+// TestOnlyFirstPartOfSyncAcknowledgesEnds: while orders are lost, a sync is sent in parts. The worker may restart between
+// two of them, and its new incarnation would discard ends that it has not listed.
+func TestOnlyFirstPartOfSyncAcknowledgesEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &scriptedWorker{answers: []error{errLost}, began: time.Now()}
+		client := orderrepeater.New(orderrepeater.Dependencies{Workers: worker, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler), Metrics: discardMetrics{}})
+		for range 2 {
+			if _, err := client.Sync(t.Context(), &workerdriver.Worker{}, workerdriver.Sync{MaxWait: time.Second, AckedSequence: 7}); err != nil {
+				t.Error(err)
+			}
+		}
+		// The first sync is sent twice, the second in parts.
+		if len(worker.acknowledged) < 4 || worker.acknowledged[0] != 7 || worker.acknowledged[2] != 7 {
+			t.Fatalf("acknowledged %v", worker.acknowledged)
+		}
+		for _, number := range worker.acknowledged[3:] {
+			if number != 0 {
+				t.Errorf("acknowledged %v", worker.acknowledged)
+			}
+		}
+	})
+}
