Calls to an owner: the result of an abandoned call is not read

An error came with it, so no caller is known to have seen a wrong answer.

The same pattern in the state, the counts, LookUp and Elsewhere is changed by reading.

--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -75,7 +75,7 @@
 }
 
 // call runs a function on the control goroutine, after the stored rows have been read, and waits
-// until the function has called reply.
+// until the function has called reply. After an error the function may still run; what it writes must not be read.
 func (c *Scheduler) call(ctx context.Context, function func(reply func(error))) error {
 	result := make(chan error, 1)
 	reply := func(err error) {
@@ -140,8 +140,10 @@
 		}
 		c.accept(ctx, definition, reply)
 	}
-	err := c.call(ctx, submit)
-	return result, err
+	if err := c.call(ctx, submit); err != nil {
+		return SubmitResult{}, err
+	}
+	return result, nil
 }
 
 // shutdownError returns the error for a submission during shutdown. A successor takes over soon,
@@ -223,7 +225,7 @@
 // may know the job.
 func (c *Scheduler) StateVia(ctx context.Context, caller Caller, id string, via PathCall) (steptracker.State, error) {
 	var state steptracker.State
-	err := c.call(ctx, func(reply func(error)) {
+	if err := c.call(ctx, func(reply func(error)) {
 		j, known := c.jobs[id]
 		if !known || !j.stored {
 			reply(c.elsewhere(id, via))
@@ -235,8 +237,10 @@
 		}
 		state = j.visibleState
 		reply(nil)
-	})
-	return state, err
+	}); err != nil {
+		return "", err
+	}
+	return state, nil
 }
 
 // CancelFor cancels a job and returns once the cancellation is written. The error is a *ForbiddenError if
@@ -273,11 +277,13 @@
 // PendingJobs returns the number of accepted jobs of a queue that have not started any task.
 func (c *Scheduler) PendingJobs(ctx context.Context, queue string) (int, error) {
 	count := 0
-	err := c.call(ctx, func(reply func(error)) {
+	if err := c.call(ctx, func(reply func(error)) {
 		count = c.queuedJobs[queue]
 		reply(nil)
-	})
-	return count, err
+	}); err != nil {
+		return 0, err
+	}
+	return count, nil
 }
 
 // countQueued adds a job to the number of queued jobs of its queue, or takes it out with -1, if it is one.
--- a/internal/cellscheduler/paths.go
+++ b/internal/cellscheduler/paths.go
@@ -270,34 +270,38 @@
 // not known, the cell accepts no job of the path before a newer configuration leads the path back, and empty
 // reports whether it holds none. The error is an *OutdatedRouteError if a newer configuration has led the path back.
 func (c *Scheduler) LookUp(ctx context.Context, caller Caller, id string, route pathrecorder.Route, cell string) (known, empty bool, err error) {
-	err = c.call(ctx, func(reply func(error)) {
+	// The control goroutine may still write to these after the caller has stopped waiting.
+	var isKnown, isEmpty bool
+	if err := c.call(ctx, func(reply func(error)) {
 		j := c.jobs[id]
 		switch {
 		case c.unreadable[id] && j == nil:
-			known = true
+			isKnown = true
 			reply(nil)
 		case j == nil || j.progress.Path != "" && j.progress.Path != route.Path:
 			if !c.paths.recorder.Close(route, cell) {
 				reply(&OutdatedRouteError{Path: route.Path})
 				return
 			}
-			empty = !c.holdsJobsOf(route.Path)
+			isEmpty = !c.holdsJobsOf(route.Path)
 			c.Log.Info("path moved", "path", route.Path, "to", cell, "version", route.Version, "jobs", c.paths.jobs[route.Path])
 			reply(nil)
 		case !caller.mayAccess(j.progress):
 			reply(c.forbid(caller, j))
 		case j.stored:
-			known = true
+			isKnown = true
 			reply(nil)
 		default:
 			// Whether the job is accepted is known once it is written.
 			j.replies = append(j.replies, func(err error) {
-				known = err == nil
+				isKnown = err == nil
 				reply(err)
 			})
 		}
-	})
-	return known, empty, err
+	}); err != nil {
+		return false, false, err
+	}
+	return isKnown, isEmpty, nil
 }
 
 // elsewhere returns the error for a job that the cell does not know.
@@ -314,7 +318,7 @@
 // accepted while there was one service are counted by the name of their queue.
 func (c *Scheduler) PendingJobsOfPath(ctx context.Context, path, queue string) (int, error) {
 	count := 0
-	err := c.call(ctx, func(reply func(error)) {
+	if err := c.call(ctx, func(reply func(error)) {
 		count = c.paths.queued[path]
 		if c.paths.queued[""] > 0 {
 			for _, j := range c.jobs {
@@ -324,18 +328,22 @@
 			}
 		}
 		reply(nil)
-	})
-	return count, err
+	}); err != nil {
+		return 0, err
+	}
+	return count, nil
 }
 
 // Elsewhere returns the other cells that may hold jobs of a path.
 func (c *Scheduler) Elsewhere(ctx context.Context, path string) ([]string, error) {
 	var cells []string
-	err := c.call(ctx, func(reply func(error)) {
+	if err := c.call(ctx, func(reply func(error)) {
 		if c.PathTable != nil {
 			cells = c.paths.recorder.Elsewhere(path, c.otherCells())
 		}
 		reply(nil)
-	})
-	return cells, err
+	}); err != nil {
+		return nil, err
+	}
+	return cells, nil
 }
