Leases: a start that was not answered may have the longest lease

Callers could see a task done twice. A worker that has restarted, and has not been listed since, obeys a start order whose end of the lease is a reading of the former clock, and grants the longest lease. If it was then cut off, the owner, which had no answer or had overlooked that its clock was that of another incarnation, took the lease for over by its own count and started the run elsewhere, while it went on or after it was done.

Runs whose start order was not answered lapse after the longest lease, counted from the last order that extended it. An answer with a clock behind that of the listed incarnation makes the owner assume the longest lease and ask for a list.

Not excluded: an order that is carried out more than 1.5 s late by such an incarnation.

--- a/internal/cellscheduler/crashes.go
+++ b/internal/cellscheduler/crashes.go
@@ -1,6 +1,8 @@
 package cellscheduler
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,7 +50,7 @@
 		return
 	}
 	w.crashRecorded = true
-	runs := append(c.attributeRuns(w), w.lapsed...)
+	runs := append(c.attributeRuns(w, maps.Values(w.placements)), w.lapsed...)
 	w.lapsed = nil
 	var suspects []string
 	for _, run := range runs {
@@ -107,11 +109,11 @@
 	verdict crashattributor.Verdict
 }
 
-// attributeRuns returns the runs that a worker may be executing, with their verdicts if it has crashed.
-func (c *Scheduler) attributeRuns(w *worker) []runVerdict {
+// attributeRuns returns those of some runs that a worker may be executing, with their verdicts if it has crashed.
+func (c *Scheduler) attributeRuns(w *worker, placements iter.Seq[*placement]) []runVerdict {
 	var verdicts []runVerdict
 	var runs []crashattributor.Run
-	for _, p := range w.placements {
+	for p := range placements {
 		if p.state == runUnsent || p.state == runSending {
 			// A start order that was sent before the crash would have failed by now.
 			continue
@@ -133,9 +135,9 @@
 
 // keepLapsedRuns keeps the runs of a worker whose lease has expired, until it is known whether the worker
 // has crashed.
-func (c *Scheduler) keepLapsedRuns(w *worker) {
+func (c *Scheduler) keepLapsedRuns(w *worker, lapsed []*placement) {
 	if !w.info.Draining {
-		w.lapsed, w.lapsedAt = append(w.lapsed, c.attributeRuns(w)...), c.now
+		w.lapsed, w.lapsedAt = append(w.lapsed, c.attributeRuns(w, slices.Values(lapsed))...), c.now
 	}
 }
 
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -84,7 +84,10 @@
 	var refused *workerdriver.RefusedError
 	switch {
 	case err == nil && !header.Unanswered:
-		w.incarnation.StartAnswered(sent, header.Clock, c.now)
+		if !w.incarnation.StartAnswered(sent, header.Clock, c.now) {
+			c.assumeLongestLease(w)
+			c.requestListing(w)
+		}
 	case errors.As(err, &refused) || isNeverSent(err):
 		w.incarnation.StartRefused(sent)
 	default:
@@ -104,6 +107,7 @@
 	if endsAt := c.now.Add(c.settings.Lease + slack); endsAt.After(w.leaseEndsAt) {
 		w.leaseEndsAt = endsAt
 	}
+	w.extendedAt = c.now
 	return w.clock + workerdriver.Clock(since+c.settings.Lease)
 }
 
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -80,6 +80,8 @@
 	isolatedRuns int
 	// leaseEndsAt is the latest time at which the worker's lease expires unless it is extended.
 	leaseEndsAt time.Time
+	// extendedAt is when an order that extends the lease was last sent.
+	extendedAt  time.Time
 	lastReplyAt time.Time
 	// unreachableSince is when a call first failed for want of a connection since the worker last
 	// answered a sync, or the zero time.
@@ -347,6 +349,22 @@
 	}
 }
 
+// lapsedRuns returns the runs on a silent worker whose lease is over. A start order that was not answered may have been
+// carried out by an incarnation that has not been listed and has granted the longest lease.
+func (c *Scheduler) lapsedRuns(w *worker) []*placement {
+	if len(w.placements) == 0 || !c.now.After(w.leaseEndsAt) || c.now.Sub(w.lastReplyAt) <= c.unresponsiveAfter() {
+		return nil
+	}
+	longestEnded := c.now.After(w.extendedAt.Add(responseTimeout + c.longestLease()))
+	var lapsed []*placement
+	for _, p := range w.placements {
+		if longestEnded || p.state != runSending && p.state != runInDoubt {
+			lapsed = append(lapsed, p)
+		}
+	}
+	return lapsed
+}
+
 // checkWorker handles the expired timeouts of a worker and its runs.
 func (c *Scheduler) checkWorker(w *worker) {
 	c.expireStrays(w)
@@ -355,12 +373,12 @@
 	}
 	// All runs that a worker may have are over once its lease has certainly expired. New start
 	// orders extend the lease, so only older runs are affected.
-	if len(w.placements) > 0 && c.now.After(w.leaseEndsAt) && c.now.Sub(w.lastReplyAt) > c.unresponsiveAfter() {
-		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.placements), "heard-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds(),
+	if lapsed := c.lapsedRuns(w); len(lapsed) > 0 {
+		c.Log.Warn("lease over", "worker", w.info.Worker, "places", len(w.placements), "lapsed", len(lapsed), "heard-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds(),
 			"ended-ms-ago", c.now.Sub(w.leaseEndsAt).Milliseconds(), "clock-age-ms", w.clockAge(c.now).Milliseconds(), "clock-born", w.clockBorn, "born", w.info.StartMillis,
 			"fence", w.fencingToken, "decided-late-ms", c.Clock.Since(c.now).Milliseconds())
-		c.keepLapsedRuns(w)
-		for _, p := range w.placements {
+		c.keepLapsedRuns(w, lapsed)
+		for _, p := range lapsed {
 			c.endRun(p, conclusion{reason: steptracker.LeaseExpired, by: byLeaseEnd}, "")
 		}
 		w.synced = false
--- a/internal/incarnationverifier/incarnationverifier.go
+++ b/internal/incarnationverifier/incarnationverifier.go
@@ -60,14 +60,16 @@
 	return Start{earliest: v.reading + workerdriver.Clock(max(0, passed-clockResolution))}
 }
 
-// StartAnswered records the answer to a start order that was carried out.
-func (v *Verifier) StartAnswered(start Start, clock workerdriver.Clock, now time.Time) {
+// StartAnswered records the answer to a start order that was carried out. It reports false if another incarnation than
+// the listed one seems to have done so.
+func (v *Verifier) StartAnswered(start Start, clock workerdriver.Clock, now time.Time) bool {
 	v.unanswered--
 	if clock < start.earliest {
 		v.suspectedAt = now
-		return
+		return false
 	}
 	v.read(clock, now)
+	return true
 }
 
 // StartRefused records that a start order was refused or has not been sent.
--- a/internal/orderrepeater/orderrepeater_test.go
+++ b/internal/orderrepeater/orderrepeater_test.go
@@ -19,10 +19,10 @@
 // that no connection is established within 600 ms.
 type scriptedWorker struct {
 	acknowledged []int64
-	mu      sync.Mutex
-	answers []error
-	sent    []time.Duration
-	began   time.Time
+	mu           sync.Mutex
+	answers      []error
+	sent         []time.Duration
+	began        time.Time
 }
 
 var (
