Leases: a worker whose lease is over gets no other one before it answers

Runs in doubt on a silent worker lapse later than the others; after these the worker counted as not synced, and each sync, answered or not, extended the lease by a clock reading from before, so that its end moved on.

--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -381,7 +381,8 @@
 		for _, p := range lapsed {
 			c.endRun(p, conclusion{reason: steptracker.LeaseExpired, by: byLeaseEnd}, "")
 		}
-		w.synced = false
+		// The worker gets no lease before it has answered, so that the runs that are left lapse, too.
+		w.synced, w.clockAt = false, time.Time{}
 	}
 	if !w.listed && len(w.placements) == 0 && c.now.After(w.leaseEndsAt) && !w.mayObeyOrders(c.now) && !c.hasLapsedRuns(w) {
 		c.removeWorker(w)
