Leases: a run of which a copy of the start is in doubt may have the longest lease

Callers could see a task twice. A start of which one copy was answered lapsed by the owner's count of the lease, while the other copy could be carried out by an incarnation that had not been listed, with the longest lease.

TestLateCopyOnUnlistedIncarnationIsNotTakenForOver failed before and passes.

--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -358,7 +358,7 @@
 	longestEnded := c.now.After(w.extendedAt.Add(responseTimeout + c.longestLease()))
 	var lapsed []*placement
 	for _, p := range w.placements {
-		if longestEnded || p.state != runSending && p.state != runInDoubt {
+		if longestEnded || p.state != runSending && p.state != runInDoubt && !p.copyInDoubt {
 			lapsed = append(lapsed, p)
 		}
 	}
