Syncs wait while there is nothing to acknowledge

New with the verification of incarnations: while the answer to a start was awaited, syncs were sent without a wait and one after the other, 497 in 2 s at a round trip of 2 ms, also if no end was to be acknowledged.

TestUnansweredStartDoesNotCauseSyncsWithoutWait failed before and passes.

--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -28,7 +28,7 @@
 	switch {
 	case !w.synced:
 		// The first listing of an incarnation is requested without waiting.
-	case w.lastEnd > w.lastWrittenEnd || !mayAcknowledge:
+	case w.lastEnd > w.lastWrittenEnd || !mayAcknowledge && w.lastWrittenEnd > w.acknowledgedEnd:
 		// The worker would repeat its unacknowledged ends at once, so there is nothing to wait for.
 	case w.hasMixedLoad():
 		order.MaxWait = throttledSyncWait
