Workers: the entry of a replaced worker is kept like any other

A task that was done could run again. The entry of a worker that was not listed, and at whose address another one answered, was removed at once, with its late starts, and the next entry under the ID used the same token. It needs the ID back at the same address within 15 s.

TestLateStartIsNotCarriedOutByWorkerThatWasReplaced failed before and passes.

--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -289,9 +289,6 @@
 	}
 	w.synced = false
 	w.lapsed = nil
-	if !w.listed && len(w.placements) == 0 {
-		c.removeWorker(w)
-	}
 	w.nextSyncAt = c.now.Add(replacedRetryDelay)
 }
 
