Absence from a list: proves nothing about the former incarnation's runs unless the list was requested since

The owner's log: placed run 1; worker does not answer; started run 1; worker started anew; ended lost (by absence); stray run; placed run 2 A worker had restarted under its ID while the rows of assignments to it were being written. The starts went out with the token of the former incarnation, and the new one carried them out. The list that made the restart known had been made before the starts arrived, and its answer was handled after theirs: answers on different connections overtake each other. The runs became those of the former incarnation, and the same list proved them lost. They started again on other workers; where they ended before the stop for strays arrived, their ends were acknowledged without effect.

A run that is unconfirmed is concluded only from a list that was requested with the token of the worker's present incarnation: it refuses all earlier starts by then.

It was not found before because the fake workers named the incarnation in answers to starts, so that the owner learned of the restart from these.

--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -379,7 +379,7 @@
 			case listing.StartMillis == 0 || listing.StartMillis == w.info.StartMillis:
 				w.incarnation.Listed(sentAt, listing.Clock, c.now)
 				c.observeClock(w, listing.Clock)
-				c.reconcileRunning(w, listing, sentAt)
+				c.reconcileRunning(w, listing, token, sentAt)
 			case listing.StartMillis > w.info.StartMillis && w.info.StartMillis != 0:
 				c.workerRestarted(w, listing.StartMillis)
 			}
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -62,7 +62,7 @@
 			if listing.StartMillis == w.info.StartMillis {
 				w.acknowledgedEnd = max(w.acknowledgedEnd, order.AckedSequence)
 			}
-			c.syncAnswered(w, listing, sentAt)
+			c.syncAnswered(w, listing, order.FencingToken, sentAt)
 		})
 	})
 }
@@ -125,7 +125,7 @@
 	return true
 }
 
-func (c *Scheduler) syncAnswered(w *worker, listing workerdriver.SyncReply, sentAt time.Time) {
+func (c *Scheduler) syncAnswered(w *worker, listing workerdriver.SyncReply, token int64, sentAt time.Time) {
 	if c.now.Sub(sentAt) > c.unresponsiveAfter() && w.syncFailures > 0 {
 		c.Log.Info("worker answers again", "worker", w.info.Worker)
 	}
@@ -138,7 +138,7 @@
 	w.lastReplyAt = c.now
 	w.incarnation.Listed(sentAt, listing.Clock, c.now)
 	c.processEnds(w, listing.Ended, sentAt)
-	c.reconcileRunning(w, listing, sentAt)
+	c.reconcileRunning(w, listing, token, sentAt)
 	c.updateThrottle(w)
 	if !w.synced {
 		w.synced, w.hasListed = true, true
@@ -228,8 +228,8 @@
 	}
 }
 
-// reconcileRunning compares a worker's listing with its placements.
-func (c *Scheduler) reconcileRunning(w *worker, listing workerdriver.SyncReply, sentAt time.Time) {
+// reconcileRunning compares a worker's listing, which was requested with a token, with its placements.
+func (c *Scheduler) reconcileRunning(w *worker, listing workerdriver.SyncReply, token int64, sentAt time.Time) {
 	c.countStrays(w, listing)
 	listed := make(map[steptracker.TaskKey]int, len(listing.Running)+len(listing.Ended))
 	// A run whose end is listed is not lost. Its end is processed with the sync that may
@@ -252,6 +252,11 @@
 		if run, found := listed[p.key]; found && run == p.run {
 			continue
 		}
+		if p.state == runUnconfirmed && token != w.fencingToken {
+			// The list was requested before the restart was known. Start orders may have reached the new incarnation
+			// after the list was made.
+			continue
+		}
 		reason, proven := absence.Verify(p.absentRun())
 		if !proven {
 			continue
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -103,6 +103,8 @@
 	listDelay time.Duration
 	// clock is the clock of schedulers.
 	clock clockwork.Clock
+	// syncReplyDelay is how long the answer to a sync takes after the list was made.
+	syncReplyDelay time.Duration
 	// startClockAhead is by how much the clock in answers to start orders, which name no incarnation then, is that
 	// of an earlier one.
 	startClockAhead time.Duration
@@ -409,6 +411,11 @@
 		env.mu.Lock()
 		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker}
 	}
+	if env.syncReplyDelay > 0 {
+		env.mu.Unlock()
+		sleep(env.syncReplyDelay)
+		env.mu.Lock()
+	}
 	return listing, nil
 }
 
