Tests: unnoticed restarts, relisting and the end of all jobs in random plays

Random plays also restart workers at once under their ID while no sync waits on them (listed 0.8 to 2.3 s later), remove workers from the list that live on and come back, and block the store. After the troubles all accepted jobs have to be completed, no run may go on and no end may be left without its acknowledgement within 30 s; nothing checked that before. Final states are kept for an hour for this check. -play-lease and -play-max-lease choose the leases: the plays used 3 s of at most 6 s only.

--- a/internal/cellscheduler/fakeworker_test.go
+++ b/internal/cellscheduler/fakeworker_test.go
@@ -24,9 +24,11 @@
 	lastEnd             int64
 	// refusedRuns is the highest run number of each task that may no longer start.
 	refusedRuns map[steptracker.TaskKey]int
-	changed     chan struct{}
-	startedAt   time.Time
-	leaseEndsAt time.Time
+	// waitingSyncs counts the syncs that wait for an end.
+	waitingSyncs int
+	changed      chan struct{}
+	startedAt    time.Time
+	leaseEndsAt  time.Time
 	// lapsedEnds is the last end before the lease last expired.
 	lapsedEnds int64
 	// orderedAt is when the last start order arrived, answeredAt when the worker last answered an order.
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -382,6 +382,7 @@
 	if len(worker.ended) == 0 && order.MaxWait > 0 {
 		changed := worker.changed
 		env.waitingSyncs++
+		worker.waitingSyncs++
 		env.maxWaitingSyncs = max(env.maxWaitingSyncs, env.waitingSyncs)
 		env.mu.Unlock()
 		select {
@@ -391,6 +392,7 @@
 		}
 		env.mu.Lock()
 		env.waitingSyncs--
+		worker.waitingSyncs--
 	}
 	if worker.unreachable || worker.crashed {
 		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker, Err: context.DeadlineExceeded}
--- a/internal/cellscheduler/troubles_test.go
+++ b/internal/cellscheduler/troubles_test.go
@@ -23,13 +23,15 @@
 var (
 	playSeeds    = flag.Uint64("play-seeds", 1, "seeds of each play")
 	playTroubles = flag.String("play-troubles", "", "one set of troubles, joined by +")
+	playLease    = flag.Duration("play-lease", 3*time.Second, "the lease of each play")
+	playMaxLease = flag.Duration("play-max-lease", 6*time.Second, "the longest lease of each play")
 )
 
 // playedTroubles are the sets that are played by default. "many" stands for more workers than those whose syncs are
 // answered within a second.
 var playedTroubles = []string{
 	"owners", "suspended", "restarts", "late-orders", "lost-replies", "unreachable", "overtaking", "slow-clocks", "relays", "busy", "slow-store",
-	"owners+relays", "owners+late-orders", "restarts+lost-replies",
+	"owners+relays", "owners+late-orders", "restarts+lost-replies", "unnoticed-restarts+slow-store", "relisting+blocked-store",
 }
 
 // randomPlay is a random test of an environment with some troubles.
@@ -44,6 +46,8 @@
 	token    int64
 	// cut and failing are the workers whose replies are lost, and those that fail after they have started a run.
 	cut, failing map[string]bool
+	// accepted are the jobs that an owner has accepted.
+	accepted []string
 }
 
 func newRandomPlay(t *testing.T, seed uint64, names ...string) *randomPlay {
@@ -56,7 +60,8 @@
 	for _, name := range names {
 		p.troubles[name] = true
 	}
-	env.keepIDs, env.judgesAcks, env.lease, env.maxLease = true, true, 3*time.Second, 6*time.Second
+	env.keepIDs, env.judgesAcks, env.lease, env.maxLease = true, true, *playLease, *playMaxLease
+	env.stateRetention = time.Hour
 	env.restartDelay = time.Duration(200+p.random.IntN(2500)) * time.Millisecond
 	env.outcome = func(start *workerdriver.Start, _ string) (time.Duration, steptracker.EndReason) {
 		return time.Duration(300+550*(len(start.Task.Job)+start.Task.Index)) * time.Millisecond, steptracker.Done
@@ -172,6 +177,15 @@
 			time.AfterFunc(duration, func() { p.env.withLock(func() { w.unreachable = false }) })
 		})
 	}
+	if once("unnoticed-restarts", 15) {
+		go p.restartUnnoticed(worker, time.Duration(800+p.random.IntN(1500))*time.Millisecond)
+	}
+	if once("relisting", 30) {
+		go p.relist(worker, duration+time.Duration(p.random.IntN(4000))*time.Millisecond)
+	}
+	if once("blocked-store", 30) {
+		p.blockStore(duration / 2)
+	}
 	for name, set := range map[string]map[string]bool{"lost-replies": p.cut, "failed-starts": p.failing} {
 		if !p.troubles[name] || p.random.IntN(20) != 0 {
 			continue
@@ -181,6 +195,106 @@
 	}
 }
 
+// listUpdate passes a change of the list of workers to the owner.
+func (p *randomPlay) listUpdate(changed []workerdriver.Worker, removed ...string) {
+	var owner *cellscheduler.Scheduler
+	p.env.withLock(func() { owner = p.env.schedulers[len(p.env.schedulers)-1] })
+	owner.UpdateWorkers(changed, removed, false)
+}
+
+// restartUnnoticed restarts a worker while no sync waits on it, and lists the new incarnation after a time.
+func (p *randomPlay) restartUnnoticed(id string, listedAfter time.Duration) {
+	var successor *fakeWorker
+	for deadline := time.Now().Add(3 * time.Second); successor == nil && time.Now().Before(deadline); sleep(7 * time.Millisecond) {
+		p.env.withLock(func() {
+			w := p.env.workers[id]
+			// The list names incarnations in their order.
+			if w.crashed || w.unreachable || w.waitingSyncs > 0 || time.Since(w.startedAt) < 2500*time.Millisecond {
+				return
+			}
+			w.restartUnnoticed()
+			successor = p.env.workers[id]
+		})
+	}
+	if successor == nil {
+		return
+	}
+	sleep(listedAfter)
+	current := false
+	p.env.withLock(func() { current = p.env.workers[id] == successor })
+	if current {
+		p.listUpdate([]workerdriver.Worker{successor.info})
+	}
+}
+
+// relist removes a worker, which lives on, from the list for a time.
+func (p *randomPlay) relist(id string, duration time.Duration) {
+	p.listUpdate(nil, id)
+	sleep(duration)
+	var info workerdriver.Worker
+	crashed := false
+	p.env.withLock(func() { info, crashed = p.env.workers[id].info, p.env.workers[id].crashed })
+	// The successor of a crashed worker is listed when it starts.
+	if !crashed {
+		p.listUpdate([]workerdriver.Worker{info})
+	}
+}
+
+// blockStore lets transactions wait for a time.
+func (p *randomPlay) blockStore(duration time.Duration) {
+	blocked := make(chan struct{})
+	started := false
+	p.env.withLock(func() {
+		if p.env.blocked == nil {
+			p.env.blocked, started = blocked, true
+		}
+	})
+	if !started {
+		return
+	}
+	time.AfterFunc(duration, func() {
+		p.env.withLock(func() { p.env.blocked = nil })
+		close(blocked)
+	})
+}
+
+// wantAllEnded fails the test unless all accepted jobs are completed and all ends acknowledged in time.
+func (p *randomPlay) wantAllEnded(within time.Duration) {
+	env := p.env
+	owner := env.schedulers[len(env.schedulers)-1]
+	troublesEndedAt := time.Now()
+	var open []string
+	for {
+		open = open[:0]
+		env.mu.Lock()
+		accepted := slices.Clone(p.accepted)
+		for id, w := range env.workers {
+			for task, run := range w.running {
+				open = append(open, fmt.Sprintf("%s run %d is running on %s", task, run.number, id))
+			}
+			if len(w.ended) > 0 {
+				open = append(open, fmt.Sprintf("%d ends of %s are not acknowledged", len(w.ended), id))
+			}
+		}
+		env.mu.Unlock()
+		for _, id := range accepted {
+			if state, err := owner.State(env.t.Context(), id); err != nil || state != steptracker.Completed {
+				open = append(open, fmt.Sprintf("job %s is %q, error %v", id, state, err))
+			}
+		}
+		if len(open) == 0 {
+			env.t.Logf("%d accepted jobs ended %v after the troubles", len(accepted), time.Since(troublesEndedAt))
+			return
+		}
+		if time.Since(troublesEndedAt) > within {
+			break
+		}
+		sleep(time.Second)
+	}
+	slices.Sort(open)
+	env.t.Errorf("%v after the troubles: %s", within, strings.Join(open, "; "))
+}
+
 // submit submits a job until an owner has accepted it.
 func (p *randomPlay) submit(j *steptracker.Job) {
 	for range 4 {
@@ -188,6 +302,7 @@
 		var owner *cellscheduler.Scheduler
 		p.env.withLock(func() { owner = p.env.schedulers[len(p.env.schedulers)-1] })
 		if _, err := owner.Submit(p.env.t.Context(), &definition); err == nil {
+			p.env.withLock(func() { p.accepted = append(p.accepted, j.ID) })
 			return
 		}
 		sleep(500 * time.Millisecond)
@@ -208,6 +323,8 @@
 		p.inject()
 	}
 	sleep(40 * time.Second)
+	p.env.withLock(func() { p.env.unanswered = nil })
+	p.wantAllEnded(30 * time.Second)
 	for _, stop := range p.stop {
 		stop()
 	}
