Ends: a listed end as done counts while no later run of its task was sent

Callers saw a task done twice. A run that an owner thought to be over, here one whose late start a former, suspended owner had sent to a worker that had restarted meanwhile, ended as done. The owner listed the end, logged "done run is not current", acknowledged it without effect, and started the next run up to 40 s later.

While the later run is unassigned, or assigned and its start order not sent, the end is recorded, and acknowledged once it is written, as any other. That an order reaches a worker that has restarted before it has seen the owner's token remains.

--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -219,6 +219,7 @@
 		p := j.placements[e.Task]
 		if p == nil || p.run != e.Run || p.worker != w {
 			c.noteForeignEnd(w, e)
+			c.adoptEnd(j, e)
 			continue
 		}
 		if task := j.progress.Task(e.Task); task != nil {
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -227,12 +227,7 @@
 		if step.LongRunning {
 			return true
 		}
-		task.Done = true
-		if step.Gang {
-			for i := range occurrence.Steps[key.Step] {
-				occurrence.Steps[key.Step][i].Done = true
-			}
-		}
+		p.RecordDone(job, key)
 	case TaskFailed:
 		task.AssignedTo = Incarnation{}
 		counted := task
@@ -249,6 +244,21 @@
 	return true
 }
 
+// RecordDone records that a task is done, whichever of its runs was. All tasks of a gang are done then.
+func (p *Progress) RecordDone(job *Job, key TaskKey) {
+	task := p.Task(key)
+	if task == nil {
+		return
+	}
+	task.Done = true
+	if job.Steps[key.Step].Gang {
+		occurrence, _ := p.FindOccurrence(key.Occurrence)
+		for i := range occurrence.Steps[key.Step] {
+			occurrence.Steps[key.Step][i].Done = true
+		}
+	}
+}
+
 // UpdateState closes the occurrences that have ended and sets the final state of the job if it has
 // been reached. Long-running tasks may fail any number of times, but may not crash their workers.
 func (p *Progress) UpdateState(job *Job, maxFailures int, now time.Time) {
