Crashes: a start that a new incarnation has carried out is not blamed for the restart

Callers saw a job failed that could be done (LOST). A worker restarted at once before a start arrived, and the new incarnation carried it out. The answer names no incarnation, so when the restart became known it counted as a crash by the task, which was given up after one real crash.

The clock in the answer tells that another incarnation has carried the order out; such a run has no part in the crash.

--- a/internal/cellscheduler/crashes.go
+++ b/internal/cellscheduler/crashes.go
@@ -66,7 +66,7 @@
 		unreachable = c.now.Sub(w.unreachableSince)
 	}
 	c.Log.Warn("worker crashed", "worker", w.info.Worker, "born", w.info.StartMillis, "runs", len(runs), "suspects", suspects,
-		"answered-ms-ago", c.now.Sub(w.clockAt).Milliseconds(), "unreachable-ms", unreachable.Milliseconds())
+		"answered-ms-ago", c.now.Sub(w.lastReplyAt).Milliseconds(), "unreachable-ms", unreachable.Milliseconds())
 }
 
 // onEarlierIncarnation reports whether the run was assigned to an incarnation of its worker that has ended.
@@ -114,7 +114,7 @@
 	var verdicts []runVerdict
 	var runs []crashattributor.Run
 	for p := range placements {
-		if p.state == runUnsent || p.state == runSending {
+		if p.state == runUnsent || p.state == runSending || p.onUnlisted {
 			// A start order that was sent before the crash would have failed by now.
 			continue
 		}
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -45,6 +45,8 @@
 	// stopReason is why the run is being stopped, empty if it is not.
 	stopReason string
 	stopSent   bool
+	// onUnlisted is set if the start was carried out by an incarnation of the worker that has not been listed.
+	onUnlisted bool
 	// copyInDoubt is set if the start was confirmed and another copy of the order was not answered.
 	copyInDoubt bool
 	// startClock is the worker's clock when the run was first known to have started.
@@ -278,7 +280,7 @@
 		header, err := c.WorkerClient.Start(c.ctx, &info, order)
 		c.post(func() {
 			if order.FencingToken == w.fencingToken {
-				c.verifyIncarnation(w, sent, header, err)
+				p.onUnlisted = !c.verifyIncarnation(w, sent, header, err)
 			}
 			c.startAnswered(p, &info, order.FencingToken, header, err)
 		})
--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -79,12 +79,14 @@
 	return true
 }
 
-// verifyIncarnation records the answer to a start order, and sends the sync that has waited for it.
-func (c *Scheduler) verifyIncarnation(w *worker, sent incarnationverifier.Start, header workerdriver.ReplyHeader, err error) {
+// verifyIncarnation records the answer to a start order, and sends the sync that has waited for it. It reports false if
+// another incarnation than the listed one has carried out the order.
+func (c *Scheduler) verifyIncarnation(w *worker, sent incarnationverifier.Start, header workerdriver.ReplyHeader, err error) bool {
+	same := true
 	var refused *workerdriver.RefusedError
 	switch {
 	case err == nil && !header.Unanswered:
-		if !w.incarnation.StartAnswered(sent, header.Clock, c.now) {
+		if same = w.incarnation.StartAnswered(sent, header.Clock, c.now); !same {
 			c.assumeLongestLease(w)
 			c.requestListing(w)
 		}
@@ -97,6 +99,7 @@
 		w.nextSyncAt = c.now
 		c.syncWorker(w)
 	}
+	return same
 }
 
 // extendLease returns the end, on the worker's clock, of a lease that starts now, and updates the
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -263,6 +263,7 @@
 	w.health = workerHealth{}
 	c.refuseLateStarts(w)
 	for _, p := range w.placements {
+		p.onUnlisted = false
 		switch p.state {
 		case runStarted, runUnconfirmed:
 			p.state = runUnconfirmed
