--- a/internal/cellscheduler/lateacks_test.go
+++ b/internal/cellscheduler/lateacks_test.go
@@ -55,6 +55,25 @@
 // TestNoTaskRunsTwiceBesideRestartsAndLateOrders: workers restart under their IDs while a share of all orders is not
 // answered and carried out 2 to 12 s later, by the incarnation that is there then.
 func TestNoTaskRunsTwiceBesideRestartsAndLateOrders(t *testing.T) {
+	playRestarts(t, func(*testEnv) {})
+}
+
+// TestNoTaskRunsTwiceBesideRestartsAndLateSyncsAndStops: as before, but starts that are not answered are lost for good.
+func TestNoTaskRunsTwiceBesideRestartsAndLateSyncsAndStops(t *testing.T) {
+	playRestarts(t, func(env *testEnv) {
+		lose := env.unanswered
+		env.unanswered = func(kind string) (time.Duration, bool) {
+			after, lost := lose(kind)
+			if kind == "start" {
+				after = time.Hour
+			}
+			return after, lost
+		}
+	})
+}
+
+// playRestarts plays restarts beside unanswered orders, which change may alter.
+func playRestarts(t *testing.T, change func(env *testEnv)) {
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -68,6 +87,7 @@
 				defer stop()
 				sleep(100 * time.Millisecond)
 				env.loseOrders(seed, unansweredShare)
+				env.withLock(func() { change(env) })
 				for i := range 300 {
 					s := step(1+random.IntN(4), 1000)
 					s.Gang = random.IntN(3) == 0
