--- a/internal/cellscheduler/conclusions.go
+++ b/internal/cellscheduler/conclusions.go
@@ -80,8 +80,9 @@
 	}, others...)
 }
 
-// noteForeignEnd logs an end that is listed as done and is not of the current run of its task. Those that are recorded already are only listed again. So may be those of jobs whose
-// tasks are no longer known, in the first list under this owner.
+// noteForeignEnd logs an end that is listed as done and is not of the current run of its task. Those that are recorded
+// already are only listed again. So may be those of jobs whose tasks are no longer known, in the first list under this
+// owner.
 func (c *Scheduler) noteForeignEnd(w *worker, end *workerdriver.EndedTask) {
 	if end.Reason != steptracker.Done || end.Task.Job == "" {
 		return
