Soak of processes: instances as processes against a stand-in, judged for tasks started twice

Change: platform/processsoaker, cut from that trial, and make soak-processes. It keeps the workers, clients that retry, six troubles and the judge. It is in platform/ and not in internal/ because it knows the wire's names. Left out: shares of a processor, gangs, saved progress, cancellation, drains, faults of the store, tickets, new IDs, and the rule's third clause (starts over a second after an end).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo rehearse test check format lint generate bench soak end-to-end
+.PHONY: demo rehearse test check format lint generate bench soak soak-processes end-to-end
 
 demo: ## run the whole system in one process
 	go run ./cmd/dotterelpost demo
@@ -33,5 +33,9 @@
 	go test ./internal/committer -rapid.seed=$$seed -rapid.checks=20000 && \
 	go test ./internal/partitioncontroller -run InAnyWorld -timeout 15m -rapid.seed=$$seed -rapid.checks=1000
 
+soak-processes: ## run instances as processes under load and faults and check that no task is started twice; options in ARGS
+	go build -o target/dotterelpost ./cmd/dotterelpost
+	go run ./platform/processsoaker $(ARGS)
+
 end-to-end: ## measure three instances and the simulated platform under load, as separate processes
 	scripts/end-to-end
