--- a/internal/cellscheduler/syncs.go
+++ b/internal/cellscheduler/syncs.go
@@ -68,14 +68,14 @@
 }
 
 // deferAcknowledgement reports whether a sync should wait for the answer to a start order, after which it may
-// acknowledge ends. It does not wait for long, because a sync also extends the lease.
+// acknowledge ends. It does not wait for long, because ends of runs become known from the answer.
 func (w *worker) deferAcknowledgement(now time.Time) bool {
 	if w.lastWrittenEnd <= w.acknowledgedEnd || !w.incarnation.AwaitsAnswer() || !w.synced || w.syncFailures > 0 || w.acknowledgementDeferred {
 		w.acknowledgementDeferred = false
 		return false
 	}
 	w.acknowledgementDeferred = true
-	w.nextSyncAt = now.Add(unwrittenSyncDelay)
+	w.nextSyncAt = now.Add(initialRetryDelay)
 	return true
 }
 
