--- a/internal/cellscheduler/stale_test.go
+++ b/internal/cellscheduler/stale_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestOwnerDoesNotStartFromRowsOlderThanItsClaim: the first answer of the store to a new owner is older than its claim, as
-// its version shows, and lacks an end that the worker has forgotten.
+// its version shows, and lacks an end that was acknowledged.
 func TestOwnerDoesNotStartFromRowsOlderThanItsClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 1)
--- a/internal/cellscheduler/workers.go
+++ b/internal/cellscheduler/workers.go
@@ -100,7 +100,7 @@
 	syncInFlight            bool
 	// orderedAt is when an order was last sent to the worker.
 	orderedAt time.Time
-	// removed is set once the scheduler has forgotten the worker. Its ID may have another entry then.
+	// removed is set once the entry has been removed. The worker's ID may have another entry then.
 	removed      bool
 	nextSyncAt   time.Time
 	syncFailures int
