configprovider: the settings that jobs depend on are a type of their own

Policy holds the part of a queue's settings by which its jobs run and end: the limit of failures, the objective, the priority, the advisor and the version. Queue embeds it, so readers are unchanged.

--- a/internal/cellmanager/accessenv_test.go
+++ b/internal/cellmanager/accessenv_test.go
@@ -131,7 +131,7 @@
 	}
 	configuration := &configprovider.Configuration{
 		Version:  max(1, row.Version),
-		Queues:   []configprovider.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "desk", MaxFailures: 1}, {Name: "open", Service: "desk", MaxFailures: 1, Public: true}},
+		Queues:   []configprovider.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "desk", Policy: configprovider.Policy{MaxFailures: 1}}, {Name: "open", Service: "desk", Policy: configprovider.Policy{MaxFailures: 1}, Public: true}},
 		Services: []configprovider.Service{{Name: "desk"}},
 	}
 	if row.Service != "" {
--- a/internal/cellscheduler/access_test.go
+++ b/internal/cellscheduler/access_test.go
@@ -20,7 +20,7 @@
 		team.Keys = append(team.Keys, authenticator.DigestOf(key))
 	}
 	env.configuration.Apply(&configprovider.Configuration{
-		Version: version, Queues: []configprovider.Queue{{Name: "plain", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second}},
+		Version: version, Queues: []configprovider.Queue{{Name: "plain", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 2, Target: time.Second}}},
 		Teams: []configprovider.Team{team},
 	})
 }
--- a/internal/cellscheduler/interference_test.go
+++ b/internal/cellscheduler/interference_test.go
@@ -49,7 +49,7 @@
 		return took, steptracker.Done
 	}
 	env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
-		{Name: "plain", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second},
+		{Name: "plain", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 2, Target: time.Second}},
 	}})
 	return env
 }
--- a/internal/cellscheduler/round_test.go
+++ b/internal/cellscheduler/round_test.go
@@ -129,9 +129,9 @@
 		env.adviceDelay = advisor.BaseLatency
 		env.clock = busyClock{clockwork.NewRealClock()}
 		env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
-			{Name: "waiting", Service: "cell", MaxFailures: 2, Stretch: 0.8},
-			{Name: "late", Service: "cell", MaxFailures: 2, Stretch: 0.9, Advisor: &advisor},
-			{Name: "expired", Service: "cell", MaxFailures: 2, Stretch: 0.1},
+			{Name: "waiting", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 0.8}},
+			{Name: "late", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 0.9, Advisor: &advisor}},
+			{Name: "expired", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 0.1}},
 		}})
 		c, stop := env.startScheduler(1)
 		defer stop()
@@ -164,10 +164,10 @@
 		env := newTestEnv(t, 1)
 		env.adviceDelay = 700 * time.Millisecond
 		env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
-			{Name: "first", Service: "cell", MaxFailures: 2, Stretch: 0.5},
-			{Name: "late", Service: "cell", MaxFailures: 2, Stretch: 0.9, Advisor: &configprovider.AdvisorSettings{
+			{Name: "first", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 0.5}},
+			{Name: "late", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 0.9, Advisor: &configprovider.AdvisorSettings{
 				BaseLatency: 700 * time.Millisecond, TokenLifetime: 600 * time.Millisecond,
-			}},
+			}}},
 		}})
 		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
 			return 1900 * time.Millisecond, steptracker.Done
--- a/internal/cellscheduler/shares_test.go
+++ b/internal/cellscheduler/shares_test.go
@@ -22,7 +22,7 @@
 func withTeams(env *testEnv) {
 	configuration := *env.configuration.Current()
 	configuration.Version++
-	configuration.Queues = append(slices.Clone(configuration.Queues), configprovider.Queue{Name: "patient", Service: "cell", MaxFailures: 2, Stretch: 4, Target: time.Second})
+	configuration.Queues = append(slices.Clone(configuration.Queues), configprovider.Queue{Name: "patient", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 4, Target: time.Second}})
 	configuration.Teams = []configprovider.Team{{Name: "hot", Weight: 2}, {Name: "calm", Weight: 2}, {Name: "none"}}
 	env.configuration.Apply(&configuration)
 }
@@ -269,7 +269,7 @@
 	startOrder := func(team string) (started []steptracker.StepKey) {
 		synctest.Test(t, func(t *testing.T) {
 			env := newTestEnv(t, 1)
-			env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{{Name: "patient", Service: "cell", MaxFailures: 2, Stretch: 100}}})
+			env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{{Name: "patient", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 100}}}})
 			env.outcome = func(start *workerdriver.Start, _ string) (time.Duration, steptracker.EndReason) {
 				started = append(started, start.Task.StepKey)
 				return time.Second, steptracker.Done
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -155,13 +155,13 @@
 	env.ownershipConfirmed = func() bool { return true }
 	env.newWorkerClient = func() cellscheduler.WorkerClient { return env.newRepeater(env) }
 	env.configuration.Apply(&configprovider.Configuration{Version: 1, Queues: []configprovider.Queue{
-		{Name: "plain", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second},
-		{Name: "advised", Service: "cell", MaxFailures: 2, Stretch: 2, Target: time.Second, Advisor: &configprovider.AdvisorSettings{
+		{Name: "plain", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 2, Target: time.Second}},
+		{Name: "advised", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 2, Target: time.Second, Advisor: &configprovider.AdvisorSettings{
 			BaseLatency: 5 * time.Millisecond, LatencyPerWorker: time.Millisecond, TokenLifetime: 1500 * time.Millisecond,
-		}},
-		{Name: "high-stretch", Service: "cell", MaxFailures: 2, Stretch: 20, Target: time.Second, Advisor: &configprovider.AdvisorSettings{
+		}}},
+		{Name: "high-stretch", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 20, Target: time.Second, Advisor: &configprovider.AdvisorSettings{
 			BaseLatency: 5 * time.Millisecond, LatencyPerWorker: time.Millisecond, TokenLifetime: 1500 * time.Millisecond,
-		}},
+		}}},
 	}})
 	for i := range workers {
 		env.addWorker(workerdriver.Worker{
--- a/internal/cellserver/access_test.go
+++ b/internal/cellserver/access_test.go
@@ -25,7 +25,7 @@
 // them loses its key.
 func TestKeysThroughPlatformProtocol(t *testing.T) {
 	p := newPlatform(t)
-	queues := []configprovider.Queue{{Name: "q", MaxFailures: 3, Stretch: 2}, {Name: "open", MaxFailures: 3, Stretch: 2, Public: true}}
+	queues := []configprovider.Queue{{Name: "q", Policy: configprovider.Policy{MaxFailures: 3, Stretch: 2}}, {Name: "open", Policy: configprovider.Policy{MaxFailures: 3, Stretch: 2}, Public: true}}
 	teams := []standin.Team{{Name: "crew", Keys: []string{"key-1", "key-2"}}, {Name: "rivals", Keys: []string{"key-3"}}}
 	if err := p.PutTeams(4, queues, teams); err != nil {
 		t.Fatal(err)
--- a/internal/chaostester/plan.go
+++ b/internal/chaostester/plan.go
@@ -166,7 +166,7 @@
 func (p *Plan) queues() []configprovider.Queue {
 	var queues []configprovider.Queue
 	for _, q := range p.Queues {
-		queue := configprovider.Queue{Name: q.Name, Target: targetLatency, Stretch: targetStretch, MaxFailures: maxFailures, Priority: q.Priority}
+		queue := configprovider.Queue{Name: q.Name, Policy: configprovider.Policy{Target: targetLatency, Stretch: targetStretch, MaxFailures: maxFailures, Priority: q.Priority}}
 		if q.Advised {
 			queue.Advisor = &configprovider.AdvisorSettings{BaseLatency: advisorBaseLatency, LatencyPerWorker: advisorLatencyPerWorker, TokenLifetime: advisorTokenLifetime}
 		}
--- a/internal/configchecker/configchecker_test.go
+++ b/internal/configchecker/configchecker_test.go
@@ -18,8 +18,10 @@
 func soundConfiguration() *configprovider.Configuration {
 	queue := func(name, prefix string) configprovider.Queue {
 		return configprovider.Queue{
-			Name: name, Host: "quotes.example", PathPrefix: prefix, Service: "desk", Timeout: 3 * time.Second, Target: time.Second, Stretch: 2, MaxFailures: 3,
-			Advisor: &configprovider.AdvisorSettings{BaseLatency: 100 * time.Millisecond, LatencyPerWorker: time.Millisecond, TokenLifetime: time.Second},
+			Name: name, Host: "quotes.example", PathPrefix: prefix, Service: "desk", Timeout: 3 * time.Second, Policy: configprovider.Policy{
+				Target: time.Second, Stretch: 2, MaxFailures: 3,
+				Advisor: &configprovider.AdvisorSettings{BaseLatency: 100 * time.Millisecond, LatencyPerWorker: time.Millisecond, TokenLifetime: time.Second},
+			},
 		}
 	}
 	team := func(name string) configprovider.Team {
--- a/internal/configprovider/configprovider.go
+++ b/internal/configprovider/configprovider.go
@@ -28,9 +28,10 @@
 type AdvisorSettings struct {
 	// BaseLatency is the minimum duration of a call to the advisor, and LatencyPerWorker is what each
 	// worker named in the call adds.
-	BaseLatency, LatencyPerWorker time.Duration
+	BaseLatency      time.Duration `json:"base-latency,omitempty"`
+	LatencyPerWorker time.Duration `json:"latency-per-worker,omitempty"`
 	// TokenLifetime is how long a placement token stays valid.
-	TokenLifetime time.Duration
+	TokenLifetime time.Duration `json:"token-lifetime,omitempty"`
 }
 
 // Latency returns the expected duration of a call that names the given number of workers.
@@ -38,28 +39,41 @@
 	return a.BaseLatency + time.Duration(workers)*a.LatencyPerWorker
 }
 
+// Policy is the part of a queue's settings by which its jobs run and end. It is stored with each job, because an
+// accepted job outlives the versions of the configuration that have its queue.
+type Policy struct {
+	// Version is the version of the configuration that the policy is part of. It is set by Apply.
+	Version int64 `json:"version,omitempty"`
+	// Target and Stretch define the objective for the completion time of a job: Stretch times the
+	// length of its critical path, plus Target.
+	Target  time.Duration `json:"target,omitempty"`
+	Stretch float64       `json:"stretch,omitempty"`
+	// MaxFailures is the number of failed runs of one task after which its job fails.
+	MaxFailures int `json:"max-failures,omitempty"`
+	// Priority is 0 for the most important queue; larger numbers mean less important ones.
+	Priority int `json:"priority,omitempty"`
+	// Advisor is nil if any worker of the service may run the tasks of the queue.
+	Advisor *AdvisorSettings `json:"advisor,omitempty"`
+}
+
 // Queue accepts the jobs that are submitted under a host and a path prefix.
 type Queue struct {
 	Name       string
 	Host       string
 	PathPrefix string
 	Service    string
-	// Version is the version of the configuration that the queue is part of. It is set by Apply.
-	Version int64
 	// Timeout is how long a caller waits for an answer unless its request states another time.
 	Timeout time.Duration
-	// Target and Stretch define the objective for the completion time of a job: Stretch times the
-	// length of its critical path, plus Target.
-	Target  time.Duration
-	Stretch float64
-	// MaxFailures is the number of failed runs of one task after which its job fails.
-	MaxFailures int
-	// Priority is 0 for the most important queue; larger numbers mean less important ones.
-	Priority int
-	// Advisor is nil if any worker of the service may run the tasks of the queue.
-	Advisor *AdvisorSettings
 	// Public reports whether callers need no key.
 	Public bool
+	// Policy holds the settings that are stored with the jobs of the queue.
+	Policy
+}
+
+// JobPolicy returns a copy of the queue's policy, to be kept with a job.
+func (q *Queue) JobPolicy() *Policy {
+	policy := q.Policy
+	return &policy
 }
 
 // Path returns the host and the path prefix, under which callers address the jobs of the queue.
