cellscheduler: store the policy of the queue with each job

Cause: an owner had the settings of a removed queue only if it had ranked a step of it before the removal, in memory. Without them, each reader took a default of its own: 3 attempts, no advisor, priority 9, stretch 2.

The change of the configuration alone suffices if nothing of the queue was ranked before it; otherwise it takes a new owner as well.

Change: the instance that routes a submission adds the queue's policy to the job, since the owner may know an older or a newer configuration, and the definition's row keeps it until the job is over. The limit of failures is always the one by which the job was accepted. Everything else comes from the active configuration while that leads the queue to this cell, and from the job afterwards. A worker that asks for a token gets one, whatever the configuration says. policyOf replaces the defaults of the readers.

Rows of earlier versions have no policy. An owner adopts it from the configuration, at the take-over and at each new version, and writes it. Until then a task that has failed is not started again, and the job does not fail. Earlier versions ignore the field in rows and calls, and write no definition a second time, so the policy survives them. A submission of an earlier version for a queue that the owner does not know is refused as not run.

TestCallsWithoutTeamsAreUnchanged compared a submission to the bytes of versions without teams. It now wants these bytes and the policy: the field is new, and earlier versions ignore it.

--- a/internal/cellmanager/access_test.go
+++ b/internal/cellmanager/access_test.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -304,7 +305,7 @@
 }
 
 // TestCallsWithoutTeamsAreUnchanged: without teams the calls between instances are those of the versions that
-// knew none.
+// knew none, but for the policy of the queue, which those ignore.
 func TestCallsWithoutTeamsAreUnchanged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
@@ -316,10 +317,7 @@
 			t.Fatalf("a caller without teams: %+v, %v", caller, err)
 		}
 		job := &steptracker.Job{ID: "j", Queue: "q", Payload: "p", Steps: []steptracker.Step{{Tasks: 1}}}
-		want, err := json.Marshal(job)
-		if err != nil {
-			t.Fatal(err)
-		}
+		want := fmt.Appendf(bytes.TrimSuffix(mustMarshal(t, job), []byte("}")), `,"policy":{"version":%d,"max-failures":%d}}`, q.Version, q.MaxFailures)
 		c.set(func() { c.calls = nil })
 		if err := others[0].Submit(t.Context(), q, caller, job); err != nil {
 			t.Fatal(err)
--- a/internal/cellmanager/paths.go
+++ b/internal/cellmanager/paths.go
@@ -108,6 +108,8 @@
 // Submit submits a job to the owner of the queue's cell. A *cellscheduler.RefusedError, a *NoOwnerError or
 // the error of a denial means that the job was not accepted.
 func (m *Manager) Submit(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, job *steptracker.Job) error {
+	// The owner may know another configuration than the one by which the call was routed.
+	job.Policy = queue.JobPolicy()
 	path := m.pathOf(queue)
 	for {
 		body, err := encodeJobCall(job, caller, path)
--- a/internal/cellscheduler/admission.go
+++ b/internal/cellscheduler/admission.go
@@ -23,6 +23,13 @@
 	maxUpdateDelay = 4 * time.Second
 )
 
+const (
+	// reasonUnknownQueue is the reason of the refusal of a job for whose queue no policy is known, because its caller's
+	// instance and this one have different configurations. unknownQueueRetryAfter is when they should agree.
+	reasonUnknownQueue     = "the configuration of this instance does not have the queue"
+	unknownQueueRetryAfter = time.Second
+)
+
 // Reasons of refusals that the store causes.
 const (
 	reasonStoreSilent = "the store does not answer"
--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -44,18 +44,17 @@
 }
 
 // placementToken returns the placement token of a step for a worker. valid is true with an empty
-// token if the queue does not require one.
+// token if the job's policy does not require one.
 func (c *Scheduler) placementToken(key steptracker.StepKey, w *worker) (token string, valid bool) {
 	j := c.jobs[key.Job]
 	if j == nil {
 		return "", false
 	}
-	queue := c.queueOf(j)
 	s := c.pendingSteps[key]
 	if s == nil {
 		s = j.steps[key]
 	}
-	if queue == nil || queue.Advisor == nil {
+	if c.advisorOf(j) == nil {
 		return "", true
 	}
 	if s == nil {
@@ -73,11 +72,11 @@
 
 // requestAdvice calls the advisor for a step and some workers. It reports whether an instance was
 // available for the call.
-func (c *Scheduler) requestAdvice(s *step, queue *configprovider.Queue, workers []string) bool {
+func (c *Scheduler) requestAdvice(s *step, advisor *configprovider.AdvisorSettings, workers []string) bool {
 	if len(workers) == 0 {
 		return false
 	}
-	cost := queue.Advisor.Latency(len(workers))
+	cost := advisor.Latency(len(workers))
 	instance := c.advisor.router.Choose(cost, c.now)
 	if instance == "" {
 		return false
@@ -94,8 +93,8 @@
 		requested = append(requested, w)
 	}
 	sentAt := c.now
-	queueName := queue.Name
-	valid := queue.Advisor.TokenLifetime
+	queue := s.job.progress.Queue
+	valid := advisor.TokenLifetime
 	c.group.Go(func() {
 		answer, err := c.AdvisorClient.Advise(c.ctx, instance, key, workers)
 		c.post(func() {
@@ -105,7 +104,7 @@
 			}
 			// The tokens are taken to be valid for as long as the advisor says, but for at least half
 			// of the configured lifetime and at most all of it.
-			c.adviceAnswered(s, queueName, answer, err, startMillis, sentAt, min(valid, max(answer.Valid, valid/2)))
+			c.adviceAnswered(s, queue, answer, err, startMillis, sentAt, min(valid, max(answer.Valid, valid/2)))
 			c.resumeStarts(s)
 		})
 	})
@@ -123,8 +122,8 @@
 // selectNominees chooses the workers to name to the advisor. Each named worker makes the call
 // longer, and only a fraction is approved. Workers on which a task of the step failed are named
 // only if there are no others. worthwhile reports whether the expected result justifies the call.
-func (c *Scheduler) selectNominees(s *step, queue *configprovider.Queue) (workers []string, worthwhile bool) {
-	approvalRate := c.advisor.approvalRates[queue.Name]
+func (c *Scheduler) selectNominees(s *step, advisor *configprovider.AdvisorSettings) (workers []string, worthwhile bool) {
+	approvalRate := c.advisor.approvalRates[s.job.progress.Queue]
 	if approvalRate == 0 {
 		approvalRate = initialApprovalRate
 	}
@@ -148,7 +147,7 @@
 	for i, index := range indexes {
 		workers[i] = c.candidates[index].Worker
 	}
-	cheap := !advicerouter.IsLong(queue.Advisor.Latency(len(workers)))
+	cheap := !advicerouter.IsLong(advisor.Latency(len(workers)))
 	return workers, cheap || expectedPlaces >= float64(min(request.Tasks, minExpectedPlaces)) || c.now.Sub(s.lastAdviceAt) > minPlacesTimeout
 }
 
@@ -161,6 +160,7 @@
 	c.Metrics.AdviceAnswered(c.now.Sub(sentAt), err)
 	if err != nil {
 		s.nextAdviceAt = c.now.Add(adviceRetryDelay)
+		s.job.needsToken = false
 		var busy *workerdriver.BusyError
 		if !errors.As(err, &busy) {
 			c.Log.Warn("advisor call failed", "job", s.key.Job, "step", s.key.Step, "error", err)
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -194,10 +194,10 @@
 	// durationRatios holds the duration ratio of each queue by name.
 	durationRatios map[string]*durationRatio
 	interference   interference
-	// queues holds the last known settings of each queue by name.
-	queues map[string]*configprovider.Queue
-	quotas quotas
-	paths  paths
+	// policiesFrom is the configuration from which policies were last adopted.
+	policiesFrom *configprovider.Configuration
+	quotas       quotas
+	paths        paths
 	// roundNeeded is set if a placement round may have something to do; nextRoundAt is its
 	// earliest time.
 	roundNeeded bool
@@ -244,7 +244,6 @@
 		pendingSteps:   make(map[steptracker.StepKey]*step),
 		workers:        make(map[string]*worker),
 		durationRatios: make(map[string]*durationRatio),
-		queues:         make(map[string]*configprovider.Queue),
 	}
 	c.now = c.claimedAt
 	c.random = rand.New(rand.NewPCG(uint64(claim.FencingToken), uint64(c.claimedAt.UnixNano())))
@@ -358,6 +357,7 @@
 	c.refuseUnwritten()
 	if c.now.After(c.nextSweepAt) {
 		c.nextSweepAt = c.now.Add(sweepInterval)
+		c.adoptPolicies()
 		c.openDueOccurrences()
 		c.publishQuotas()
 		c.pruneFinalJobs()
--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -14,7 +14,7 @@
 // reserved for it while tokens are renewed or resources become free. It reports false if the
 // approved workers could not hold the gang even when empty, or if workers with room have not been
 // named to the advisor yet.
-func (c *Scheduler) placeApprovedGang(s *step, queue *configprovider.Queue) bool {
+func (c *Scheduler) placeApprovedGang(s *step, advisor *configprovider.AdvisorSettings) bool {
 	if c.assign(s, c.eligibleCandidates(s, c.approvedCandidates(s, true))) {
 		return true
 	}
@@ -32,16 +32,16 @@
 	for _, index := range chosen {
 		s.reserved[c.candidates[index].Worker]++
 	}
-	if c.canRequestAdvice(s, queue) {
-		c.renewTokens(s, queue)
+	if c.canRequestAdvice(s, advisor) {
+		c.renewTokens(s, advisor)
 	}
 	return true
 }
 
 // renewTokens requests new placement tokens for the workers on which the gang has reserved room.
-func (c *Scheduler) renewTokens(s *step, queue *configprovider.Queue) {
+func (c *Scheduler) renewTokens(s *step, advisor *configprovider.AdvisorSettings) {
 	s.gangCandidates = slices.Sorted(maps.Keys(s.reserved))
-	if !c.requestAdvice(s, queue, s.gangCandidates) {
+	if !c.requestAdvice(s, advisor, s.gangCandidates) {
 		return
 	}
 	// Unused tokens cost the advisor as much time as used ones.
--- a/internal/cellscheduler/isolation.go
+++ b/internal/cellscheduler/isolation.go
@@ -50,12 +50,12 @@
 	return history.NeedsIsolation()
 }
 
-// unassignedTasks returns the indexes of the tasks that are neither done nor assigned to a worker, those
-// that need isolation apart from the others. A gang is isolated as a whole.
+// unassignedTasks returns the indexes of the tasks that wait for a worker, those that need isolation apart from the
+// others. A gang is isolated as a whole.
 func (s *step) unassignedTasks() (ordinary, suspects []int) {
 	for i := range s.tasks {
 		switch {
-		case s.tasks[i].Done || s.tasks[i].Assigned():
+		case !s.isWaiting(i):
 		case s.needsIsolation(i):
 			suspects = append(suspects, i)
 		default:
@@ -74,7 +74,7 @@
 func (s *step) hasOrdinaryTask() bool {
 	ordinary, suspect := false, false
 	for i := range s.tasks {
-		if !s.tasks[i].Done && !s.tasks[i].Assigned() {
+		if s.isWaiting(i) {
 			isolated := s.needsIsolation(i)
 			ordinary, suspect = ordinary || !isolated, suspect || isolated
 		}
--- a/internal/cellscheduler/jobs.go
+++ b/internal/cellscheduler/jobs.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-faster/errors"
 
-	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/sharekeeper"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 )
@@ -25,6 +24,10 @@
 	// definitionUnwritten is set until the definition is added to a transaction,
 	// definitionDeleted once its row is deleted.
 	definitionUnwritten, definitionDeleted bool
+	// definitionOutdated is set until a stored definition is added to a transaction again because it has changed.
+	definitionOutdated bool
+	// needsToken is set if a worker has asked for a placement token.
+	needsToken bool
 	// replacesRow is set if the progress of an earlier job with the same ID is still stored.
 	replacesRow bool
 	// dirty is set if the job has changed since it was last added to a transaction, inFlight
@@ -133,6 +136,12 @@
 			reply(c.shutdownError())
 			return
 		}
+		if !c.setPolicy(definition) {
+			refusal := &RefusedError{Reason: reasonUnknownQueue, RetryAfter: unknownQueueRetryAfter, Unavailable: true}
+			c.recordRefusal(definition, refusal)
+			reply(refusal)
+			return
+		}
 		if refusal := c.admit(definition); refusal != nil {
 			c.recordRefusal(definition, refusal)
 			reply(refusal)
@@ -183,7 +192,7 @@
 	c.markDirty(j, func() {
 		j.stored = true
 		c.countQueued(j, 1)
-		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "steps", len(definition.Steps), "tasks", countTasks(definition),
+		c.Log.Info("accepted", "job", j.id, "queue", definition.Queue, "configuration", definition.Policy.Version, "steps", len(definition.Steps), "tasks", countTasks(definition),
 			"took-ms", c.now.Sub(j.submittedAt).Milliseconds(), "forecast-ms", j.expectedWrite.Sub(j.submittedAt).Milliseconds(), j.shareAttr())
 		c.Metrics.WriteForecast(c.now.Sub(j.expectedWrite))
 		c.Metrics.JobAccepted(definition.Queue, c.now.Sub(j.submittedAt))
@@ -302,37 +311,13 @@
 	c.countQueued(j, 1)
 }
 
-// queueOf returns the settings of a job's queue. Jobs of a removed queue keep its last known
-// settings. If none are known, queueOf returns nil and defaults apply.
-func (c *Scheduler) queueOf(j *job) *configprovider.Queue {
-	name := j.progress.Queue
-	if configuration := c.Configuration.Current(); configuration != nil {
-		if queue := configuration.Queue(name); queue != nil {
-			c.queues[name] = queue
-			return queue
-		}
-	}
-	return c.queues[name]
-}
-
-// removedQueueMaxFailures limits the failures of jobs whose queue was removed and whose settings
-// are not known.
-const removedQueueMaxFailures = 3
-
-func (c *Scheduler) maxFailures(j *job) int {
-	if queue := c.queueOf(j); queue != nil {
-		return queue.MaxFailures
-	}
-	return removedQueueMaxFailures
-}
-
 // updateFinalState checks whether a job has become final. If so, it makes the final state visible
 // once it is written and stops the runs that the job still has.
 func (c *Scheduler) updateFinalState(j *job) {
 	if j.definition == nil {
 		return
 	}
-	j.progress.UpdateState(j.definition, c.maxFailures(j), c.now)
+	j.progress.UpdateState(j.definition, j.attemptLimit(), c.now)
 	if j.progress.State.Final() {
 		if !j.finalizing {
 			j.finalizing = true
@@ -348,7 +333,7 @@
 
 func (c *Scheduler) publishFinalState(j *job) {
 	c.setVisibleState(j, j.progress.State)
-	c.Log.Info("final", "job", j.id, "queue", j.progress.Queue, "state", j.visibleState, "reason", j.progress.Reason,
+	c.Log.Info("final", "job", j.id, "queue", j.progress.Queue, "state", j.visibleState, "reason", j.progress.Reason, "attempt-limit", j.attemptLimit(),
 		"age-ms", c.now.Sub(j.progress.AcceptedAt).Milliseconds())
 	c.Metrics.JobFinished(j.progress.Queue, j.visibleState, c.now.Sub(j.progress.AcceptedAt))
 	if j.placementCount() == 0 {
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -179,14 +179,10 @@
 		// The job was cancelled before it was written.
 		j.definitionUnwritten, j.definitionDeleted = false, true
 	case j.definitionUnwritten:
-		j.definitionUnwritten = false
-		definition, err := j.definition.Encode(j.progress.AcceptedAt)
-		if err != nil {
-			c.Log.Error("job could not be encoded", "job", j.id, "error", err)
+		size = c.appendDefinition(transaction, j)
+		if size == 0 {
 			return 0
 		}
-		size += len(definition)
-		transaction.Puts = append(transaction.Puts, connector.Put{Key: definitionKey(c.claim.Cell, j.id), Value: definition})
 		if !j.hasProgress() && !j.replacesRow {
 			// While the store is slow, rows are what limits the jobs that can be accepted.
 			return size
@@ -194,6 +190,8 @@
 	case over && !j.definitionDeleted && !c.deletionDeferred(j):
 		j.definitionDeleted = true
 		transaction.Deletes = append(transaction.Deletes, definitionKey(c.claim.Cell, j.id))
+	case j.definitionOutdated && !over:
+		size = c.appendDefinition(transaction, j)
 	}
 	text, err := j.progress.Encode()
 	if err != nil {
@@ -204,6 +202,18 @@
 	return size + len(text)
 }
 
+// appendDefinition adds a job's definition to a transaction and returns its size in bytes, 0 if it can't be encoded.
+func (c *Scheduler) appendDefinition(transaction *connector.Transaction, j *job) int {
+	j.definitionUnwritten, j.definitionOutdated = false, false
+	definition, err := j.definition.Encode(j.progress.AcceptedAt)
+	if err != nil {
+		c.Log.Error("job could not be encoded", "job", j.id, "error", err)
+		return 0
+	}
+	transaction.Puts = append(transaction.Puts, connector.Put{Key: definitionKey(c.claim.Cell, j.id), Value: definition})
+	return len(definition)
+}
+
 // hasProgress reports whether anything is known about a job beyond its definition and the time of its
 // acceptance.
 func (j *job) hasProgress() bool {
@@ -349,6 +359,7 @@
 		unconfirmed += len(j.placements)
 		c.updateSteps(j)
 	}
+	c.adoptPolicies()
 	c.Log.Info("cell taken over", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "jobs", len(c.jobs), "open", c.openJobs,
 		"unconfirmed", unconfirmed, "took-ms", c.now.Sub(c.claimedAt).Milliseconds())
 	deferred := c.deferredCalls
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// PoliciesAdopted counts the jobs that were stored without a policy and have one now.
+func (m *Metrics) PoliciesAdopted(jobs int) { m.root.Add("policies-adopted", int64(jobs)) }
+
 // WriteForecast records by how much an acceptance was written later or sooner than forecast.
 func (m *Metrics) WriteForecast(late time.Duration) {
 	m.record("write-forecast-error", late.Abs())
--- a/internal/cellscheduler/paths.go
+++ b/internal/cellscheduler/paths.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/pathrecorder"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -174,8 +173,10 @@
 		return true
 	}
 	path := ""
-	if queue := c.queueNamed(definition.Queue); queue != nil {
-		path = queue.Path()
+	if configuration := c.Configuration.Current(); configuration != nil {
+		if queue := configuration.Queue(definition.Queue); queue != nil {
+			path = queue.Path()
+		}
 	}
 	if path == "" || len(c.paths.recorder.Elsewhere(path, nil)) > 0 {
 		reply(&PathUnavailableError{Path: path, Err: &OutdatedRouteError{Path: path}})
@@ -256,16 +257,6 @@
 	runAll(deferred)
 }
 
-// queueNamed returns the last known settings of a queue, or nil.
-func (c *Scheduler) queueNamed(name string) *configprovider.Queue {
-	if configuration := c.Configuration.Current(); configuration != nil {
-		if queue := configuration.Queue(name); queue != nil {
-			return queue
-		}
-	}
-	return c.queues[name]
-}
-
 // LookUp asks on behalf of another cell for a job of a path that a configuration leads there. If the job is
 // not known, the cell accepts no job of the path before a newer configuration leads the path back, and empty
 // reports whether it holds none. The error is an *OutdatedRouteError if a newer configuration has led the path back.
--- a/internal/cellscheduler/placements.go
+++ b/internal/cellscheduler/placements.go
@@ -353,6 +353,7 @@
 		return
 	case workerdriver.NoPlacementToken:
 		c.dropToken(p.key.StepKey, w)
+		p.job.needsToken = true
 	case workerdriver.Unhealthy, workerdriver.InsufficientCapacity, workerdriver.Malformed:
 		w.avoidUntil = c.now.Add(unhealthyBackoff)
 	case workerdriver.WrongIncarnation:
--- a/internal/cellscheduler/quotabench_test.go
+++ b/internal/cellscheduler/quotabench_test.go
@@ -30,7 +30,7 @@
 	clock := clockwork.NewFakeClock()
 	c := &Scheduler{
 		Dependencies: Dependencies{Clock: clock, Log: slog.New(slog.DiscardHandler), Configuration: &configprovider.Provider{}, Metrics: NewMetrics()},
-		now:          clock.Now(), pendingSteps: make(map[steptracker.StepKey]*step), durationRatios: make(map[string]*durationRatio), queues: make(map[string]*configprovider.Queue),
+		now:          clock.Now(), pendingSteps: make(map[steptracker.StepKey]*step), durationRatios: make(map[string]*durationRatio),
 	}
 	c.quotas.init()
 	c.journal.limiter = inflightlimiter.New(1)
--- a/internal/cellscheduler/renewals.go
+++ b/internal/cellscheduler/renewals.go
@@ -14,8 +14,8 @@
 // token was valid, so that the write is not in vain. All runs of the step that wait for their start orders are
 // renewed together. It reports false if the run can't wait for a token.
 func (c *Scheduler) renewForStart(p *placement) bool {
-	s, queue := p.job.steps[p.key.StepKey], c.queueOf(p.job)
-	if s == nil || queue == nil || queue.Advisor == nil || p.assignedAt.IsZero() || c.now.Sub(p.assignedAt) > maxTokenWait {
+	s, advisor := p.job.steps[p.key.StepKey], c.advisorOf(p.job)
+	if s == nil || advisor == nil || p.assignedAt.IsZero() || c.now.Sub(p.assignedAt) > maxTokenWait {
 		return false
 	}
 	granted, approved := s.approved[p.worker.info.Worker]
@@ -32,7 +32,7 @@
 			workers[other.worker.info.Worker] = true
 		}
 	}
-	if c.requestAdvice(s, queue, slices.Sorted(maps.Keys(workers))) {
+	if c.requestAdvice(s, advisor, slices.Sorted(maps.Keys(workers))) {
 		s.renewing = true
 		c.Log.Info("tokens renewed before the start", "job", p.key.Job, "step", p.key.Step, "workers", len(workers),
 			"written-ms-ago", c.now.Sub(p.assignedAt).Milliseconds())
--- a/internal/cellscheduler/reservations.go
+++ b/internal/cellscheduler/reservations.go
@@ -14,8 +14,8 @@
 // reserveNominees reserves room for one task on each worker named in a short advisor call, whose
 // answer arrives within a fraction of the tasks' run time. It reserves nothing for long calls or for
 // gangs.
-func (c *Scheduler) reserveNominees(s *step, queue *configprovider.Queue, workers []string) {
-	if s.def.Gang || advicerouter.IsLong(queue.Advisor.Latency(len(workers))) {
+func (c *Scheduler) reserveNominees(s *step, advisor *configprovider.AdvisorSettings, workers []string) {
+	if s.def.Gang || advicerouter.IsLong(advisor.Latency(len(workers))) {
 		return
 	}
 	s.reserved = make(map[string]int, len(workers))
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -55,11 +55,11 @@
 	return approved
 }
 
-// unassigned counts the tasks that are neither done nor assigned to a worker.
+// unassigned counts the tasks that wait for a worker.
 func (s *step) unassigned() int {
 	count := 0
 	for i := range s.tasks {
-		if !s.tasks[i].Done && !s.tasks[i].Assigned() {
+		if s.isWaiting(i) {
 			count++
 		}
 	}
@@ -245,10 +245,8 @@
 // rank returns the rank of a pending step.
 func (c *Scheduler) rank(s *step) prioritizer.Rank {
 	j := s.job
-	waiting := prioritizer.WaitingStep{AcceptedAt: j.progress.AcceptedAt, Priority: removedQueuePriority, Stretch: 2}
-	if queue := c.queueOf(j); queue != nil {
-		waiting.Priority, waiting.Stretch, waiting.Target = queue.Priority, queue.Stretch, queue.Target
-	}
+	policy := c.policyOf(j)
+	waiting := prioritizer.WaitingStep{AcceptedAt: j.progress.AcceptedAt, Priority: policy.Priority, Stretch: policy.Stretch, Target: policy.Target}
 	if j.definition.Scheduled() {
 		waiting.AcceptedAt = j.definition.DueAt(s.key.Occurrence)
 	}
@@ -265,8 +263,8 @@
 // start order.
 func (c *Scheduler) expectedOverhead(s *step) time.Duration {
 	overhead := 2*c.journal.limiter.AverageDuration() + c.startLatency
-	if queue := c.queueOf(s.job); queue != nil && queue.Advisor != nil && !c.hasValidToken(s) {
-		overhead += c.advisor.latencies[queue.Name]
+	if c.advisorOf(s.job) != nil && !c.hasValidToken(s) {
+		overhead += c.advisor.latencies[s.job.progress.Queue]
 	}
 	return overhead
 }
@@ -281,10 +279,6 @@
 	return average + time.Duration(latencyWeight*float64(latest-average))
 }
 
-// removedQueuePriority is the priority of jobs whose queue was removed and whose settings are not
-// known.
-const removedQueuePriority = 9
-
 // isEligible reports whether a step may use a candidate, regardless of its free resources.
 func (c *Scheduler) isEligible(s *step, index int, short bool) bool {
 	return (short || !c.candidates[index].ReservedForGang) && c.candidateWorkers[index].info.HasLabel(s.def.Label)
@@ -349,27 +343,27 @@
 }
 
 func (c *Scheduler) placeStep(s *step) {
-	queue := c.queueOf(s.job)
-	if queue == nil || queue.Advisor == nil {
+	advisor := c.advisorOf(s.job)
+	if advisor == nil {
 		c.assign(s, c.eligibleCandidates(s, c.allCandidates()))
 		return
 	}
-	if s.def.Gang && len(s.approved) > 0 && c.placeApprovedGang(s, queue) {
+	if s.def.Gang && len(s.approved) > 0 && c.placeApprovedGang(s, advisor) {
 		return
 	}
 	if len(s.approved) > 0 && c.assign(s, c.eligibleCandidates(s, c.approvedCandidates(s, true))) {
 		return
 	}
-	if c.canRequestAdvice(s, queue) && c.hasRoomForGang(s) {
-		if workers, worthwhile := c.selectNominees(s, queue); worthwhile && c.requestAdvice(s, queue, workers) {
-			c.reserveNominees(s, queue, workers)
+	if c.canRequestAdvice(s, advisor) && c.hasRoomForGang(s) {
+		if workers, worthwhile := c.selectNominees(s, advisor); worthwhile && c.requestAdvice(s, advisor, workers) {
+			c.reserveNominees(s, advisor, workers)
 		}
 	}
 }
 
 // canRequestAdvice reports whether the advisor can be called for a step now.
-func (c *Scheduler) canRequestAdvice(s *step, queue *configprovider.Queue) bool {
-	return !s.adviceInFlight && c.now.After(s.nextAdviceAt) && c.advisor.router.Choose(queue.Advisor.Latency(1), c.now) != ""
+func (c *Scheduler) canRequestAdvice(s *step, advisor *configprovider.AdvisorSettings) bool {
+	return !s.adviceInFlight && c.now.After(s.nextAdviceAt) && c.advisor.router.Choose(advisor.Latency(1), c.now) != ""
 }
 
 // approvedCandidates returns the candidates whose current incarnation the advisor approved for a
--- a/internal/cellscheduler/shares.go
+++ b/internal/cellscheduler/shares.go
@@ -179,10 +179,8 @@
 // objective returns the objective for the time from the acceptance of a job to its end.
 func (c *Scheduler) objective(j *job) time.Duration {
 	path := j.definition.CriticalPath(func(number int) time.Duration { return c.expectedDuration(j, number) })
-	if queue := c.queueOf(j); queue != nil {
-		return time.Duration(queue.Stretch*float64(path)) + queue.Target
-	}
-	return 2 * path
+	policy := c.policyOf(j)
+	return time.Duration(policy.Stretch*float64(path)) + policy.Target
 }
 
 // widestStep returns the work of the step of a job that needs the most processors.
--- a/internal/steptracker/job.go
+++ b/internal/steptracker/job.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 )
 
@@ -83,6 +84,9 @@
 	Payload  string   `json:"payload,omitempty"`
 	Steps    []Step   `json:"steps"`
 	Schedule Schedule `json:"schedule,omitzero"`
+	// Policy is that of the queue when the job was accepted, nil if a version that did not store it has accepted
+	// the job.
+	Policy *configprovider.Policy `json:"policy,omitempty"`
 }
 
 // InvalidJobError reports an invalid field of a job. Path is the JSON path of the field.
--- a/internal/steptracker/progress.go
+++ b/internal/steptracker/progress.go
@@ -260,7 +260,8 @@
 }
 
 // UpdateState closes the occurrences that have ended and sets the final state of the job if it has
-// been reached. Long-running tasks may fail any number of times, but may not crash their workers.
+// been reached. maxFailures is the number of failed runs of one task after which the job fails, 0 if that is
+// not known. Long-running tasks may fail any number of times, but may not crash their workers.
 func (p *Progress) UpdateState(job *Job, maxFailures int, now time.Time) {
 	if p.State != "" {
 		return
@@ -269,7 +270,7 @@
 	for _, occurrence := range p.Open {
 		ended := true
 		for i := range job.Steps {
-			if !job.Steps[i].LongRunning && occurrence.hasFailedTask(i, maxFailures) {
+			if !job.Steps[i].LongRunning && maxFailures > 0 && occurrence.hasFailedTask(i, maxFailures) {
 				p.State, p.Reason, p.EndedAt = Failed, "a task failed in "+strconv.Itoa(maxFailures)+" attempts", now
 			}
 			if crashes := occurrence.crashesOfGivenUpTask(i); crashes > 0 {
