cellscheduler: the quota of a removed team outlives its owner

Callers would see nothing; the workers got more of a team's tasks at once than its quota allows. A team that is missing in the configuration keeps its last known quota, but only in the memory of the owner that had known it.

TestVanishedTeamKeepsItsQuotaUnderTheNextOwner fails before: "brings team a to 10000, its quota is 2000" is the last of 8 starts above the quota.

Change: the policy that is stored with a job has the quota of its team, and a new owner takes the quotas of missing teams from the latest accepted jobs. In deployments without teams nothing is added to a row. A quota that was changed after the last job was accepted and before the team was removed is not known to the next owner.

--- a/internal/cellmanager/paths.go
+++ b/internal/cellmanager/paths.go
@@ -109,7 +109,7 @@
 // the error of a denial means that the job was not accepted.
 func (m *Manager) Submit(ctx context.Context, queue *configprovider.Queue, caller cellscheduler.Caller, job *steptracker.Job) error {
 	// The owner may know another configuration than the one by which the call was routed.
-	job.Policy = queue.JobPolicy()
+	job.Policy = m.configuration.Current().JobPolicy(queue, job.Team)
 	path := m.pathOf(queue)
 	for {
 		body, err := encodeJobCall(job, caller, path)
--- a/internal/cellscheduler/journal.go
+++ b/internal/cellscheduler/journal.go
@@ -360,6 +360,7 @@
 		c.updateSteps(j)
 	}
 	c.adoptPolicies()
+	c.restoreQuotas()
 	c.Log.Info("cell taken over", "cell", c.claim.Cell, "fence", c.claim.FencingToken, "jobs", len(c.jobs), "open", c.openJobs,
 		"unconfirmed", unconfirmed, "took-ms", c.now.Sub(c.claimedAt).Milliseconds())
 	deferred := c.deferredCalls
--- a/internal/cellscheduler/policies.go
+++ b/internal/cellscheduler/policies.go
@@ -97,7 +97,7 @@
 	if queue == nil {
 		return false
 	}
-	definition.Policy = queue.JobPolicy()
+	definition.Policy = c.Configuration.Current().JobPolicy(queue, definition.Team)
 	return true
 }
 
@@ -121,7 +121,7 @@
 		}
 		adopted++
 		definition := *j.definition
-		definition.Policy = queue.JobPolicy()
+		definition.Policy = configuration.JobPolicy(queue, definition.Team)
 		j.definition, j.definitionOutdated = &definition, true
 		c.markDirty(j, nil)
 		c.updateFinalState(j)
--- a/internal/cellscheduler/quotas.go
+++ b/internal/cellscheduler/quotas.go
@@ -73,6 +73,22 @@
 	}
 }
 
+// restoreQuotas takes the quotas of teams from their stored jobs, for the teams that are missing in the configuration
+// in force: the quota by which the latest job of a team was accepted.
+func (c *Scheduler) restoreQuotas() {
+	latest := make(map[string]*configprovider.Policy)
+	for _, j := range c.jobs {
+		policy, team := j.acceptedPolicy(), j.team()
+		if policy == nil || team == "" || latest[team] != nil && latest[team].Version >= policy.Version {
+			continue
+		}
+		latest[team] = policy
+		c.quotas.keeper.SetQuota(team, policy.TeamQuota)
+	}
+	c.quotas.configuration = nil
+	c.updateQuotas()
+}
+
 func (j *job) team() string {
 	if j.progress.Team == "" && j.definition != nil {
 		return j.definition.Team
--- a/internal/cellscheduler/quotas_test.go
+++ b/internal/cellscheduler/quotas_test.go
@@ -382,6 +382,22 @@
 	})
 }
 
+// TestVanishedTeamKeepsItsQuotaUnderTheNextOwner: the next owner knew no quota of a team that was removed while its jobs
+// were open, and started all of their tasks at once.
+func TestVanishedTeamKeepsItsQuotaUnderTheNextOwner(t *testing.T) {
+	inQuotaCell(t, 6, quotas{"a": 4000}, func(env *testEnv, a *quotaAuditor) {
+		a.submit("first", "plain", "a", step(2, 1000))
+		a.configure(quotas{"a": 2000})
+		a.submit("wide", "plain", "a", step(8, 1000))
+		sleep(200 * time.Millisecond)
+		a.configure(nil)
+		a.limits = quotas{"a": 2000}
+		a.takeOver()
+		sleep(14 * time.Second)
+		a.wantState("wide", steptracker.Completed)
+	})
+}
+
 // TestWithoutTeamsNothingChanges: the same load makes the same starts on the same workers at the same time,
 // whether the configuration has no teams or teams without quotas.
 func TestWithoutTeamsNothingChanges(t *testing.T) {
--- a/internal/cellscheduler/removedqueue_test.go
+++ b/internal/cellscheduler/removedqueue_test.go
@@ -138,7 +138,7 @@
 		defer stop()
 		definition := twoSteps("j", "unknown here", 0)
 		queue := attemptQueue("unknown here", 4, false)
-		definition.Policy = queue.JobPolicy()
+		definition.Policy = (&configprovider.Configuration{}).JobPolicy(&queue, "")
 		submit(t, c, definition)
 		var refused *cellscheduler.RefusedError
 		if _, err := c.Submit(t.Context(), twoSteps("k", "unknown here", 0)); !errors.As(err, &refused) || !refused.Unavailable {
--- a/internal/configprovider/configprovider.go
+++ b/internal/configprovider/configprovider.go
@@ -40,7 +40,7 @@
 }
 
 // Policy is the part of a queue's settings by which its jobs run and end. It is stored with each job, because an
-// accepted job outlives the versions of the configuration that have its queue.
+// accepted job outlives the versions of the configuration that have its queue and its team.
 type Policy struct {
 	// Version is the version of the configuration that the policy is part of. It is set by Apply.
 	Version int64 `json:"version,omitempty"`
@@ -54,6 +54,8 @@
 	Priority int `json:"priority,omitempty"`
 	// Advisor is nil if any worker of the service may run the tasks of the queue.
 	Advisor *AdvisorSettings `json:"advisor,omitempty"`
+	// TeamQuota is the quota of the team that has submitted the job. In a queue it is not set.
+	TeamQuota modeler.Resources `json:"team-quota,omitzero"`
 }
 
 // Queue accepts the jobs that are submitted under a host and a path prefix.
@@ -70,12 +72,6 @@
 	Policy
 }
 
-// JobPolicy returns a copy of the queue's policy, to be kept with a job.
-func (q *Queue) JobPolicy() *Policy {
-	policy := q.Policy
-	return &policy
-}
-
 // Path returns the host and the path prefix, under which callers address the jobs of the queue.
 func (q *Queue) Path() string { return q.Host + q.PathPrefix }
 
@@ -148,6 +144,15 @@
 	return nil
 }
 
+// JobPolicy returns the policy of a job of a queue and a team, which may be empty.
+func (c *Configuration) JobPolicy(queue *Queue, team string) *Policy {
+	policy := queue.Policy
+	if team := c.Team(team); team != nil {
+		policy.TeamQuota = team.Quota
+	}
+	return &policy
+}
+
 // HasTeams reports whether callers need the key of a team.
 func (c *Configuration) HasTeams() bool { return c.Teams != nil }
 
