cellscheduler: one set-up for the tests of throttled runs

Change: throttleBestEffortTask starts the scheduler, throttles the task and checks that. Both tests make the same assertions as before.

--- a/internal/cellscheduler/round_test.go
+++ b/internal/cellscheduler/round_test.go
@@ -189,38 +189,49 @@
 	})
 }
 
+// bestEffortTask is the task that throttleBestEffortTask throttles.
+var bestEffortTask = steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "best-effort"}}
+
+// throttleBestEffortTask starts a scheduler with a best-effort task beside a serving one, checks that the former is
+// throttled while the latter exceeds its target, and then lowers the tail latency far below it. It returns a function
+// that stops the scheduler.
+func (env *testEnv) throttleBestEffortTask() (stop func()) {
+	env.t.Helper()
+	env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+		return time.Hour, steptracker.Done
+	}
+	c, stop := env.startScheduler(1)
+	serving := step(1, 2000)
+	serving.LongRunning, serving.TailTarget = true, 100*time.Millisecond
+	bestEffort := step(1, 8000)
+	bestEffort.BestEffort = true
+	submit(env.t, c, job("serving", "plain", serving))
+	submit(env.t, c, job("best-effort", "plain", bestEffort))
+	sleep(2 * time.Second)
+	servingTask := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "serving"}}
+	env.withLock(func() { env.metrics[servingTask] = 150 })
+	sleep(2 * time.Second)
+	env.withLock(func() {
+		if percent, found := env.throttled[bestEffortTask]; !found || percent != 0 {
+			env.t.Errorf("best-effort task has a CPU share of %d %% beside a serving task over its target, want 0", percent)
+		}
+		env.metrics[servingTask] = 30
+	})
+	return stop
+}
+
 // TestBestEffortTaskIsThrottled: the CPU share of a best-effort task is lowered when the tail
 // latency of a serving task on the same worker exceeds its target, and raised again once the
 // latency is well below it.
 func TestBestEffortTaskIsThrottled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 1)
-		env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
-			return time.Hour, steptracker.Done
-		}
-		c, stop := env.startScheduler(1)
+		stop := env.throttleBestEffortTask()
 		defer stop()
-		serving := step(1, 2000)
-		serving.LongRunning, serving.TailTarget = true, 100*time.Millisecond
-		bestEffort := step(1, 8000)
-		bestEffort.BestEffort = true
-		submit(t, c, job("serving", "plain", serving))
-		submit(t, c, job("best-effort", "plain", bestEffort))
-		sleep(2 * time.Second)
-		servingTask := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "serving"}}
-		bestEffortTask := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "best-effort"}}
-		env.withLock(func() { env.metrics[servingTask] = 150 })
-		sleep(2 * time.Second)
-		env.withLock(func() {
-			if percent, found := env.throttled[bestEffortTask]; !found || percent != 0 {
-				t.Errorf("best-effort task has a CPU share of %d %% beside a serving task over its target, want 0", percent)
-			}
-			env.metrics[servingTask] = 30
-		})
 		sleep(20 * time.Second)
 		env.withLock(func() {
-			if env.throttled[bestEffortTask] < 50 {
-				t.Errorf("best-effort task has a CPU share of %d %% after 20 s below the target, want at least 50", env.throttled[bestEffortTask])
+			if percent := env.throttled[bestEffortTask]; percent < 50 {
+				t.Errorf("best-effort task has a CPU share of %d %% after 20 s below the target, want at least 50", percent)
 			}
 		})
 	})
