--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -160,6 +160,7 @@
 	c.Metrics.AdviceAnswered(c.now.Sub(sentAt), err)
 	if err != nil {
 		s.nextAdviceAt = c.now.Add(adviceRetryDelay)
+		// There may be no advisor, so a job whose policy names none tries again without a token.
 		s.job.needsToken = false
 		var busy *workerdriver.BusyError
 		if !errors.As(err, &busy) {
