cellscheduler: five tests access what they share under the lock

Cause: go test -race ./internal/cellscheduler reported data races in five tests (TestLateCopyOnUnlistedIncarnationIsNotTakenForOver, TestLeaseOfUnlistedIncarnationIsNotTakenForOver, TestTeamThatVanishedKeepsItsQuota, TestWithoutTeamsNothingChanges, TestWorkerRemovedDuringSyncIsNotSynced). All accesses were in test files: maps and limits that the test changed while fake workers read them.

Change: these accesses hold the mutex of the environment. No assertion, time or bound changes.

The whole package has not been run with -race since.

--- a/internal/cellscheduler/latecopies_test.go
+++ b/internal/cellscheduler/latecopies_test.go
@@ -21,7 +21,10 @@
 			return 5500 * time.Millisecond, steptracker.Done
 		}
 		cutOff := make(map[string]bool)
-		network := &faultyNetwork{WorkerClient: env, replyLost: func(worker string) bool { return cutOff[worker] }}
+		network := &faultyNetwork{WorkerClient: env, replyLost: func(worker string) (lost bool) {
+			env.withLock(func() { lost = cutOff[worker] })
+			return lost
+		}}
 		env.newWorkerClient = func() cellscheduler.WorkerClient { return env.newRepeater(network) }
 		c, stop := env.startScheduler(1)
 		defer stop()
@@ -46,11 +49,13 @@
 				}
 			}
 		})
-		if copies != 2 || len(cutOff) != 1 {
-			t.Fatalf("%d copies were sent, %d workers run the task", copies, len(cutOff))
-		}
+		env.withLock(func() {
+			if copies != 2 || len(cutOff) != 1 {
+				t.Fatalf("%d copies were sent, %d workers run the task", copies, len(cutOff))
+			}
+		})
 		sleep(7 * time.Second)
-		clear(cutOff)
+		env.withLock(func() { clear(cutOff) })
 		sleep(20 * time.Second)
 		wantState(t, c, "j", steptracker.Completed)
 	})
--- a/internal/cellscheduler/quotas_test.go
+++ b/internal/cellscheduler/quotas_test.go
@@ -375,8 +375,10 @@
 	inQuotaCell(t, 6, quotas{"a": 2000}, func(env *testEnv, a *quotaAuditor) {
 		a.submit("wide", "plain", "a", step(8, 1000))
 		sleep(200 * time.Millisecond)
-		a.configure(nil)
-		a.limits = quotas{"a": 2000}
+		env.withLock(func() {
+			a.configure(nil)
+			a.limits = quotas{"a": 2000}
+		})
 		sleep(8 * time.Second)
 		a.wantState("wide", steptracker.Completed)
 	})
@@ -390,8 +392,10 @@
 		a.configure(quotas{"a": 2000})
 		a.submit("wide", "plain", "a", step(8, 1000))
 		sleep(200 * time.Millisecond)
-		a.configure(nil)
-		a.limits = quotas{"a": 2000}
+		env.withLock(func() {
+			a.configure(nil)
+			a.limits = quotas{"a": 2000}
+		})
 		a.takeOver()
 		sleep(14 * time.Second)
 		a.wantState("wide", steptracker.Completed)
@@ -418,7 +422,7 @@
 			for i := range 30 {
 				// No two events fall into the same moment, in which their order would be open.
 				id := fmt.Sprintf("j%d", i)
-				durations[id] = 700*time.Millisecond + time.Duration(i*i)*137*time.Microsecond
+				env.withLock(func() { durations[id] = 700*time.Millisecond + time.Duration(i*i)*137*time.Microsecond })
 				a.submit(id, "plain", team, step(1, modeler.Processors(1+i%3)*1000))
 				sleep(73 * time.Millisecond)
 			}
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -365,7 +365,9 @@
 
 // Sync extends the lease and returns the worker's listing.
 func (env *testEnv) Sync(ctx context.Context, to *workerdriver.Worker, order workerdriver.Sync) (workerdriver.SyncReply, error) {
-	sleep(2*time.Millisecond + env.syncDelay)
+	delay := 2 * time.Millisecond
+	env.withLock(func() { delay += env.syncDelay })
+	sleep(delay)
 	if env.lose(ctx, to, "sync", order.MaxWait, func(worker *fakeWorker) { worker.renew(order) }) {
 		return workerdriver.SyncReply{}, &workerdriver.InDoubtError{Worker: to.Worker, Err: context.DeadlineExceeded}
 	}
--- a/internal/cellscheduler/unlistedlease_test.go
+++ b/internal/cellscheduler/unlistedlease_test.go
@@ -31,7 +31,10 @@
 					return test.duration, steptracker.Done
 				}
 				cutOff := make(map[string]bool)
-				network := &faultyNetwork{WorkerClient: env, replyLost: func(worker string) bool { return cutOff[worker] && !test.answered }}
+				network := &faultyNetwork{WorkerClient: env, replyLost: func(worker string) (lost bool) {
+					env.withLock(func() { lost = cutOff[worker] && !test.answered })
+					return lost
+				}}
 				env.newWorkerClient = func() cellscheduler.WorkerClient { return env.newRepeater(network) }
 				c, stop := env.startScheduler(1)
 				defer stop()
@@ -49,8 +52,8 @@
 							for _, worker := range env.workers {
 								worker.unreachable = len(worker.running) > 0
 							}
+							clear(cutOff)
 						})
-						clear(cutOff)
 					})
 				}
 				env.withLock(func() {
