cellscheduler: log why a gang is not started after an answer of the advisor

An answer of the advisor that led to nothing left no line, so that the hypotheses of the incident (room reserved for others, room that has moved to workers without tokens, no room) could not be told apart.

Change: line "gang waits" after each answer that did not lead to a start and every 3 s otherwise, with the room under one condition more after the other and the first one that fails; metrics gang-waits-*; explain ends in it. The reason is a pure function of the figures (TestGangWaitReason). No decision is changed.

--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -44,6 +44,7 @@
 	if !c.requestAdvice(s, advisor, s.gangCandidates) {
 		return
 	}
+	s.renewed = true
 	// Unused tokens cost the advisor as much time as used ones.
 	s.nextAdviceAt = c.now.Add(min(minRenewalDelay<<min(s.unusedAdvice, 8), maxRenewalDelay))
 	s.unusedAdvice++
--- a/internal/cellscheduler/metrics.go
+++ b/internal/cellscheduler/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -109,6 +110,11 @@
 // OrderRepeated counts an order to a worker that was sent again because it was not answered in time.
 func (m *Metrics) OrderRepeated(kind string) { m.root.Add("repeated-"+kind, 1) }
 
+// GangWaits counts a gang that could not be placed, by the reason.
+func (m *Metrics) GangWaits(reason string) {
+	m.root.Add("gang-waits-"+strings.ReplaceAll(reason, " ", "-"), 1)
+}
+
 // RunEnded counts the end of a run.
 func (m *Metrics) RunEnded(how steptracker.EndReason) { m.root.Add("ended-"+string(how), 1) }
 
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -41,6 +41,10 @@
 	// ranking.
 	answered bool
 	tier     prioritizer.Tier
+	// renewed is set if the last advisor call renewed the tokens of a gang for which there was room.
+	renewed bool
+	// waitLoggedAt is when it was last logged why the step waits.
+	waitLoggedAt time.Time
 	// renewing is set while tokens are renewed for runs that wait for their start order.
 	renewing bool
 	// failedOn are the workers on which a task of the step failed.
@@ -145,7 +149,6 @@
 	c.visitor.visit(len(ranked), answeredSteps(ranked), c.Clock.Now, maxRoundDuration, func(index int) {
 		s := ranked[index]
 		c.load.visited++
-		s.answered = false
 		if s.tier > prioritizer.TierOnTime {
 			c.applyLateReservations()
 		}
@@ -153,6 +156,8 @@
 		if c.hasQuotaRoom(s) && s.def.Reservation().Processors <= c.maxFreeProcessors {
 			c.placeStep(s)
 		}
+		c.logGangWait(s)
+		s.answered = false
 		c.reserveQuotaForAdvice(s)
 		c.applyReservation(s)
 	})
@@ -356,6 +361,7 @@
 	}
 	if c.canRequestAdvice(s, advisor) && c.hasRoomForGang(s) {
 		if workers, worthwhile := c.selectNominees(s, advisor); worthwhile && c.requestAdvice(s, advisor, workers) {
+			s.renewed = false
 			c.reserveNominees(s, advisor, workers)
 		}
 	}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -150,7 +150,7 @@
 // refusal, or else the last log line about it. ownerChanged reports whether log lines about cells,
 // which record changes of owner, lie between the lines about the request.
 func (h *History) summarize(requestLines []line, ownerChanged bool) {
-	var final, refused, denied, accepted *line
+	var final, refused, denied, accepted, gangWait *line
 	var maxWaitMS int64
 	slowedRuns := 0
 	failedRuns := make([]string, 0)
@@ -169,7 +169,9 @@
 		case heldMessage, releasedMessage:
 			quota.add(entry)
 		case "placed":
-			maxWaitMS = max(maxWaitMS, entry.WaitedMS)
+			maxWaitMS, gangWait = max(maxWaitMS, entry.WaitedMS), nil
+		case "gang waits":
+			gangWait = entry
 		case "run slowed by neighbours":
 			slowedRuns++
 		case "ended":
@@ -195,6 +197,9 @@
 	default:
 		h.Summary = "no final state in these logs; the last line is " + requestLines[len(requestLines)-1].Message
 		h.Missing = append(h.Missing, "the final state")
+		if gangWait != nil {
+			h.Summary += fmt.Sprintf("; step %d has waited %.1f s to start whole: %s", gangWait.Step, float64(gangWait.WaitedMS)/1000, gangWait.Reason)
+		}
 	}
 	if len(failedRuns) > 0 {
 		h.Summary += fmt.Sprintf("; %d runs did not complete, the first %s", len(failedRuns), failedRuns[0])
