--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -51,10 +51,14 @@
 	maxOpenJobs int
 	// stateRetention is how long final states are kept.
 	stateRetention time.Duration
-	// adviceDelay is added to the duration of advisor calls.
-	adviceDelay   time.Duration
-	configuration *configprovider.Provider
-	starts        map[steptracker.TaskKey][]int
+	// adviceDelay is added to the duration of advisor calls, advicePerWorker for each worker that a call names.
+	// advisorInstances are the instances through which the advisor can be called.
+	adviceDelay, advicePerWorker time.Duration
+	advisorInstances             []string
+	// maxRunsPerWorker is how many tasks fit on a worker.
+	maxRunsPerWorker int
+	configuration    *configprovider.Provider
+	starts           map[steptracker.TaskKey][]int
 	// throttled is the CPU share last ordered for each task, metrics the value
 	// that its worker lists for it.
 	throttled map[steptracker.TaskKey]int
@@ -150,6 +154,7 @@
 			return time.Second, steptracker.Done
 		},
 	}
+	env.advicePerWorker, env.advisorInstances, env.maxRunsPerWorker = time.Millisecond, []string{"a", "b", "c"}, 4
 	env.lease, env.maxLease, env.log, env.restarted = testLease, 2*testLease, slog.New(slog.DiscardHandler), make(map[doneRun]string)
 	env.newCommitter = func() cellscheduler.Committer { return env }
 	env.ownershipConfirmed = func() bool { return true }
@@ -181,11 +186,11 @@
 }
 
 // Instances returns the instances through which the advisor can be called.
-func (env *testEnv) Instances() []string { return []string{"a", "b", "c"} }
+func (env *testEnv) Instances() []string { return env.advisorInstances }
 
 // Advise answers with placement tokens for the approved workers.
 func (env *testEnv) Advise(_ context.Context, instance string, step steptracker.StepKey, workers []string) (workerdriver.Advice, error) {
-	sleep(env.adviceDelay + time.Duration(5+len(workers))*time.Millisecond)
+	sleep(env.adviceDelay + 5*time.Millisecond + time.Duration(len(workers))*env.advicePerWorker)
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.adviceCalls = append(env.adviceCalls, instance)
@@ -301,7 +306,7 @@
 	if run, acked := env.ackedDone[order.Task]; acked {
 		env.t.Errorf("task %s run %d started after run %d was done and acknowledged", order.Task, order.Run, run)
 	}
-	if len(f.running) >= 4 {
+	if len(f.running) >= env.maxRunsPerWorker {
 		env.t.Errorf("worker %s has %d tasks, which exceeds its capacity", f.info.Worker, len(f.running)+1)
 	}
 	if env.onStart != nil {
