cellscheduler: a gang on more workers than one call names asks about others

A question to the advisor named the approved workers first, for new tokens; from 100 on it named no other, so that no further worker was ever approved.

Steps that are not gangs are unchanged: they renew tokens with the same call.

--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -141,10 +141,13 @@
 	if approvalRate == 0 {
 		approvalRate = initialApprovalRate
 	}
-	isolated, learns := !s.hasOrdinaryTask(), learnsFirst(s, advisor)
+	isolated := !s.hasOrdinaryTask()
 	unusable := func(index int) bool {
 		return isolated && !c.mayIsolateOn(c.candidateWorkers[index])
 	}
+	approved := slices.DeleteFunc(c.approvedCandidates(s, false), unusable)
+	// If one call can't name more workers than those, it must name others.
+	learns := learnsFirst(s, advisor) || s.def.Gang && len(approved) >= candidateselector.MaxCandidates
 	excluded := func(index int) bool {
 		return c.isRejected(s, index) || !c.isEligible(s, index) || unusable(index) || learns && s.isApproved(c.candidates[index].Worker)
 	}
@@ -154,7 +157,6 @@
 			return excluded(index) || s.failedOn[c.candidates[index].Worker]
 		},
 	}
-	approved := slices.DeleteFunc(c.approvedCandidates(s, false), unusable)
 	if learns {
 		request.MayBeBusy = true
 		if known := c.roomWhenEmpty(s, approved); known < candidateselector.GangOversampling*len(s.tasks) {
--- a/internal/cellscheduler/testenv_test.go
+++ b/internal/cellscheduler/testenv_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"dotterelpost.example/dotterelpost/internal/candidateselector"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/configprovider"
 	"dotterelpost.example/dotterelpost/internal/connector"
@@ -190,6 +191,10 @@
 
 // Advise answers with placement tokens for the approved workers.
 func (env *testEnv) Advise(_ context.Context, instance string, step steptracker.StepKey, workers []string) (workerdriver.Advice, error) {
+	if len(workers) > candidateselector.MaxCandidates {
+		env.t.Errorf("a call to the advisor names %d workers", len(workers))
+		return workerdriver.Advice{}, &workerdriver.BusyError{}
+	}
 	sleep(env.adviceDelay + 5*time.Millisecond + time.Duration(len(workers))*env.advicePerWorker)
 	env.mu.Lock()
 	defer env.mu.Unlock()
--- a/internal/cellscheduler/widegangs_test.go
+++ b/internal/cellscheduler/widegangs_test.go
@@ -159,3 +159,29 @@
 		})
 	}
 }
+
+// TestGangOnMoreWorkersThanACallNames: a gang that needs more workers than the advisor accepts in one call must start.
+func TestGangOnMoreWorkersThanACallNames(t *testing.T) {
+	for queue, delay := range map[string]time.Duration{"short": 0, "long": 400 * time.Millisecond} {
+		t.Run(queue, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, 120)
+				env.adviceDelay = delay
+				env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
+					{Name: queue, Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 2, Target: time.Second, Advisor: &configprovider.AdvisorSettings{
+						BaseLatency: delay + 5*time.Millisecond, LatencyPerWorker: 100 * time.Microsecond, TokenLifetime: 1500 * time.Millisecond,
+					}}},
+				}})
+				c, stop := env.startScheduler(1)
+				defer stop()
+				sleep(time.Second)
+				gang := step(105, 1000)
+				gang.Gang, gang.MaxPerWorker = true, 1
+				submit(t, c, job("gang", queue, gang))
+				sleep(20 * time.Second)
+				env.wantGangStarted(t)
+				wantState(t, c, "gang", steptracker.Completed)
+			})
+		})
+	}
+}
