cellscheduler: a gang without an advisor claims its room, too

Change: such a gang claims free room in its place in the order of rank, like one with an advisor; it needs no reservation, as nothing is asked. TestLateGangWithoutAdvisorGetsItsRoom failed before: not started beside 60 jobs of lower rank in 9 s.

--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -355,7 +355,10 @@
 func (c *Scheduler) placeStep(s *step) {
 	advisor := c.advisorOf(s.job)
 	if advisor == nil {
-		c.assign(s, c.eligibleCandidates(s, c.allCandidates()))
+		s.claims = nil
+		if !c.assign(s, c.eligibleCandidates(s, c.allCandidates())) && s.def.Gang && c.roomWhenEmpty(s, c.allCandidates()) >= len(s.tasks) {
+			s.claims = c.allCandidates()
+		}
 		return
 	}
 	if len(s.approved) > 0 && c.assign(s, c.eligibleCandidates(s, c.approvedCandidates(s, true))) {
--- a/internal/cellscheduler/round_test.go
+++ b/internal/cellscheduler/round_test.go
@@ -254,3 +254,29 @@
 		wantState(t, c, "j", steptracker.Completed)
 	})
 }
+
+// TestLateGangWithoutAdvisorGetsItsRoom: tasks of lower rank must not take each piece of room that becomes free before a late
+// gang has all of its room.
+func TestLateGangWithoutAdvisorGetsItsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 4)
+		env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
+			{Name: "gangs", Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 0.9}},
+			{Name: "singles", Service: "cell", Policy: configprovider.Policy{Priority: 1, MaxFailures: 2, Stretch: 0.9}},
+		}})
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(100 * time.Millisecond)
+		// The objectives are shorter than the runs, so that all are late but not expired.
+		single, gang := step(4, 1000), step(16, 1000)
+		single.Estimate, gang.Estimate, gang.Gang = time.Hour, time.Hour, true
+		for i := range 60 {
+			submit(t, c, job(fmt.Sprintf("single-%d", i), "singles", single))
+			if i == 10 {
+				submit(t, c, job("gang", "gangs", gang))
+			}
+			sleep(150 * time.Millisecond)
+		}
+		env.wantGangStarted(t)
+	})
+}
