--- a/internal/steptracker/job.go
+++ b/internal/steptracker/job.go
@@ -11,7 +11,7 @@
 // Limits of a job, which bound the cost of one request. They are ten times the size of the largest
 // jobs that the scheduler is designed for.
 const (
-	maxSteps          = 64
+	MaxSteps          = 64
 	maxTasks          = 2000
 	maxPayloadBytes   = 4000
 	maxOccurrences    = 10000
@@ -104,8 +104,8 @@
 		return &InvalidJobError{Path: "$.payload", Reason: fmt.Sprintf("%d bytes exceed the limit of %d", len(j.Payload), maxPayloadBytes)}
 	case len(j.Steps) == 0:
 		return &InvalidJobError{Path: "$.steps", Reason: "a job must have at least one step"}
-	case len(j.Steps) > maxSteps:
-		return &InvalidJobError{Path: "$.steps", Reason: fmt.Sprintf("%d steps exceed the limit of %d", len(j.Steps), maxSteps)}
+	case len(j.Steps) > MaxSteps:
+		return &InvalidJobError{Path: "$.steps", Reason: fmt.Sprintf("%d steps exceed the limit of %d", len(j.Steps), MaxSteps)}
 	case j.Schedule.Occurrences < 0 || j.Schedule.Occurrences > maxOccurrences:
 		return &InvalidJobError{Path: "$.schedule.occurrences", Reason: fmt.Sprintf("must be between 0 and %d", maxOccurrences)}
 	case j.Schedule.Interval < 0:
