platform: request bodies hold a bounded share of the memory

Cause: serveSubmit read any number of bodies at once into buffers that double, and a body could take any time. Nothing related them to the memory limit.

Change: bodylimiter charges the buffer of a body against a budget of an eighth of the memory limit, as bytes arrive and whatever length was declared. Above three quarters of it a body gives way: one without progress for a second, then the one open longest. A body also ends after 5 s without progress, or after the time that its caller waits, 30 s at most. It is answered 503 with Retry-After, and its connection is closed; nothing was done with it. The first 4 KiB of a body are not charged, so that ordinary jobs never meet the limiter. Bodies above that are decoded one at a time. Bodies that the server discards have a deadline too. Log line 'request body ended', ten a second at most; metrics 'request-bodies'.

That others wait for bytes of a body that was told to end was ruled out: they are refused instead above the whole budget, so that nothing waits in a queue.

Open: the receive buffers of connections are not bounded, and connections neither; stand-alone mode reads bodies as before.

--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -23,6 +23,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
+	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/mesher"
@@ -77,6 +78,7 @@
 	clock         clockwork.Clock
 	log           *slog.Logger
 	manager       *cellmanager.Manager
+	bodies        *bodylimiter.Limiter
 	callerHandler *platform.CallerHandler
 	callerServer  *http.Server
 	// callerAddress is the address that callerServer is bound to.
@@ -100,7 +102,10 @@
 // Start starts an instance.
 func Start(settings platform.Settings, clock clockwork.Clock, log *slog.Logger) (*Instance, error) {
 	limitMemory(settings.MemoryLimit)
-	i := &Instance{settings: settings, clock: clock, log: log}
+	i := &Instance{
+		settings: settings, clock: clock, log: log,
+		bodies: bodylimiter.New(bodylimiter.Budget(settings.MemoryLimit, platform.DefaultMaxBodyBytes), clock, log),
+	}
 	store, closeStore := platform.NewStoreClient(settings.StoreAddress)
 	workers, closeWorkers := platform.NewWorkerClient()
 	advisor, closeAdvisor := platform.NewAdvisorClient(settings.AdvisorAddress)
@@ -141,7 +146,7 @@
 	}
 	i.cleanUps = append(i.cleanUps, closeMesh)
 	i.manager.SetMesh(mesh, mesh.Address())
-	i.callerHandler = platform.NewCallerHandler(i.manager, log)
+	i.callerHandler = platform.NewCallerHandler(i.manager, i.bodies, log)
 	if err := i.listen(metrics); err != nil {
 		i.cleanUp()
 		return nil, err
@@ -185,6 +190,7 @@
 func (i *Instance) listen(metrics *cellscheduler.Metrics) error {
 	vars := new(expvar.Map).Init()
 	vars.Set("conductor", metrics.Map())
+	vars.Set("request-bodies", i.bodies.Map())
 	vars.Set("open-requests", expvar.Func(func() any { return i.callerHandler.OpenRequests() }))
 	vars.Set("memory", expvar.Func(func() any {
 		var stats runtime.MemStats
