cellserver: connections of callers are bounded by the descriptors

Cause: cellserver accepted any number of connections, and max_fds of the settings was not read.

Change: connectionlimiter accepts as many connections of callers as three quarters of the descriptors that are not reserved for files (2,925 of 4,100). At the limit a new connection is accepted, and the one that has waited longest for a request or for the rest of a header is closed for it, or else the one whose request takes longest. Closing returns when the descriptor is free, so that the bound is not exceeded by a burst. Log line 'connection closed for another', ten a second at most; metrics 'connections'. Readiness checks and metrics have listeners of their own and no limit.

--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -26,6 +26,7 @@
 	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/cellmanager"
 	"dotterelpost.example/dotterelpost/internal/cellscheduler"
+	"dotterelpost.example/dotterelpost/internal/connectionlimiter"
 	"dotterelpost.example/dotterelpost/internal/mesher"
 	"dotterelpost.example/dotterelpost/internal/orderrepeater"
 	"dotterelpost.example/dotterelpost/internal/uptimereader"
@@ -79,6 +80,7 @@
 	log           *slog.Logger
 	manager       *cellmanager.Manager
 	bodies        *bodylimiter.Limiter
+	connections   *connectionlimiter.Limiter
 	callerHandler *platform.CallerHandler
 	callerServer  *http.Server
 	// callerAddress is the address that callerServer is bound to.
@@ -104,7 +106,8 @@
 	limitMemory(settings.MemoryLimit)
 	i := &Instance{
 		settings: settings, clock: clock, log: log,
-		bodies: bodylimiter.New(bodylimiter.Budget(settings.MemoryLimit, platform.DefaultMaxBodyBytes), clock, log),
+		bodies:      bodylimiter.New(bodylimiter.Budget(settings.MemoryLimit, platform.DefaultMaxBodyBytes), clock, log),
+		connections: connectionlimiter.New(connectionlimiter.Max(settings.MaxDescriptors), clock, log),
 	}
 	store, closeStore := platform.NewStoreClient(settings.StoreAddress)
 	workers, closeWorkers := platform.NewWorkerClient()
@@ -191,6 +194,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set("conductor", metrics.Map())
 	vars.Set("request-bodies", i.bodies.Map())
+	vars.Set("connections", i.connections.Map())
 	vars.Set("open-requests", expvar.Func(func() any { return i.callerHandler.OpenRequests() }))
 	vars.Set("memory", expvar.Func(func() any {
 		var stats runtime.MemStats
@@ -202,30 +206,31 @@
 		// An error means that the client has disconnected.
 		_, _ = fmt.Fprintln(w, vars.String())
 	})
+	unlimited := connectionlimiter.New(0, i.clock, i.log)
 	var err error
-	if i.callerServer, i.callerAddress, err = i.serve(i.settings.CallerAddress, i.callerHandler); err != nil {
+	if i.callerServer, i.callerAddress, err = i.serve(i.settings.CallerAddress, i.callerHandler, i.connections); err != nil {
 		return err
 	}
-	if _, _, err = i.serve(i.settings.ReadinessAddress, i.callerHandler.Readiness()); err != nil {
+	if _, _, err = i.serve(i.settings.ReadinessAddress, i.callerHandler.Readiness(), unlimited); err != nil {
 		return err
 	}
-	_, _, err = i.serve(i.settings.MetricsAddress, metricsHandler)
+	_, _, err = i.serve(i.settings.MetricsAddress, metricsHandler, unlimited)
 	return err
 }
 
 // serve starts an HTTP server and returns it with the address that it is bound to.
-func (i *Instance) serve(address netip.AddrPort, handler http.Handler) (*http.Server, netip.AddrPort, error) {
+func (i *Instance) serve(address netip.AddrPort, handler http.Handler, connections *connectionlimiter.Limiter) (*http.Server, netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, address, &ListenError{Address: address, Err: err}
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug), ConnState: connections.Observe,
 	}
 	i.cleanUps = append(i.cleanUps, func() { _ = server.Close() })
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(connections.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error("HTTP server failed", "address", address, "error", err)
 		}
 	}()
