partitionserver: request bodies hold a bounded share of the memory

Cause: apiserver and adminserver read bodies as attend did, and the settings had no limit on memory.

Change: both read bodies with one limiter of the process, refuse with 503 and Retry-After, and close the connection. The new setting memory limits the process; without it the bodies may hold 32 MB, which no caller inside the limits of one request meets. Metrics 'request-bodies'.

Open: calls between instances on the operators' address (64 MB, with the mesh token) are read as before.

--- a/internal/adminserver/adminserver.go
+++ b/internal/adminserver/adminserver.go
@@ -19,7 +19,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -27,6 +26,7 @@
 
 	"github.com/go-faster/errors"
 
+	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/messenger"
 	"dotterelpost.example/dotterelpost/internal/metricsrecorder"
 	"dotterelpost.example/dotterelpost/internal/partitionscheduler"
@@ -63,6 +63,7 @@
 	Controller    Controller
 	Authenticator Authenticator
 	Metrics       *metricsrecorder.Recorder
+	Bodies        *bodylimiter.Limiter
 	// Tickets returns the state in force on this instance. AdvanceTicket puts a newer one in force.
 	Tickets       func() *ticketer.State
 	AdvanceTicket func(*ticketer.State) bool
@@ -97,7 +98,10 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.Bodies.Guard(w, r)
+	s.mux.ServeHTTP(w, r)
+}
 
 // Health is the response body of the health checks.
 type Health struct {
@@ -195,12 +199,21 @@
 }
 
 func (s *Server) postTicket(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, validator.MaxBytes))
+	text, release, err := s.Bodies.Read(w, r, validator.MaxBytes, requestTimeout)
+	var ended *bodylimiter.EndedError
+	if errors.As(err, &ended) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", "1")
+		writeJSON(w, http.StatusServiceUnavailable, ErrorResponse{Error: ended.Error()})
+		return
+	}
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		writeJSON(w, http.StatusRequestEntityTooLarge, ErrorResponse{Error: err.Error()})
 		return
 	}
 	ticket, faults := ticketer.Parse("ticket", text)
+	release()
 	if len(faults) > 0 {
 		writeError(w, faults)
 		return
--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -5,12 +5,14 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/ticketer"
 	"dotterelpost.example/dotterelpost/internal/validator"
@@ -59,6 +61,7 @@
 	Tickets       func() *ticketer.State
 	TicketsProven func() bool
 	Log           *slog.Logger
+	Bodies        *bodylimiter.Limiter
 	// ShuttingDown is closed when the instance has handed over its partitions and is about to stop.
 	ShuttingDown <-chan struct{}
 }
@@ -83,7 +86,10 @@
 }
 
 // ServeHTTP serves one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.Bodies.Guard(w, r)
+	s.mux.ServeHTTP(w, r)
+}
 
 // authorize wraps a handler. It rejects requests that have no valid token, whose caller has no
 // contract, or that exceed the contract's limit on requests in flight.
@@ -250,13 +256,23 @@
 			fmt.Sprintf("send 1 to %d letters, digits, dots, dashes or underscores", maxKeyBytes))
 		return "", job, false
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	text, release, err := s.Bodies.Read(w, r, maxBodyBytes, defaultTimeout)
+	var ended *bodylimiter.EndedError
+	if errors.As(err, &ended) {
+		problem := newProblem("body-ended", "The body was not received", http.StatusServiceUnavailable, RanNo, ended.Error())
+		problem.retryAfter = time.Second
+		w.Header().Set("Connection", "close")
+		problem.write(w)
+		return "", job, false
+	}
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		newProblem("too-large", "The body was not read", http.StatusRequestEntityTooLarge, RanNo,
 			fmt.Sprintf("send at most %d bytes: %v", maxBodyBytes, err)).write(w)
 		return "", job, false
 	}
 	job, faults := parseJob(text, contract)
+	release()
 	if len(faults) > 0 {
 		problem := newProblem("bad-request", "The request has faults", http.StatusBadRequest, RanNo, faults.Error())
 		problem.Faults = faults
--- a/internal/apiserver/apiserver_test.go
+++ b/internal/apiserver/apiserver_test.go
@@ -10,8 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"dotterelpost.example/dotterelpost/internal/apiserver"
 	"dotterelpost.example/dotterelpost/internal/authenticator"
+	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/partitionrouter"
 	"dotterelpost.example/dotterelpost/internal/ticketer"
@@ -53,6 +56,7 @@
 
 func newServerWithTickets(r *fakeRouter, state *ticketer.State, proven bool) *apiserver.Server {
 	return apiserver.New(apiserver.Dependencies{
+		Bodies:        bodylimiter.New(bodylimiter.Budget(0, 1<<20), clockwork.NewRealClock(), slog.New(slog.DiscardHandler)),
 		Router:        r,
 		Authenticator: authenticator.New(map[string]string{"crew": "token-of-the-crew", "stranger": "token-of-a-stranger"}),
 		Tickets:       func() *ticketer.State { return state },
--- a/internal/configurer/instance.go
+++ b/internal/configurer/instance.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/c2h5oh/datasize"
 	"github.com/go-faster/errors"
 
 	"dotterelpost.example/dotterelpost/internal/modeler"
@@ -40,8 +41,10 @@
 	DurableRetention modeler.Duration `json:"keep-durable-answers"`
 	QuickRetention   modeler.Duration `json:"keep-quick-answers"`
 	MaxConnections   int              `json:"connections"`
-	Seed             uint64           `json:"seed"`
-	LogLevel         slog.Level       `json:"log-level"`
+	// Memory is the memory that the process may take; 0 means no limit.
+	Memory   datasize.ByteSize `json:"memory"`
+	Seed     uint64            `json:"seed"`
+	LogLevel slog.Level        `json:"log-level"`
 }
 
 // Listen holds the addresses on which an instance listens. Port 0 selects any free port.
--- a/internal/partitionserver/partitionserver.go
+++ b/internal/partitionserver/partitionserver.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"dotterelpost.example/dotterelpost/internal/adminserver"
 	"dotterelpost.example/dotterelpost/internal/apiserver"
 	"dotterelpost.example/dotterelpost/internal/authenticator"
+	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/configurer"
 	"dotterelpost.example/dotterelpost/internal/connector"
@@ -32,6 +35,7 @@
 	"dotterelpost.example/dotterelpost/internal/partitionrouter"
 	"dotterelpost.example/dotterelpost/internal/partitionscheduler"
 	"dotterelpost.example/dotterelpost/internal/ticketer"
+	"dotterelpost.example/dotterelpost/internal/validator"
 )
 
 // Options configures an instance.
@@ -66,6 +70,7 @@
 	follower       *ticketer.Follower
 	tickets        *ticketer.Store
 	metrics        *metricsrecorder.Recorder
+	bodies         *bodylimiter.Limiter
 	callerServer   *http.Server
 	operatorServer *http.Server
 	addresses      Addresses
@@ -90,12 +95,23 @@
 	maxHeaderBytes = 16 << 10
 )
 
+const (
+	// heapFraction is the fraction of the memory in the settings that is set as the soft memory limit of the Go runtime.
+	heapFraction = 0.7
+	// maxBodyBytes is the size of the largest request body, that of a ticket.
+	maxBodyBytes = validator.MaxBytes
+)
+
 // Start starts an instance. It returns as soon as all listeners are bound.
 func Start(options Options) (*Server, error) {
 	name, err := uniqueName(options.Settings.Name)
 	if err != nil {
 		return nil, err
 	}
+	memory := int64(options.Settings.Memory.Bytes())
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(float64(memory) * heapFraction))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		options:  options,
@@ -106,6 +122,7 @@
 		cancel:   cancel,
 		follower: ticketer.NewFollower(),
 		metrics:  metricsrecorder.New(),
+		bodies:   bodylimiter.New(bodylimiter.Budget(memory, maxBodyBytes), options.Clock, options.Log),
 
 		partitionsHandedOver: make(chan struct{}),
 	}
@@ -297,6 +314,7 @@
 		Authenticator: authenticator.New(s.options.Secrets.Callers),
 		Tickets:       s.follower.State,
 		Log:           s.log,
+		Bodies:        s.bodies,
 		ShuttingDown:  s.partitionsHandedOver,
 	}))
 	return nil
@@ -311,6 +329,7 @@
 		Controller:    s.controller,
 		Authenticator: authenticator.New(s.options.Secrets.Operators),
 		Metrics:       s.metrics,
+		Bodies:        s.bodies,
 		Tickets:       s.follower.State,
 		AdvanceTicket: s.follower.Advance,
 		InForceSince:  s.inForceSince,
@@ -376,6 +395,7 @@
 		commits, entries := s.journal.Counts()
 		return JournalCounts{Commits: commits, Entries: entries, Retries: s.journal.Retries()}
 	})
+	s.metrics.Publish("request-bodies", func() any { return json.RawMessage(s.bodies.Map().String()) })
 	s.metrics.Publish("table", func() any { return s.TableCounts() })
 }
 
