partitionserver: a crowd of connections does not keep callers out

Cause: the listeners accepted no connection at the limit until another one was closed by its peer or idle for two minutes.

--- a/internal/partitionserver/partitionserver.go
+++ b/internal/partitionserver/partitionserver.go
@@ -16,7 +16,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
-	"golang.org/x/net/netutil"
 
 	"dotterelpost.example/dotterelpost/internal/adminserver"
 	"dotterelpost.example/dotterelpost/internal/apiserver"
@@ -24,6 +23,7 @@
 	"dotterelpost.example/dotterelpost/internal/bodylimiter"
 	"dotterelpost.example/dotterelpost/internal/committer"
 	"dotterelpost.example/dotterelpost/internal/configurer"
+	"dotterelpost.example/dotterelpost/internal/connectionlimiter"
 	"dotterelpost.example/dotterelpost/internal/connector"
 	"dotterelpost.example/dotterelpost/internal/fencer"
 	"dotterelpost.example/dotterelpost/internal/journaler"
@@ -282,19 +282,21 @@
 	if err != nil {
 		return nil, netip.AddrPort{}, errors.Wrap(err, "parse bound address")
 	}
-	return netutil.LimitListener(listener, s.options.Settings.MaxConnections), bound, nil
+	return listener, bound, nil
 }
 
 func (s *Server) serve(listener net.Listener, handler http.Handler) *http.Server {
+	connections := connectionlimiter.New(s.options.Settings.MaxConnections, s.clock, s.log)
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+		ConnState:         connections.Observe,
 	}
 	s.goroutines.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(connections.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("HTTP server stopped", "address", listener.Addr().String(), "error", err)
 		}
 	})
