cellserver: what callers send ahead is bounded by the memory

What was seen: clients that send requests faster than they are served fill the receive buffers.

Cause: the receive buffers had the size of the system.

Change: connections of callers have receive buffers that share an eighth of the memory limit, 8 to 64 KB each; accepted sockets inherit the option of the listener. Where the option is not there, nothing changes. Readiness checks and metrics keep the buffers of the system, and so does stand-alone mode.

--- a/internal/cellserver/cellserver.go
+++ b/internal/cellserver/cellserver.go
@@ -13,7 +13,6 @@
 	"expvar"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime"
@@ -206,21 +205,22 @@
 		// An error means that the client has disconnected.
 		_, _ = fmt.Fprintln(w, vars.String())
 	})
+	receiveBuffer := connectionlimiter.ReceiveBuffer(i.settings.MemoryLimit, connectionlimiter.Max(i.settings.MaxDescriptors))
 	unlimited := connectionlimiter.New(0, i.clock, i.log)
 	var err error
-	if i.callerServer, i.callerAddress, err = i.serve(i.settings.CallerAddress, i.callerHandler, i.connections); err != nil {
+	if i.callerServer, i.callerAddress, err = i.serve(i.settings.CallerAddress, i.callerHandler, i.connections, receiveBuffer); err != nil {
 		return err
 	}
-	if _, _, err = i.serve(i.settings.ReadinessAddress, i.callerHandler.Readiness(), unlimited); err != nil {
+	if _, _, err = i.serve(i.settings.ReadinessAddress, i.callerHandler.Readiness(), unlimited, 0); err != nil {
 		return err
 	}
-	_, _, err = i.serve(i.settings.MetricsAddress, metricsHandler, unlimited)
+	_, _, err = i.serve(i.settings.MetricsAddress, metricsHandler, unlimited, 0)
 	return err
 }
 
 // serve starts an HTTP server and returns it with the address that it is bound to.
-func (i *Instance) serve(address netip.AddrPort, handler http.Handler, connections *connectionlimiter.Limiter) (*http.Server, netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", address.String())
+func (i *Instance) serve(address netip.AddrPort, handler http.Handler, connections *connectionlimiter.Limiter, receiveBuffer int) (*http.Server, netip.AddrPort, error) {
+	listener, err := connectionlimiter.Listen(context.Background(), address.String(), receiveBuffer)
 	if err != nil {
 		return nil, address, &ListenError{Address: address, Err: err}
 	}
--- a/internal/connectionlimiter/connectionlimiter.go
+++ b/internal/connectionlimiter/connectionlimiter.go
@@ -11,12 +11,14 @@
 
 import (
 	"container/list"
+	"context"
 	"expvar"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -42,6 +44,38 @@
 	return max(1, (descriptors-fileDescriptors)*callersNumerator/callersDenominator)
 }
 
+const (
+	// memoryDivisor is the inverse of the share of the memory limit for what connections have received and the
+	// process has not read.
+	memoryDivisor = 8
+	// minReceiveBuffer and maxReceiveBuffer bound the receive buffer of a connection.
+	minReceiveBuffer, maxReceiveBuffer = 8 << 10, 64 << 10
+)
+
+// ReceiveBuffer returns the size in bytes of the receive buffers of a number of connections in a process with a memory
+// limit; 0 means that of the system.
+func ReceiveBuffer(memoryLimit int64, connections int) int {
+	if memoryLimit <= 0 || connections <= 0 {
+		return 0
+	}
+	return int(max(minReceiveBuffer, min(maxReceiveBuffer, memoryLimit/memoryDivisor/int64(connections))))
+}
+
+// Listen listens on a TCP address. The connections have receive buffers of a size in bytes; 0 means that of the system.
+func Listen(ctx context.Context, address string, receiveBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{}
+	if receiveBuffer > 0 {
+		// Accepted connections inherit the option.
+		config.Control = func(_, _ string, socket syscall.RawConn) error {
+			return socket.Control(func(descriptor uintptr) {
+				// Without the option the buffers have the size of the system.
+				_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			})
+		}
+	}
+	return config.Listen(ctx, "tcp", address)
+}
+
 // Limiter limits the connections of one server. Its methods may be called concurrently.
 type Limiter struct {
 	max   int
--- a/internal/connectionlimiter/connectionlimiter_test.go
+++ b/internal/connectionlimiter/connectionlimiter_test.go
@@ -63,3 +63,20 @@
 		}
 	}
 }
+
+func TestReceiveBuffer(t *testing.T) {
+	for _, test := range []struct {
+		memoryLimit       int64
+		connections, want int
+	}{
+		{0, 2925, 0},
+		{284 << 20, 0, 0},
+		{160 << 20, 2925, minReceiveBuffer},
+		{536 << 20, 2925, 24018},
+		{536 << 20, 100, maxReceiveBuffer},
+	} {
+		if got := ReceiveBuffer(test.memoryLimit, test.connections); got != test.want {
+			t.Errorf("%d bytes of memory, %d connections: %d, want %d", test.memoryLimit, test.connections, got, test.want)
+		}
+	}
+}
