cellscheduler: renewals before the start name at most 100 workers a call

A gang on more than 100 workers whose assignments took longer to write than its tokens were valid asked for new tokens for all workers in one call, which the advisor refuses, until it gave up its assignments and began anew, for ever.

Change: such renewals are split like those of reserved room. TestGangOnMoreWorkersThanACallNames/slow store failed before (not started after 20 s and 8 calls, each naming 105 workers); the other cases held.

--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -69,34 +69,18 @@
 	if s.renewalsInFlight > 0 || c.now.Before(s.nextRenewalAt) {
 		return false
 	}
-	s.tokenWorkers = make(map[string]bool, len(workers))
-	for part := range slices.Chunk(workers, c.renewalSize(advisor, len(workers))) {
-		if !c.requestAdvice(s, advisor, part, renewal) {
-			break
-		}
-		for _, id := range part {
-			s.tokenWorkers[id] = true
-		}
-	}
-	if s.renewalsInFlight == 0 {
+	requested := c.requestRenewals(s, advisor, workers)
+	if len(requested) == 0 {
 		return false
 	}
 	s.renewed, s.renewAheadAt = true, c.now.Add(advisor.TokenLifetime)
+	s.tokenWorkers = make(map[string]bool, len(requested))
+	for _, id := range requested {
+		s.tokenWorkers[id] = true
+	}
 	return true
 }
 
-// renewalSize returns how many workers to name in each of the calls that renew tokens for the given number of workers.
-// Several calls at the same time take less time than one, but no more than half of the idle instances may be used.
-func (c *Scheduler) renewalSize(advisor *configprovider.AdvisorSettings, workers int) int {
-	if advisor.LatencyPerWorker <= 0 || !advicerouter.IsLong(advisor.Latency(workers)) {
-		return candidateselector.MaxCandidates
-	}
-	idle, _ := c.advisor.router.Idle(advisor.BaseLatency, c.now)
-	calls := max(1, idle/2)
-	size := max(int(advisor.BaseLatency/advisor.LatencyPerWorker)/2, (workers+calls-1)/calls, 1)
-	return min(size, candidateselector.MaxCandidates)
-}
-
 // aheadDivisor limits the gangs whose tokens are renewed before they have room: the first ones, which need this
 // fraction of the cell.
 const aheadDivisor = 2
--- a/internal/cellscheduler/renewals.go
+++ b/internal/cellscheduler/renewals.go
@@ -4,6 +4,10 @@
 	"maps"
 	"slices"
 	"time"
+
+	"dotterelpost.example/dotterelpost/internal/advicerouter"
+	"dotterelpost.example/dotterelpost/internal/candidateselector"
+	"dotterelpost.example/dotterelpost/internal/configprovider"
 )
 
 // maxTokenWait is how long after its assignment was written a run may wait for a new placement token. The
@@ -32,13 +36,39 @@
 			workers[other.worker.info.Worker] = true
 		}
 	}
-	if c.requestAdvice(s, advisor, slices.Sorted(maps.Keys(workers)), renewal) {
-		c.Log.Info("tokens renewed before the start", "job", p.key.Job, "step", p.key.Step, "workers", len(workers),
+	if requested := c.requestRenewals(s, advisor, slices.Sorted(maps.Keys(workers))); len(requested) > 0 {
+		c.Log.Info("tokens renewed before the start", "job", p.key.Job, "step", p.key.Step, "workers", len(requested),
 			"written-ms-ago", c.now.Sub(p.assignedAt).Milliseconds())
 	}
 	return true
 }
 
+// requestRenewals requests new placement tokens for approved workers and returns those for which an instance was
+// available for the call.
+func (c *Scheduler) requestRenewals(s *step, advisor *configprovider.AdvisorSettings, workers []string) []string {
+	var requested []string
+	for part := range slices.Chunk(workers, c.renewalSize(advisor, len(workers))) {
+		if !c.requestAdvice(s, advisor, part, renewal) {
+			break
+		}
+		requested = append(requested, part...)
+	}
+	return requested
+}
+
+// renewalSize returns how many workers to name in each of the calls that renew tokens for the given number of workers.
+// Several calls at the same time take less time than one, but no more than half of the idle instances may be used.
+func (c *Scheduler) renewalSize(advisor *configprovider.AdvisorSettings, workers int) int {
+	if advisor.LatencyPerWorker <= 0 || !advicerouter.IsLong(advisor.Latency(workers)) {
+		return candidateselector.MaxCandidates
+	}
+	idle, _ := c.advisor.router.Idle(advisor.BaseLatency, c.now)
+	calls := max(1, idle/2)
+	// The time for the workers of a call is half of its fixed time.
+	size := max(int(advisor.BaseLatency/advisor.LatencyPerWorker)/2, (workers+calls-1)/calls, 1)
+	return min(size, candidateselector.MaxCandidates)
+}
+
 // hasGangTokens reports whether all members of a gang's run that wait for their start orders have valid
 // tokens.
 func (c *Scheduler) hasGangTokens(p *placement) bool {
--- a/internal/cellscheduler/widegangs_test.go
+++ b/internal/cellscheduler/widegangs_test.go
@@ -162,11 +162,17 @@
 
 // TestGangOnMoreWorkersThanACallNames: a gang that needs more workers than the advisor accepts in one call must start.
 func TestGangOnMoreWorkersThanACallNames(t *testing.T) {
-	for queue, delay := range map[string]time.Duration{"short": 0, "long": 400 * time.Millisecond} {
+	for queue, test := range map[string]struct {
+		// delay is the fixed time of a call, commitDelay that of a transaction: if it is long, tokens expire before the start.
+		delay, commitDelay time.Duration
+	}{
+		"short": {0, 10 * time.Millisecond}, "long": {400 * time.Millisecond, 10 * time.Millisecond}, "slow store": {0, 1600 * time.Millisecond},
+	} {
+		delay := test.delay
 		t.Run(queue, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				env := newTestEnv(t, 120)
-				env.adviceDelay = delay
+				env.adviceDelay, env.commitDelay = delay, test.commitDelay
 				env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
 					{Name: queue, Service: "cell", Policy: configprovider.Policy{MaxFailures: 2, Stretch: 2, Target: time.Second, Advisor: &configprovider.AdvisorSettings{
 						BaseLatency: delay + 5*time.Millisecond, LatencyPerWorker: 100 * time.Microsecond, TokenLifetime: 1500 * time.Millisecond,
