cellscheduler: a gang asks again about workers that have restarted

An approval belongs to one incarnation, but whether to ask about a worker was decided by its ID; since a gang with a slow advisor does not name workers that are approved, so that it never named those again.

Change: both questions compare the incarnation. TestGangStartsAgainOnRestartedWorkers failed before (one call in 60 s), as did TestGangThatWaitsStartsOnRestartedWorkers; each passed three times with the change.

--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -149,7 +149,7 @@
 	// If one call can't name more workers than those, it must name others.
 	learns := learnsFirst(s, advisor) || s.def.Gang && len(approved) >= candidateselector.MaxCandidates
 	excluded := func(index int) bool {
-		return c.isRejected(s, index) || !c.isEligible(s, index) || unusable(index) || learns && s.isApproved(c.candidates[index].Worker)
+		return c.isRejected(s, index) || !c.isEligible(s, index) || unusable(index) || learns && s.isApproved(c.candidateWorkers[index])
 	}
 	request := candidateselector.Request{
 		Step: s.def, Tasks: min(s.unassigned(), c.quotaRoom(s)), SuitableShare: approvalRate,
--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -167,7 +167,7 @@
 	needs := s.def.Reservation()
 	for i := range c.candidates {
 		candidate := &c.candidates[i]
-		if needs.Fits(candidate.Available()) && !s.isApproved(candidate.Worker) && !c.isRejected(s, i) {
+		if needs.Fits(candidate.Available()) && !s.isApproved(c.candidateWorkers[i]) && !c.isRejected(s, i) {
 			return true
 		}
 	}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -60,9 +60,10 @@
 	comparison interferencedetector.Step
 }
 
-func (s *step) isApproved(worker string) bool {
-	_, approved := s.approved[worker]
-	return approved
+// isApproved reports whether the advisor approved the current incarnation of a worker for the step.
+func (s *step) isApproved(w *worker) bool {
+	granted, approved := s.approved[w.info.Worker]
+	return approved && granted.startMillis == w.info.StartMillis
 }
 
 // unassigned counts the tasks that wait for a worker.
