cellscheduler: a gang claims room only if it can be expected to get all of it

Claims of the first gang had no bound.

Change: the first gang claims only if free room and the runs that end within the duration of its own run leave enough for it; lasting tasks do not count. The bound on the others holds for memory and accelerators, too: gangs that needed few processors claimed all accelerators. A gang that must be on one rack claims on the rack with the most room. TestGangThatWaitsForAServiceLeavesRoom and TestLastingTasksAreNotExpectedToEnd failed before, as did the reviewer's versions of TestClaimsAreLimitedInEveryDimension and TestGangOnOneRackClaimsOneRack.

--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -220,9 +220,11 @@
 	// the advisor.
 	allIndexes []int
 	selector   *candidateselector.Selector
-	// capacity is that of all candidates, claimed the part of it that gangs claim in the current round, ahead what the
-	// gangs need whose tokens are renewed before they have room.
-	capacity, claimed, ahead modeler.Processors
+	// capacity is that of all candidates, claimed the part of it that claimants gangs claim in the current round, ahead
+	// what the gangs need whose tokens are renewed before they have room.
+	capacity, claimed modeler.Resources
+	claimants         int
+	ahead             modeler.Processors
 	// maxFreeProcessors is the largest free processor capacity of a candidate when the round
 	// began.
 	maxFreeProcessors modeler.Processors
--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -27,7 +27,7 @@
 			return false
 		}
 		c.renewAhead(s, advisor, approved)
-		s.claims = approved
+		s.claims = c.rackToClaim(s, approved)
 	}
 	if learnsFirst(s, advisor) {
 		return whenEmpty < candidateselector.GangOversampling*len(s.tasks) || c.hasUnaskedCandidates(s)
@@ -89,7 +89,7 @@
 // expected to have room. A long call takes a large part of a run, for which the room would be reserved and idle
 // otherwise.
 func (c *Scheduler) renewAhead(s *step, advisor *configprovider.AdvisorSettings, approved []int) {
-	if !learnsFirst(s, advisor) || c.ahead >= c.capacity/aheadDivisor {
+	if !learnsFirst(s, advisor) || c.ahead >= c.capacity.Processors/aheadDivisor {
 		return
 	}
 	needs := s.def.Reservation()
@@ -100,7 +100,7 @@
 	usableAt := c.now.Add(advisor.Latency(candidateselector.MaxCandidates) + advisor.TokenLifetime/2)
 	expected := make(map[int]modeler.Processors, len(approved))
 	for _, index := range approved {
-		expected[index] = c.expectedFree(index, usableAt)
+		expected[index] = c.expectedFree(index, usableAt).Processors
 	}
 	order := slices.Clone(approved)
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(expected[b], expected[a]) })
@@ -116,12 +116,16 @@
 	c.renewTokens(s, advisor, workers)
 }
 
-// expectedFree returns the processors of a candidate that are free or are expected to be free at a time.
-func (c *Scheduler) expectedFree(index int, at time.Time) modeler.Processors {
-	free := c.candidates[index].Free.Processors
+// expectedFree returns the resources of a candidate that are free or are expected to be free at a time.
+func (c *Scheduler) expectedFree(index int, at time.Time) modeler.Resources {
+	free := c.candidates[index].Available()
 	for _, p := range c.candidateWorkers[index].placements {
-		if p.state == runStarted && !p.startedAt.Add(c.expectedDuration(p.job, p.key.Step)).After(at) {
-			free += p.step.Reservation().Processors
+		switch {
+		case p.stopReason != "":
+			free = free.Plus(p.step.Reservation())
+		case p.step.LongRunning || p.job.definition == nil:
+		case !later(p.startedAt, p.placedAt).Add(c.expectedDuration(p.job, p.key.Step)).After(at):
+			free = free.Plus(p.step.Reservation())
 		}
 	}
 	return free
--- a/internal/cellscheduler/gangwaits.go
+++ b/internal/cellscheduler/gangwaits.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		room.withToken += free
-		room.unreserved += cellplacer.MaxTasks(candidate.Free, needs, limit)
+		room.unreserved += cellplacer.MaxTasks(candidate.Available(), needs, limit)
 	}
 	return room
 }
--- a/internal/cellscheduler/load.go
+++ b/internal/cellscheduler/load.go
@@ -49,7 +49,7 @@
 		left += c.candidates[i].Free.Processors
 		free += c.candidateWorkers[i].free().Processors
 	}
-	c.Log.Info("room", "cell", c.claim.Cell, "processors", c.capacity.Number(), "free", free.Number(), "reserved", reserved.Number(), "claimed", c.claimed.Number(),
+	c.Log.Info("room", "cell", c.claim.Cell, "processors", c.capacity.Processors.Number(), "free", free.Number(), "reserved", reserved.Number(), "claimed", c.claimed.Processors.Number(),
 		"unclaimed", left.Number(), "wanted", wanted.Number(), "pending", len(c.pendingSteps), "gangs", gangs, "gangs-reserving", reserving)
 }
 
--- a/internal/cellscheduler/reservations.go
+++ b/internal/cellscheduler/reservations.go
@@ -1,6 +1,8 @@
 package cellscheduler
 
 import (
+	"slices"
+
 	"dotterelpost.example/dotterelpost/internal/advicerouter"
 	"dotterelpost.example/dotterelpost/internal/cellplacer"
 	"dotterelpost.example/dotterelpost/internal/configprovider"
@@ -125,13 +127,20 @@
 // claimRoom keeps the free room on approved workers from steps of lower rank for the rest of the round, for a gang for
 // which it is too small. Because claims are made anew in each round, in order of rank, and a reservation always covers
 // its gang whole, no gang waits for one that waits for it: the first incomplete gang gets all room that becomes free
-// on its workers and is not taken by steps of higher rank.
+// on its workers and is not taken by steps of higher rank. It gets nothing if the runs that end within the duration of its own
+// run do not leave enough room, so that it does not keep room idle that it can't complete.
 func (c *Scheduler) claimRoom(s *step) {
+	claims := s.claims
+	s.claims = nil
+	first := c.claimants == 0
+	if len(claims) == 0 || first && !c.expectsRoom(s, claims) {
+		return
+	}
+	c.claimants++
 	needs, left := s.def.Reservation(), len(s.tasks)
-	first, limit := c.claimed == 0, c.capacity/claimDivisor
-	for _, index := range s.claims {
-		if left <= 0 || !first && c.claimed >= limit {
-			break
+	for _, index := range claims {
+		if left <= 0 || !first && c.claimed.DominantShare(c.capacity) >= 1.0/claimDivisor {
+			return
 		}
 		if !c.isEligible(s, index) {
 			continue
@@ -139,9 +148,47 @@
 		candidate := &c.candidates[index]
 		count := min(left, cellplacer.MaxTasks(candidate.Free, needs, s.def.MaxPerWorker))
 		room := needs.Times(count)
-		candidate.Free = candidate.Free.Minus(room)
-		c.claimed += room.Processors
+		candidate.Free, c.claimed = candidate.Free.Minus(room), c.claimed.Plus(room)
 		left -= count
 	}
-	s.claims = nil
+}
+
+// expectsRoom reports whether candidates are expected to have room for all tasks of a gang within the duration of its run.
+func (c *Scheduler) expectsRoom(s *step, indexes []int) bool {
+	at := c.now.Add(c.expectedDuration(s.job, s.key.Step))
+	room := 0
+	for _, index := range indexes {
+		if !c.isEligible(s, index) {
+			continue
+		}
+		if room += cellplacer.MaxTasks(c.expectedFree(index, at), s.def.Reservation(), s.def.MaxPerWorker); room >= len(s.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// rackToClaim returns those of the candidates on which a gang may claim room: of a gang that must be on one rack, those of
+// the rack with the most free room among the racks that can hold it.
+func (c *Scheduler) rackToClaim(s *step, indexes []int) []int {
+	if !s.def.SameRack {
+		return indexes
+	}
+	free, whenEmpty := make(map[string]int), make(map[string]int)
+	for _, index := range indexes {
+		if candidate := &c.candidates[index]; c.isEligible(s, index) {
+			free[candidate.Rack] += cellplacer.MaxTasks(candidate.Available(), s.def.Reservation(), s.def.MaxPerWorker)
+			whenEmpty[candidate.Rack] += cellplacer.MaxTasks(candidate.Capacity, s.def.Reservation(), s.def.MaxPerWorker)
+		}
+	}
+	best := ""
+	for rack, room := range whenEmpty {
+		if room >= len(s.tasks) && (best == "" || free[rack] > free[best] || free[rack] == free[best] && rack < best) {
+			best = rack
+		}
+	}
+	if best == "" {
+		return indexes
+	}
+	return slices.DeleteFunc(slices.Clone(indexes), func(index int) bool { return c.candidates[index].Rack != best })
 }
--- a/internal/cellscheduler/reservations_test.go
+++ b/internal/cellscheduler/reservations_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,8 +33,9 @@
 
 // newGang returns a late gang of tasks of 16 processors that reserves room on the first worker, with a call in flight.
 func newGang(id string, tasks, reserved int) *step {
+	definition := &steptracker.Job{Steps: []steptracker.Step{{Tasks: tasks, Gang: true, Needs: modeler.Resources{Processors: 16000}, Estimate: time.Second}}}
 	return &step{
-		key: steptracker.StepKey{Job: id}, job: &job{}, def: &steptracker.Step{Tasks: tasks, Gang: true, Needs: modeler.Resources{Processors: 16000}},
+		key: steptracker.StepKey{Job: id}, job: &job{definition: definition, progress: &steptracker.Progress{}}, def: &definition.Steps[0],
 		tasks: make([]steptracker.Task, tasks), tier: prioritizer.TierLate, reserved: map[string]int{"w0": reserved}, renewalsInFlight: 1,
 	}
 }
@@ -80,8 +82,8 @@
 		gang := newGang(fmt.Sprint(i), 20, 0)
 		gang.claims = all
 		c.claimRoom(gang)
-		if c.claimed != want {
-			t.Errorf("%d processors are claimed after %d gangs, want %d", c.claimed, i+1, want)
+		if c.claimed.Processors != want {
+			t.Errorf("%d processors are claimed after %d gangs, want %d", c.claimed.Processors, i+1, want)
 		}
 	}
 	c.collectCandidates(nil)
@@ -89,8 +91,8 @@
 		gang := newGang(fmt.Sprint(i), 4, 0)
 		gang.claims = all
 		c.claimRoom(gang)
-		if c.claimed != want {
-			t.Errorf("%d processors are claimed after %d small gangs, want %d", c.claimed, i+1, want)
+		if c.claimed.Processors != want {
+			t.Errorf("%d processors are claimed after %d small gangs, want %d", c.claimed.Processors, i+1, want)
 		}
 	}
 }
@@ -107,7 +109,61 @@
 		}
 	}
 	c.collectCandidates(nil)
-	if got := c.expectedFree(0, c.now.Add(2*time.Second)); got != 48000 {
+	if got := c.expectedFree(0, c.now.Add(2*time.Second)).Processors; got != 48000 {
 		t.Errorf("%d processors are expected to be free in 2 s, want 48000", got)
 	}
 }
+
+// TestLastingTasksAreNotExpectedToEnd: a gang that waits for the room of a service claims nothing.
+func TestLastingTasksAreNotExpectedToEnd(t *testing.T) {
+	c := newRound(1)
+	c.workers["w0"].used = modeler.Resources{Processors: 48000}
+	service := &steptracker.Job{Steps: []steptracker.Step{{Needs: modeler.Resources{Processors: 48000}, LongRunning: true}}}
+	c.workers["w0"].placements[steptracker.TaskKey{}] = &placement{
+		job: &job{definition: service, progress: &steptracker.Progress{}}, step: &service.Steps[0], state: runStarted, startedAt: c.now.Add(-time.Minute),
+	}
+	c.collectCandidates(nil)
+	if got := c.expectedFree(0, c.now.Add(time.Second)).Processors; got != 16000 {
+		t.Errorf("%d processors are expected to be free beside a service, want 16000", got)
+	}
+	gang := newGang("gang", 2, 0)
+	gang.claims = c.allCandidates()
+	if c.claimRoom(gang); c.claimed.Processors != 0 {
+		t.Errorf("%d processors are claimed, want none", c.claimed.Processors)
+	}
+}
+
+// TestClaimsAreLimitedInEveryDimension: gangs that need few processors may not claim all memory or accelerators.
+func TestClaimsAreLimitedInEveryDimension(t *testing.T) {
+	for name, needs := range map[string]modeler.Resources{"accelerators": {Processors: 100, Accelerators: 1}, "memory": {Memory: 16 << 30}} {
+		c := newRound(20)
+		for _, w := range c.workers {
+			w.info.Capacity.Accelerators = 8
+		}
+		c.collectCandidates(nil)
+		for range 40 {
+			gang := newGang("gang", 4, 0)
+			gang.def.Needs = needs
+			gang.claims = c.allCandidates()
+			c.claimRoom(gang)
+		}
+		if share := c.claimed.DominantShare(c.capacity); share > 0.15 {
+			t.Errorf("%s: %.2f of the cell is claimed", name, share)
+		}
+	}
+}
+
+// TestGangOnOneRackClaimsOneRack: a gang that must be on one rack claims the rack that has the most room for it.
+func TestGangOnOneRackClaimsOneRack(t *testing.T) {
+	c := newRound(4)
+	for i, w := range c.sortedWorkers() {
+		w.info.Rack = fmt.Sprint("r", i/2)
+	}
+	c.workers["w0"].used, c.workers["w2"].used = modeler.Resources{Processors: 32000}, modeler.Resources{Processors: 16000}
+	c.collectCandidates(nil)
+	gang := newGang("gang", 8, 0)
+	gang.def.SameRack = true
+	if got := c.rackToClaim(gang, c.allCandidates()); !slices.Equal(got, []int{2, 3}) {
+		t.Errorf("claims the workers %v, want those of the second rack", got)
+	}
+}
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -196,7 +196,7 @@
 // collectCandidates builds the list of workers that may get new tasks in this round. ranked are the pending steps.
 func (c *Scheduler) collectCandidates(ranked []*step) {
 	c.candidates, c.candidateWorkers = c.candidates[:0], c.candidateWorkers[:0]
-	c.maxFreeProcessors, c.capacity, c.claimed, c.ahead = 0, 0, 0, 0
+	c.maxFreeProcessors, c.capacity, c.claimed, c.claimants, c.ahead = 0, modeler.Resources{}, modeler.Resources{}, 0, 0
 	requested := make([]modeler.Processors, 0, len(c.workers))
 	for _, w := range c.sortedWorkers() {
 		w.candidateIndex = -1
@@ -210,7 +210,7 @@
 		})
 		c.candidateWorkers, requested = append(c.candidateWorkers, w), append(requested, w.adviceRequested)
 		c.maxFreeProcessors = max(c.maxFreeProcessors, free.Processors)
-		c.capacity += w.info.Capacity.Processors
+		c.capacity = c.capacity.Plus(w.info.Capacity)
 	}
 	c.applyReservations(ranked)
 	c.selector = candidateselector.New(c.candidates, requested)
@@ -358,7 +358,7 @@
 	if advisor == nil {
 		s.claims = nil
 		if !c.assign(s, c.eligibleCandidates(s, c.allCandidates())) && s.def.Gang && c.roomWhenEmpty(s, c.allCandidates()) >= len(s.tasks) {
-			s.claims = c.allCandidates()
+			s.claims = c.rackToClaim(s, c.allCandidates())
 		}
 		return
 	}
--- a/internal/cellscheduler/round_test.go
+++ b/internal/cellscheduler/round_test.go
@@ -189,6 +189,45 @@
 	})
 }
 
+// TestGangThatWaitsForAServiceLeavesRoom: a gang that has room only if a service ends must not keep the free room from
+// steps of lower rank.
+func TestGangThatWaitsForAServiceLeavesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 10)
+		env.maxRunsPerWorker = 10
+		env.outcome = func(start *workerdriver.Start, _ string) (time.Duration, steptracker.EndReason) {
+			if start.Task.Job == "service" {
+				return time.Hour, steptracker.Done
+			}
+			return time.Second, steptracker.Done
+		}
+		env.configuration.Apply(&configprovider.Configuration{Version: 2, Queues: []configprovider.Queue{
+			{Name: "plain", Service: "cell", Policy: configprovider.Policy{MaxFailures: 3, Stretch: 2, Target: time.Second}},
+			{Name: "late", Service: "cell", Policy: configprovider.Policy{MaxFailures: 3, Stretch: 0.9}},
+		}})
+		c, stop := env.startScheduler(1)
+		defer stop()
+		sleep(time.Second)
+		service := step(10, 800)
+		service.LongRunning, service.MaxPerWorker = true, 1
+		submit(t, c, job("service", "plain", service))
+		sleep(time.Second)
+		gang := step(20, 2000)
+		gang.Gang, gang.Estimate = true, 20*time.Second
+		submit(t, c, job("gang", "late", gang))
+		sleep(time.Second)
+		narrow := step(4, 1500)
+		narrow.Estimate = 20 * time.Second
+		submit(t, c, job("narrow", "late", narrow))
+		sleep(20 * time.Second)
+		env.withLock(func() {
+			if len(env.starts)-10 < 4 {
+				t.Errorf("%d of 4 narrow tasks have started in 20 s, with 0.2 of the cell in use", len(env.starts)-10)
+			}
+		})
+	})
+}
+
 // bestEffortTask is the task that throttleBestEffortTask throttles.
 var bestEffortTask = steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "best-effort"}}
 
