--- a/internal/cellscheduler/quotaholds.go
+++ b/internal/cellscheduler/quotaholds.go
@@ -180,7 +180,7 @@
 		delete(c.quotas.heads, team)
 		found = false
 	}
-	if !found && pending && team != "" && s.def.Gang && s.adviceInFlight {
+	if !found && pending && team != "" && s.def.Gang && (s.adviceInFlight || s.renewalsInFlight > 0) {
 		c.quotas.heads[team] = quotaHead{step: s, reserved: s.def.Needs.Times(len(s.tasks))}
 	}
 }
--- a/internal/cellscheduler/reservations_test.go
+++ b/internal/cellscheduler/reservations_test.go
@@ -167,3 +167,17 @@
 		t.Errorf("claims the workers %v, want those of the second rack", got)
 	}
 }
+
+// TestQuotaIsReservedDuringRenewal: steps of lower rank may not use up a team's quota while a gang's tokens are renewed.
+func TestQuotaIsReservedDuringRenewal(t *testing.T) {
+	c := newRound(2)
+	c.quotas.init()
+	c.quotas.keeper.SetQuota("team", modeler.Resources{Processors: 64000})
+	gang := newGang("gang", 4, 4)
+	gang.job.progress.Team = "team"
+	c.pendingSteps[gang.key] = gang
+	c.reserveQuotaForAdvice(gang)
+	if _, found := c.quotas.heads["team"]; !found {
+		t.Error("the quota is not reserved")
+	}
+}
