cellscheduler: gangs prepare their start only on workers that they may use

A gang that needs isolation reserved room on workers where it could not be isolated, and never asked about others: TestIsolatedGangReservesWhereItMayStart failed before.

--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -154,6 +154,9 @@
 	}
 	for _, indexes := range [][]int{requested, approved} {
 		eligible := slices.Clone(c.eligibleCandidates(s, indexes))
+		if !s.hasOrdinaryTask() {
+			eligible = c.isolationCandidates(eligible)
+		}
 		chosen := cellplacer.Place(eligible, cellplacer.Request{Step: s.def, Tasks: len(s.tasks), AllOrNothing: true})
 		for i := range chosen {
 			chosen[i] = c.workers[eligible[chosen[i]].Worker].candidateIndex
@@ -171,7 +174,7 @@
 	needs := s.def.Reservation()
 	for i := range c.candidates {
 		candidate := &c.candidates[i]
-		if needs.Fits(candidate.Available()) && !s.isApproved(c.candidateWorkers[i]) && !c.isRejected(s, i) {
+		if needs.Fits(candidate.Available()) && c.isEligible(s, i) && !s.isApproved(c.candidateWorkers[i]) && !c.isRejected(s, i) {
 			return true
 		}
 	}
@@ -186,7 +189,7 @@
 		if unplaced <= 0 {
 			return true
 		}
-		if c.isRejected(s, i) {
+		if c.isRejected(s, i) || !c.isEligible(s, i) {
 			continue
 		}
 		unplaced -= cellplacer.MaxTasks(c.candidates[i].Available(), s.def.Reservation(), s.def.MaxPerWorker)
--- a/internal/cellscheduler/reservations_test.go
+++ b/internal/cellscheduler/reservations_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"dotterelpost.example/dotterelpost/internal/configprovider"
+	"dotterelpost.example/dotterelpost/internal/interferencedetector"
 	"dotterelpost.example/dotterelpost/internal/modeler"
 	"dotterelpost.example/dotterelpost/internal/prioritizer"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
@@ -168,6 +169,37 @@
 	}
 }
 
+// TestIsolatedGangReservesWhereItMayStart: a gang that needs isolation reserves no room where it may not be isolated.
+func TestIsolatedGangReservesWhereItMayStart(t *testing.T) {
+	c := newRound(8)
+	c.interference.detector = interferencedetector.New()
+	for i, w := range c.sortedWorkers() {
+		switch {
+		case i < 4:
+			w.used = modeler.Resources{Processors: 16000}
+			w.placements[steptracker.TaskKey{Index: i}] = &placement{key: steptracker.TaskKey{Index: i}}
+		case i >= 6:
+			w.isolatedRuns = 1
+			c.isolatedWorkers++
+		}
+	}
+	c.collectCandidates(nil)
+	gang := newGang("gang", 4, 0)
+	gang.tasks[0].CrashHistory.Suspected, gang.approved = 1, make(map[string]approval)
+	for id := range c.workers {
+		gang.approved[id] = approval{}
+	}
+	c.prepareGang(gang, &configprovider.AdvisorSettings{BaseLatency: 380 * time.Millisecond, LatencyPerWorker: 5500 * time.Microsecond, TokenLifetime: 1500 * time.Millisecond})
+	if len(gang.reserved) == 0 {
+		t.Error("the gang reserves nothing")
+	}
+	for id := range gang.reserved {
+		if !c.mayIsolateOn(c.workers[id]) {
+			t.Errorf("the gang reserves room on %s, where it may not start", id)
+		}
+	}
+}
+
 // TestQuotaIsReservedDuringRenewal: steps of lower rank may not use up a team's quota while a gang's tokens are renewed.
 func TestQuotaIsReservedDuringRenewal(t *testing.T) {
 	c := newRound(2)
