cellscheduler: tokens for many workers are renewed with few instances, too

Change: workers whose tokens outlast the calls are left out, those that expire first come first. TestGangOnManyWorkersWithFewInstances failed before with 3 instances (not started in 60 s, 30 calls; reviewer), and held with 4 and 8.

--- a/internal/cellscheduler/renewals.go
+++ b/internal/cellscheduler/renewals.go
@@ -44,9 +44,13 @@
 }
 
 // requestRenewals requests new placement tokens for approved workers and returns those for which an instance was
-// available for the call.
+// available for the call. Workers whose tokens outlast the calls are left out, and those whose tokens expire first come first,
+// so that with few instances all have valid tokens after several calls.
 func (c *Scheduler) requestRenewals(s *step, advisor *configprovider.AdvisorSettings, workers []string) []string {
 	var requested []string
+	answerAt := c.now.Add(2 * advisor.Latency(min(len(workers), candidateselector.MaxCandidates)))
+	workers = slices.DeleteFunc(slices.Clone(workers), func(id string) bool { return s.approved[id].expiresAt.After(answerAt) })
+	slices.SortStableFunc(workers, func(a, b string) int { return s.approved[a].expiresAt.Compare(s.approved[b].expiresAt) })
 	for part := range slices.Chunk(workers, c.renewalSize(advisor, len(workers))) {
 		if !c.requestAdvice(s, advisor, part, renewal) {
 			break
--- a/internal/cellscheduler/widegangs_test.go
+++ b/internal/cellscheduler/widegangs_test.go
@@ -191,3 +191,35 @@
 		})
 	}
 }
+
+// TestGangOnManyWorkersWithFewInstances: tokens for more workers than the idle instances can name at once must be renewed by
+// several calls, one after the other.
+func TestGangOnManyWorkersWithFewInstances(t *testing.T) {
+	for _, instances := range []int{3, 4, 8} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newTestEnv(t, 120)
+				env.configureWideQueue()
+				env.advisorInstances = nil
+				for i := range instances {
+					env.advisorInstances = append(env.advisorInstances, fmt.Sprint(i))
+				}
+				env.outcome = func(*workerdriver.Start, string) (time.Duration, steptracker.EndReason) {
+					return 10 * time.Second, steptracker.Done
+				}
+				c, stop := env.startScheduler(1)
+				defer stop()
+				sleep(3 * time.Second)
+				filler := step(119, 2000)
+				filler.MaxPerWorker, filler.Estimate = 1, 10*time.Second
+				submit(t, c, job("filler", "plain", filler))
+				sleep(time.Second)
+				gang := step(120, 4000)
+				gang.Gang, gang.MaxPerWorker = true, 1
+				submit(t, c, job("gang", "wide", gang))
+				sleep(time.Minute)
+				env.wantGangStarted(t)
+			})
+		})
+	}
+}
