--- a/internal/cellscheduler/widegangs_test.go
+++ b/internal/cellscheduler/widegangs_test.go
@@ -31,8 +31,8 @@
 	wideCellWorkers = 1100
 	// wideCellCapacity is the capacity of each worker.
 	wideCellCapacity = modeler.Processors(64000)
-	// maxIdle is how long a job may have nothing running while there is room for it twice over and less than half of
-	// the cell is in use.
+	// maxIdle is how long a job may have nothing running while there is room for it and less than half of the cell is in
+	// use. The rule LOST wants room twice over, but doesn't say whether workers on which the job may not run count.
 	maxIdle = 3 * time.Second
 )
 
@@ -118,7 +118,7 @@
 			}
 			room += cellplacer.MaxTasks(modeler.Resources{Processors: left, Memory: 128 << 30}, g.jobs[id].Steps[0].Needs, 0)
 		}
-		if running[id] || used >= total/2 || room < 2*g.jobs[id].Steps[0].Tasks {
+		if running[id] || used >= total/2 || room < g.jobs[id].Steps[0].Tasks {
 			delete(g.idleSince, id)
 		} else if g.idleSince[id].IsZero() {
 			g.idleSince[id] = time.Now()
