cellscheduler: earmarks and soft reservations, words of the field for both

"Claim" is the ownership of a cell here, and "held" is what a quota holds back. No behaviour changes.

--- a/internal/candidateselector/candidateselector_test.go
+++ b/internal/candidateselector/candidateselector_test.go
@@ -27,8 +27,8 @@
 func TestSelect(t *testing.T) {
 	slow := newCandidates(4000, 4000, 4000)
 	slow[0].Slowdown = 2
-	held := newCandidates(0, 1500)
-	held[0].Held.Processors, held[0].Capacity.Processors = 4000, 4000
+	reserved := newCandidates(0, 1500)
+	reserved[0].SoftReserved.Processors, reserved[0].Capacity.Processors = 4000, 4000
 	busy := newCandidates(0, 1500)
 	busy[0].Capacity.Processors = 4000
 	for _, test := range []struct {
@@ -43,7 +43,7 @@
 		{"known suitable first", newCandidates(1000, 4000), nil, candidateselector.Request{Step: newStep(1000), Tasks: 1, SuitableShare: 0.5, KnownSuitable: []int{0}}, []int{0, 1}},
 		{"slow workers last", slow, nil, candidateselector.Request{Step: newStep(4000), Tasks: 1, SuitableShare: 1}, []int{1, 2}},
 		{"no tasks, no candidates", newCandidates(2000, 1500), []modeler.Processors{2000, 0}, candidateselector.Request{Step: newStep(1000), Tasks: 0, SuitableShare: 1}, nil},
-		{"held resources last", held, nil, candidateselector.Request{Step: newStep(1000), Tasks: 2, SuitableShare: 1}, []int{1, 0}},
+		{"soft-reserved resources last", reserved, nil, candidateselector.Request{Step: newStep(1000), Tasks: 2, SuitableShare: 1}, []int{1, 0}},
 		{"busy workers last", busy, nil, candidateselector.Request{Step: newStep(1000), Tasks: 2, SuitableShare: 1, MayBeBusy: true}, []int{1, 0}},
 		{"no busy workers", busy, nil, candidateselector.Request{Step: newStep(1000), Tasks: 2, SuitableShare: 1}, []int{1}},
 		{"only what is not known", newCandidates(1500, 1500), nil, candidateselector.Request{Step: newStep(1000), Tasks: 2, SuitableShare: 1, Known: 3}, []int{0}},
--- a/internal/cellplacer/cellplacer.go
+++ b/internal/cellplacer/cellplacer.go
@@ -26,9 +26,9 @@
 	Free     modeler.Resources
 	// StepTasks is the number of tasks of the step on the worker.
 	StepTasks int
-	// Held are resources that are free as well but held for steps of lower rank. They are used only where
+	// SoftReserved are resources that are free as well but reserved for steps of lower rank. They are used only where
 	// nothing else is left.
-	Held modeler.Resources
+	SoftReserved modeler.Resources
 	// Slowdown is the ratio of run times on this worker to the usual run times: 1 for a healthy
 	// worker, more for a slow one or one on which tasks fail.
 	Slowdown float64
@@ -51,7 +51,7 @@
 }
 
 // Place places as many of the tasks as fit and returns the index of the candidate for each of them.
-// With AllOrNothing it places all tasks or none. It updates Free, Held and StepTasks of the chosen
+// With AllOrNothing it places all tasks or none. It updates Free, SoftReserved and StepTasks of the chosen
 // candidates.
 func Place(candidates []Candidate, request Request) []int {
 	if request.AllOrNothing && !hasRoom(candidates, request) {
@@ -75,16 +75,16 @@
 	return false
 }
 
-// Available returns the free resources, those that are held included.
-func (c *Candidate) Available() modeler.Resources { return c.Free.Plus(c.Held) }
+// Available returns the free resources, those that are soft-reserved included.
+func (c *Candidate) Available() modeler.Resources { return c.Free.Plus(c.SoftReserved) }
 
-// Take subtracts the resources of a task, those that are held last.
+// Take subtracts the resources of a task, those that are soft-reserved last.
 func (c *Candidate) Take(needs modeler.Resources) {
 	if needs.Fits(c.Free) {
 		c.Free = c.Free.Minus(needs)
 		return
 	}
-	c.Free, c.Held = modeler.Resources{}, c.Available().Minus(needs)
+	c.Free, c.SoftReserved = modeler.Resources{}, c.Available().Minus(needs)
 }
 
 // placeOnOneRack tries to place all tasks on a single rack. It spreads them over racks, where they
@@ -192,7 +192,7 @@
 // instead.
 const slowdownTolerance = 0.4
 
-// preferred reports whether a is a better choice than b: workers with room that is not held come first, then those
+// preferred reports whether a is a better choice than b: workers with room that is not soft-reserved come first, then those
 // on the rack of the data, then workers with a lower slowdown, interference included, then those with less interference, then
 // those with the fewest free processors (best fit).
 // Isolated tasks prefer workers that have tasks of the step, then those with the most free processors.
@@ -204,7 +204,7 @@
 		return a.Free.Processors > b.Free.Processors
 	}
 	step := request.Step
-	if a.Held.Processors > 0 || b.Held.Processors > 0 {
+	if a.SoftReserved.Processors > 0 || b.SoftReserved.Processors > 0 {
 		needs := step.Reservation()
 		if fits := needs.Fits(a.Free); fits != needs.Fits(b.Free) {
 			return fits
--- a/internal/cellplacer/cellplacer_test.go
+++ b/internal/cellplacer/cellplacer_test.go
@@ -27,9 +27,9 @@
 	return candidate
 }
 
-// withHeld holds a part of the candidate's free processors.
-func withHeld(candidate cellplacer.Candidate, processors modeler.Processors) cellplacer.Candidate {
-	candidate.Held.Processors = processors
+// withSoftReserved reserves a part of the candidate's free processors.
+func withSoftReserved(candidate cellplacer.Candidate, processors modeler.Processors) cellplacer.Candidate {
+	candidate.SoftReserved.Processors = processors
 	candidate.Free.Processors -= processors
 	return candidate
 }
@@ -46,9 +46,9 @@
 		request    cellplacer.Request
 		want       string
 	}{
-		"best fit":                             {[]cellplacer.Candidate{newCandidate("a", "r1", 9000), newCandidate("b", "r1", 6000)}, cellplacer.Request{Step: newStep(5000), Tasks: 1}, "[1]"},
-		"held room last":                       {[]cellplacer.Candidate{withHeld(newCandidate("a", "r1", 9000), 6000), newCandidate("b", "r1", 60000)}, cellplacer.Request{Step: newStep(5000), Tasks: 1}, "[1]"},
-		"held room where nothing else is left": {[]cellplacer.Candidate{withHeld(newCandidate("a", "r1", 9000), 6000), newCandidate("b", "r1", 6000)}, cellplacer.Request{Step: newStep(5000), Tasks: 3}, "[1 0]"},
+		"best fit":                {[]cellplacer.Candidate{newCandidate("a", "r1", 9000), newCandidate("b", "r1", 6000)}, cellplacer.Request{Step: newStep(5000), Tasks: 1}, "[1]"},
+		"soft-reserved room last": {[]cellplacer.Candidate{withSoftReserved(newCandidate("a", "r1", 9000), 6000), newCandidate("b", "r1", 60000)}, cellplacer.Request{Step: newStep(5000), Tasks: 1}, "[1]"},
+		"soft-reserved room where nothing else is left": {[]cellplacer.Candidate{withSoftReserved(newCandidate("a", "r1", 9000), 6000), newCandidate("b", "r1", 6000)}, cellplacer.Request{Step: newStep(5000), Tasks: 3}, "[1 0]"},
 		"as many as fit":                       {[]cellplacer.Candidate{newCandidate("a", "r1", 9000), newCandidate("b", "r1", 6000)}, cellplacer.Request{Step: newStep(5000), Tasks: 3}, "[1 0]"},
 		"all or none":                          {[]cellplacer.Candidate{newCandidate("a", "r1", 9000), newCandidate("b", "r1", 6000)}, cellplacer.Request{Step: newStep(5000), Tasks: 3, AllOrNothing: true}, "[]"},
 		"rack of the data":                     {[]cellplacer.Candidate{newCandidate("a", "r1", 9000), newCandidate("b", "r2", 6000)}, cellplacer.Request{Step: withRack(newStep(5000), "r1"), Tasks: 1}, "[0]"},
@@ -77,7 +77,7 @@
 		var candidates []cellplacer.Candidate
 		for i := range 1 + random.IntN(12) {
 			free := modeler.Processors(random.Int64N(64000))
-			candidates = append(candidates, withHeld(newCandidate(fmt.Sprint(i), fmt.Sprint("r", i%3), free), modeler.Processors(random.Int64N(int64(free+1)))))
+			candidates = append(candidates, withSoftReserved(newCandidate(fmt.Sprint(i), fmt.Sprint("r", i%3), free), modeler.Processors(random.Int64N(int64(free+1)))))
 		}
 		before := slices.Clone(candidates)
 		step := &steptracker.Step{
@@ -93,7 +93,7 @@
 			t.Fatalf("nothing was placed, but the candidates %+v have changed to %+v", before, candidates)
 		}
 		for _, candidate := range candidates {
-			if candidate.Free.Processors < 0 || candidate.Held.Processors < 0 || step.MaxPerWorker > 0 && candidate.StepTasks > step.MaxPerWorker {
+			if candidate.Free.Processors < 0 || candidate.SoftReserved.Processors < 0 || step.MaxPerWorker > 0 && candidate.StepTasks > step.MaxPerWorker {
 				t.Fatalf("candidate %+v is over its free resources or the limit of tasks per worker", candidate)
 			}
 		}
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -213,18 +213,18 @@
 	// index, eligible those that one step may use.
 	candidates, eligible []cellplacer.Candidate
 	candidateWorkers     []*worker
-	// lateReservations are the late steps, in order of rank, whose reservations are held from the candidates: steps in
+	// lateReservations are the late steps, in order of rank, whose reservations are soft: steps on
 	// time may still use that room.
 	lateReservations []*step
 	// allIndexes are the indexes of all candidates. selector chooses the candidates to name to
 	// the advisor.
 	allIndexes []int
 	selector   *candidateselector.Selector
-	// capacity is that of all candidates, claimed the part of it that claimants gangs claim in the current round, ahead
+	// capacity is that of all candidates, earmarked the part of it that so many earmarkers keep in the current round, ahead
 	// what the gangs need whose tokens are renewed before they have room.
-	capacity, claimed modeler.Resources
-	claimants         int
-	ahead             modeler.Processors
+	capacity, earmarked modeler.Resources
+	earmarkers          int
+	ahead               modeler.Processors
 	// maxFreeProcessors is the largest free processor capacity of a candidate when the round
 	// began.
 	maxFreeProcessors modeler.Processors
--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -15,9 +15,9 @@
 
 // prepareGang prepares the start of a gang that has no valid placement tokens for enough room. If the approved workers
 // have room for all of its tasks, the room is reserved while tokens for it are requested. Otherwise what they have
-// is claimed. It reports whether the advisor should be asked about further workers.
+// is earmarked. It reports whether the advisor should be asked about further workers.
 func (c *Scheduler) prepareGang(s *step, advisor *configprovider.AdvisorSettings) bool {
-	s.reserved, s.claims = nil, nil
+	s.reserved, s.earmarks = nil, nil
 	approved := c.approvedCandidates(s, false)
 	whenEmpty := c.roomWhenEmpty(s, approved)
 	fits := whenEmpty >= len(s.tasks)
@@ -27,7 +27,7 @@
 			return false
 		}
 		c.renewAhead(s, advisor, approved)
-		s.claims = c.rackToClaim(s, approved)
+		s.earmarks = c.rackToEarmark(s, approved)
 	}
 	if learnsFirst(s, advisor) {
 		return whenEmpty < candidateselector.GangOversampling*len(s.tasks) || c.hasUnaskedCandidates(s)
--- a/internal/cellscheduler/gangwaits.go
+++ b/internal/cellscheduler/gangwaits.go
@@ -24,7 +24,7 @@
 	// whenEmpty is the room on the approved workers if nothing ran there, free that beside their runs.
 	whenEmpty, free int
 	// withToken is the room on workers with valid placement tokens, unreserved that which no other step has reserved
-	// or claimed.
+	// or earmarked.
 	withToken, unreserved int
 }
 
--- a/internal/cellscheduler/load.go
+++ b/internal/cellscheduler/load.go
@@ -49,8 +49,8 @@
 		left += c.candidates[i].Free.Processors
 		free += c.candidateWorkers[i].free().Processors
 	}
-	c.Log.Info("room", "cell", c.claim.Cell, "processors", c.capacity.Processors.Number(), "free", free.Number(), "reserved", reserved.Number(), "claimed", c.claimed.Processors.Number(),
-		"unclaimed", left.Number(), "wanted", wanted.Number(), "pending", len(c.pendingSteps), "gangs", gangs, "gangs-reserving", reserving)
+	c.Log.Info("room", "cell", c.claim.Cell, "processors", c.capacity.Processors.Number(), "free", free.Number(), "reserved", reserved.Number(), "earmarked", c.earmarked.Processors.Number(),
+		"left", left.Number(), "wanted", wanted.Number(), "pending", len(c.pendingSteps), "gangs", gangs, "gangs-reserving", reserving)
 }
 
 // logLoad logs the load of the last interval, unless the control goroutine was idle for most of it.
--- a/internal/cellscheduler/randomrounds_test.go
+++ b/internal/cellscheduler/randomrounds_test.go
@@ -12,7 +12,7 @@
 	"dotterelpost.example/dotterelpost/internal/prioritizer"
 )
 
-// TestRoomIsNeverExceededInRandomRounds: free and held resources never exceed what is free on the worker and never wrap, in
+// TestRoomIsNeverExceededInRandomRounds: free and soft-reserved resources never exceed what is free on the worker and never wrap, in
 // any dimension.
 func TestRoomIsNeverExceededInRandomRounds(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
@@ -51,7 +51,7 @@
 		check := func(what string) {
 			for i := range c.candidates {
 				got, actual := c.candidates[i].Available(), c.candidateWorkers[i].free()
-				if !got.Fits(actual) || !c.candidates[i].Free.Fits(actual) || !c.candidates[i].Held.Fits(actual) || c.candidates[i].Free.Processors < 0 || c.candidates[i].Held.Processors < 0 || c.candidates[i].Free.Accelerators < 0 || c.candidates[i].Held.Accelerators < 0 {
+				if !got.Fits(actual) || !c.candidates[i].Free.Fits(actual) || !c.candidates[i].SoftReserved.Fits(actual) || c.candidates[i].Free.Processors < 0 || c.candidates[i].SoftReserved.Processors < 0 || c.candidates[i].Free.Accelerators < 0 || c.candidates[i].SoftReserved.Accelerators < 0 {
 					t.Fatalf("%d %s: candidate %+v, in fact free %+v", n, what, c.candidates[i], actual)
 				}
 			}
@@ -70,7 +70,7 @@
 			check("return")
 			switch random.IntN(4) {
 			case 0:
-				s.claims = c.allCandidates()
+				s.earmarks = c.allCandidates()
 			case 1:
 				for range random.IntN(4) {
 					w := c.candidateWorkers[0]
@@ -86,8 +86,8 @@
 			check("place")
 			c.applyReservation(s)
 			check("apply")
-			c.claimRoom(s)
-			check("claim")
+			c.earmarkRoom(s)
+			check("earmark")
 		}
 	}
 }
--- a/internal/cellscheduler/reservations.go
+++ b/internal/cellscheduler/reservations.go
@@ -25,7 +25,7 @@
 
 // applyReservations subtracts the reservations of all pending steps from the candidates of a new round, in order
 // of rank, so that the room which has become too small for all of them is missing to the lowest. What late steps
-// reserve is held: steps in time come before them and may take it where nothing else is left.
+// reserve is soft: steps on time come before them and may take it where nothing else is left.
 func (c *Scheduler) applyReservations(ranked []*step) {
 	c.lateReservations = c.lateReservations[:0]
 	for _, s := range ranked {
@@ -43,22 +43,22 @@
 		}
 	}
 	for _, s := range c.lateReservations {
-		c.holdReservation(s)
+		c.softReserve(s)
 	}
 }
 
-// holdReservation holds the room that a late step reserves from the candidates.
-func (c *Scheduler) holdReservation(s *step) {
+// softReserve holds the room that a late step reserves from the candidates.
+func (c *Scheduler) softReserve(s *step) {
 	for id, count := range s.reserved {
 		if w := c.workers[id]; w != nil && w.candidateIndex >= 0 {
 			candidate := &c.candidates[w.candidateIndex]
 			room := s.def.Reservation().Times(min(count, cellplacer.MaxTasks(candidate.Free, s.def.Reservation(), 0)))
-			candidate.Free, candidate.Held = candidate.Free.Minus(room), candidate.Held.Plus(room)
+			candidate.Free, candidate.SoftReserved = candidate.Free.Minus(room), candidate.SoftReserved.Plus(room)
 		}
 	}
 }
 
-// applyLateReservations takes the room that late steps reserve from all other steps, as far as steps in time have
+// applyLateReservations takes the room that late steps reserve from all other steps, as far as steps on time have
 // left it, once in a round.
 func (c *Scheduler) applyLateReservations() {
 	if len(c.lateReservations) == 0 {
@@ -66,7 +66,7 @@
 	}
 	for i := range c.candidates {
 		candidate := &c.candidates[i]
-		candidate.Free, candidate.Held = candidate.Available(), modeler.Resources{}
+		candidate.Free, candidate.SoftReserved = candidate.Available(), modeler.Resources{}
 	}
 	for _, s := range c.lateReservations {
 		c.applyReservation(s)
@@ -120,26 +120,26 @@
 	return false
 }
 
-// claimDivisor limits the room that incomplete gangs claim to this fraction of the cell, apart from what the first of
-// them claims. Steps of lower rank need the other room meanwhile.
-const claimDivisor = 10
+// earmarkDivisor limits the room that incomplete gangs earmark to this fraction of the cell, apart from what the first of
+// them earmarks. Steps of lower rank need the other room meanwhile.
+const earmarkDivisor = 10
 
-// claimRoom keeps the free room on approved workers from steps of lower rank for the rest of the round, for a gang for
-// which it is too small. Because claims are made anew in each round, in order of rank, and a reservation always covers
+// earmarkRoom keeps the free room on approved workers from steps of lower rank for the rest of the round, for a gang for
+// which it is too small. Because room is earmarked anew in each round, in order of rank, and a reservation always covers
 // its gang whole, no gang waits for one that waits for it: the first incomplete gang gets all room that becomes free
 // on its workers and is not taken by steps of higher rank. It gets nothing if the runs that end within the duration of its own
 // run do not leave enough room, so that it does not keep room idle that it can't complete.
-func (c *Scheduler) claimRoom(s *step) {
-	claims := s.claims
-	s.claims = nil
-	first := c.claimants == 0
-	if len(claims) == 0 || first && !c.expectsRoom(s, claims) {
+func (c *Scheduler) earmarkRoom(s *step) {
+	earmarks := s.earmarks
+	s.earmarks = nil
+	first := c.earmarkers == 0
+	if len(earmarks) == 0 || first && !c.expectsRoom(s, earmarks) {
 		return
 	}
-	c.claimants++
+	c.earmarkers++
 	needs, left := s.def.Reservation(), len(s.tasks)
-	for _, index := range claims {
-		if left <= 0 || !first && c.claimed.DominantShare(c.capacity) >= 1.0/claimDivisor {
+	for _, index := range earmarks {
+		if left <= 0 || !first && c.earmarked.DominantShare(c.capacity) >= 1.0/earmarkDivisor {
 			return
 		}
 		if !c.isEligible(s, index) {
@@ -148,7 +148,7 @@
 		candidate := &c.candidates[index]
 		count := min(left, cellplacer.MaxTasks(candidate.Free, needs, s.def.MaxPerWorker))
 		room := needs.Times(count)
-		candidate.Free, c.claimed = candidate.Free.Minus(room), c.claimed.Plus(room)
+		candidate.Free, c.earmarked = candidate.Free.Minus(room), c.earmarked.Plus(room)
 		left -= count
 	}
 }
@@ -168,9 +168,9 @@
 	return false
 }
 
-// rackToClaim returns those of the candidates on which a gang may claim room: of a gang that must be on one rack, those of
+// rackToEarmark returns those of the candidates on which a gang may earmark room: of a gang that must be on one rack, those of
 // the rack with the most free room among the racks that can hold it.
-func (c *Scheduler) rackToClaim(s *step, indexes []int) []int {
+func (c *Scheduler) rackToEarmark(s *step, indexes []int) []int {
 	if !s.def.SameRack {
 		return indexes
 	}
--- a/internal/cellscheduler/reservations_test.go
+++ b/internal/cellscheduler/reservations_test.go
@@ -56,44 +56,44 @@
 	}
 }
 
-// TestLateReservationIsHeldFromStepsInTime: until the first late step is visited, what late gangs reserve is held, and
+// TestLateReservationIsSoftForStepsOnTime: until the first late step is visited, what late gangs reserve is soft, and
 // after that it is nobody else's.
-func TestLateReservationIsHeldFromStepsInTime(t *testing.T) {
+func TestLateReservationIsSoftForStepsOnTime(t *testing.T) {
 	c := newRound(1)
 	gang := newGang("gang", 2, 2)
 	c.collectCandidates([]*step{gang})
-	if got := c.candidates[0]; got.Free.Processors != 32000 || got.Held.Processors != 32000 {
-		t.Errorf("%d processors are free and %d held, want 32000 of each", got.Free.Processors, got.Held.Processors)
+	if got := c.candidates[0]; got.Free.Processors != 32000 || got.SoftReserved.Processors != 32000 {
+		t.Errorf("%d processors are free and %d soft-reserved, want 32000 of each", got.Free.Processors, got.SoftReserved.Processors)
 	}
-	// A step in time takes 40 processors, 8 of them from those that are held.
+	// A step on time takes 40 processors, 8 of them from those that are reserved.
 	c.candidates[0].Take(modeler.Resources{Processors: 40000})
 	c.applyLateReservations()
-	if got := c.candidates[0]; got.Free.Processors != 8000 || got.Held.Processors != 0 || gang.reservedInRound["w0"] != 1 {
-		t.Errorf("%d processors are free, %d held, and %d tasks reserved, want 8000, 0 and 1", got.Free.Processors, got.Held.Processors, gang.reservedInRound["w0"])
+	if got := c.candidates[0]; got.Free.Processors != 8000 || got.SoftReserved.Processors != 0 || gang.reservedInRound["w0"] != 1 {
+		t.Errorf("%d processors are free, %d soft-reserved, and %d tasks reserved, want 8000, 0 and 1", got.Free.Processors, got.SoftReserved.Processors, gang.reservedInRound["w0"])
 	}
 }
 
-// TestClaimsLeaveRoomForLowerRanks: the first gang without enough room may claim all that it needs, the others together a
+// TestEarmarksLeaveRoomForLowerRanks: the first gang without enough room may earmark all that it needs, the others together a
 // tenth of the cell.
-func TestClaimsLeaveRoomForLowerRanks(t *testing.T) {
+func TestEarmarksLeaveRoomForLowerRanks(t *testing.T) {
 	c := newRound(20)
 	c.collectCandidates(nil)
 	all := c.allCandidates()
 	for i, want := range []modeler.Processors{64000 * 5, 64000 * 5, 64000 * 5} {
 		gang := newGang(fmt.Sprint(i), 20, 0)
-		gang.claims = all
-		c.claimRoom(gang)
-		if c.claimed.Processors != want {
-			t.Errorf("%d processors are claimed after %d gangs, want %d", c.claimed.Processors, i+1, want)
+		gang.earmarks = all
+		c.earmarkRoom(gang)
+		if c.earmarked.Processors != want {
+			t.Errorf("%d processors are earmarked after %d gangs, want %d", c.earmarked.Processors, i+1, want)
 		}
 	}
 	c.collectCandidates(nil)
 	for i, want := range []modeler.Processors{64000, 64000 * 2, 64000 * 2} {
 		gang := newGang(fmt.Sprint(i), 4, 0)
-		gang.claims = all
-		c.claimRoom(gang)
-		if c.claimed.Processors != want {
-			t.Errorf("%d processors are claimed after %d small gangs, want %d", c.claimed.Processors, i+1, want)
+		gang.earmarks = all
+		c.earmarkRoom(gang)
+		if c.earmarked.Processors != want {
+			t.Errorf("%d processors are earmarked after %d small gangs, want %d", c.earmarked.Processors, i+1, want)
 		}
 	}
 }
@@ -115,7 +115,7 @@
 	}
 }
 
-// TestLastingTasksAreNotExpectedToEnd: a gang that waits for the room of a service claims nothing.
+// TestLastingTasksAreNotExpectedToEnd: a gang that waits for the room of a service earmarks nothing.
 func TestLastingTasksAreNotExpectedToEnd(t *testing.T) {
 	c := newRound(1)
 	c.workers["w0"].used = modeler.Resources{Processors: 48000}
@@ -128,14 +128,14 @@
 		t.Errorf("%d processors are expected to be free beside a service, want 16000", got)
 	}
 	gang := newGang("gang", 2, 0)
-	gang.claims = c.allCandidates()
-	if c.claimRoom(gang); c.claimed.Processors != 0 {
-		t.Errorf("%d processors are claimed, want none", c.claimed.Processors)
+	gang.earmarks = c.allCandidates()
+	if c.earmarkRoom(gang); c.earmarked.Processors != 0 {
+		t.Errorf("%d processors are earmarked, want none", c.earmarked.Processors)
 	}
 }
 
-// TestClaimsAreLimitedInEveryDimension: gangs that need few processors may not claim all memory or accelerators.
-func TestClaimsAreLimitedInEveryDimension(t *testing.T) {
+// TestEarmarksAreLimitedInEveryDimension: gangs that need few processors may not earmark all memory or accelerators.
+func TestEarmarksAreLimitedInEveryDimension(t *testing.T) {
 	for name, needs := range map[string]modeler.Resources{"accelerators": {Processors: 100, Accelerators: 1}, "memory": {Memory: 16 << 30}} {
 		c := newRound(20)
 		for _, w := range c.workers {
@@ -145,17 +145,17 @@
 		for range 40 {
 			gang := newGang("gang", 4, 0)
 			gang.def.Needs = needs
-			gang.claims = c.allCandidates()
-			c.claimRoom(gang)
+			gang.earmarks = c.allCandidates()
+			c.earmarkRoom(gang)
 		}
-		if share := c.claimed.DominantShare(c.capacity); share > 0.15 {
-			t.Errorf("%s: %.2f of the cell is claimed", name, share)
+		if share := c.earmarked.DominantShare(c.capacity); share > 0.15 {
+			t.Errorf("%s: %.2f of the cell is earmarked", name, share)
 		}
 	}
 }
 
-// TestGangOnOneRackClaimsOneRack: a gang that must be on one rack claims the rack that has the most room for it.
-func TestGangOnOneRackClaimsOneRack(t *testing.T) {
+// TestGangOnOneRackEarmarksOneRack: a gang that must be on one rack earmarks room on the rack that has the most room for it.
+func TestGangOnOneRackEarmarksOneRack(t *testing.T) {
 	c := newRound(4)
 	for i, w := range c.sortedWorkers() {
 		w.info.Rack = fmt.Sprint("r", i/2)
@@ -164,8 +164,8 @@
 	c.collectCandidates(nil)
 	gang := newGang("gang", 8, 0)
 	gang.def.SameRack = true
-	if got := c.rackToClaim(gang, c.allCandidates()); !slices.Equal(got, []int{2, 3}) {
-		t.Errorf("claims the workers %v, want those of the second rack", got)
+	if got := c.rackToEarmark(gang, c.allCandidates()); !slices.Equal(got, []int{2, 3}) {
+		t.Errorf("earmarks the workers %v, want those of the second rack", got)
 	}
 }
 
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -41,8 +41,8 @@
 	// reservedInRound is the part of it that was subtracted from the candidates of the current
 	// round.
 	reserved, reservedInRound map[string]int
-	// claims are the candidates on which a gang without enough room claims what is free in the current round.
-	claims []int
+	// earmarks are the candidates on which a gang without enough room earmarks what is free in the current round.
+	earmarks []int
 	// unusedAdvice counts the consecutive requests of tokens for reserved room that were not used.
 	unusedAdvice int
 	// answered is set from an answer of the advisor until the step is visited. tier is that of the last
@@ -168,7 +168,7 @@
 		s.answered = false
 		c.reserveQuotaForAdvice(s)
 		c.applyReservation(s)
-		c.claimRoom(s)
+		c.earmarkRoom(s)
 	})
 	c.logRoom(ranked)
 	c.candidates = c.candidates[:0]
@@ -196,7 +196,7 @@
 // collectCandidates builds the list of workers that may get new tasks in this round. ranked are the pending steps.
 func (c *Scheduler) collectCandidates(ranked []*step) {
 	c.candidates, c.candidateWorkers = c.candidates[:0], c.candidateWorkers[:0]
-	c.maxFreeProcessors, c.capacity, c.claimed, c.claimants, c.ahead = 0, modeler.Resources{}, modeler.Resources{}, 0, 0
+	c.maxFreeProcessors, c.capacity, c.earmarked, c.earmarkers, c.ahead = 0, modeler.Resources{}, modeler.Resources{}, 0, 0
 	requested := make([]modeler.Processors, 0, len(c.workers))
 	for _, w := range c.sortedWorkers() {
 		w.candidateIndex = -1
@@ -356,9 +356,9 @@
 func (c *Scheduler) placeStep(s *step) {
 	advisor := c.advisorOf(s.job)
 	if advisor == nil {
-		s.claims = nil
+		s.earmarks = nil
 		if !c.assign(s, c.eligibleCandidates(s, c.allCandidates())) && s.def.Gang && c.roomWhenEmpty(s, c.allCandidates()) >= len(s.tasks) {
-			s.claims = c.rackToClaim(s, c.allCandidates())
+			s.earmarks = c.rackToEarmark(s, c.allCandidates())
 		}
 		return
 	}
