cellscheduler: the size of a call is a pure decision; names a newcomer would look for

Cause: how many workers a renewal names was decided inside the scheduler, so that no table could test it; learnsFirst, learns and renewAhead did not say what they do, one comment stood for two constants, and one sentence of a test spoke in a figure.

Change: advicerouter.CallSize decides from its arguments alone (TestCallSize, 8 cases); asksInAdvance, unknownOnly and renewInAdvance; a comment for each constant. No behaviour changes: the same formula with the same inputs.

Ruled out: a package of its own for one function of ten lines.

--- a/internal/advicerouter/advicerouter.go
+++ b/internal/advicerouter/advicerouter.go
@@ -49,6 +49,18 @@
 // IsLong reports whether a call of the given cost is kept off the instances reserved for short calls.
 func IsLong(cost time.Duration) bool { return cost >= longCallThreshold }
 
+// CallSize returns how many workers to name in each of the calls about a number of workers, at most maxSize. A call takes
+// base and perWorker for each worker. Several calls at the same time take less time than one, but they use no more than half of
+// the idle instances, and the workers of a call take half of base or more.
+func CallSize(base, perWorker time.Duration, workers, idle, maxSize int) int {
+	if perWorker <= 0 || !IsLong(base+time.Duration(workers)*perWorker) {
+		return maxSize
+	}
+	calls := max(1, idle/2)
+	size := max(int(base/perWorker)/2, (workers+calls-1)/calls, 1)
+	return min(size, maxSize)
+}
+
 // Router tracks the queues of all instances at the advisor.
 type Router struct {
 	queues map[string]*queue
--- a/internal/advicerouter/advicerouter_test.go
+++ b/internal/advicerouter/advicerouter_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+func TestCallSize(t *testing.T) {
+	const base, perWorker, maxSize = 380 * time.Millisecond, 5500 * time.Microsecond, 100
+	for name, test := range map[string]struct {
+		base, perWorker time.Duration
+		workers, idle   int
+		want            int
+	}{
+		"one call while few instances are idle": {base, perWorker, 60, 3, 60},
+		"two calls at the same time":            {base, perWorker, 60, 8, 34},
+		"half of the idle instances":            {base, perWorker, 100, 4, 50},
+		"no call above the maximum":             {base, perWorker, 240, 3, 100},
+		"a short call is not split":             {9 * time.Millisecond, 130 * time.Microsecond, 60, 40, 100},
+		"workers that cost nothing":             {base, 0, 60, 40, 100},
+		"none":                                  {base, perWorker, 0, 8, 34},
+		"workers that cost more than a call":    {50 * time.Millisecond, 100 * time.Millisecond, 2, 40, 1},
+	} {
+		if got := advicerouter.CallSize(test.base, test.perWorker, test.workers, test.idle, maxSize); got != test.want {
+			t.Errorf("%s: %d workers a call, want %d", name, got, test.want)
+		}
+	}
+}
+
 // TestBurstOfShortCallsIsNotDelayed checks that in a burst of 300 short and 30 long calls a second
 // every short call finds an instance, and most long calls do.
 func TestBurstOfShortCallsIsNotDelayed(t *testing.T) {
--- a/internal/candidateselector/candidateselector.go
+++ b/internal/candidateselector/candidateselector.go
@@ -27,10 +27,11 @@
 const (
 	// MaxCandidates is the maximum number of workers in one call.
 	MaxCandidates = 100
-	// taskOversampling and GangOversampling are the ratios of expected places to tasks. Gangs have
-	// the higher one: all places of a gang must be free at the same time, and it helps to know which
-	// workers are suitable before their resources are free.
+	// taskOversampling is the ratio of expected places to tasks of a step that is not a gang.
 	taskOversampling = 1.6
+	// GangOversampling is the ratio of expected places to tasks of a gang. It is higher, because all places of a
+	// gang must be free at the same time, and it helps to know which workers are suitable before their resources are
+	// free.
 	GangOversampling = 3
 	// maxTasksSought limits the tasks per call for a step that is not a gang: its tasks can start
 	// one by one as resources become free.
--- a/internal/cellscheduler/advice.go
+++ b/internal/cellscheduler/advice.go
@@ -147,9 +147,9 @@
 	}
 	approved := slices.DeleteFunc(c.approvedCandidates(s, false), unusable)
 	// If one call can't name more workers than those, it must name others.
-	learns := learnsFirst(s, advisor) || s.def.Gang && len(approved) >= candidateselector.MaxCandidates
+	unknownOnly := asksInAdvance(s, advisor) || s.def.Gang && len(approved) >= candidateselector.MaxCandidates
 	excluded := func(index int) bool {
-		return c.isRejected(s, index) || !c.isEligible(s, index) || unusable(index) || learns && s.isApproved(c.candidateWorkers[index])
+		return c.isRejected(s, index) || !c.isEligible(s, index) || unusable(index) || unknownOnly && s.isApproved(c.candidateWorkers[index])
 	}
 	request := candidateselector.Request{
 		Step: s.def, Tasks: min(s.unassigned(), c.quotaRoom(s)), SuitableShare: approvalRate,
@@ -157,7 +157,7 @@
 			return excluded(index) || s.failedOn[c.candidates[index].Worker]
 		},
 	}
-	if learns {
+	if unknownOnly {
 		request.MayBeBusy = true
 		if known := c.roomWhenEmpty(s, approved); known < candidateselector.GangOversampling*len(s.tasks) {
 			request.Known = known
--- a/internal/cellscheduler/cellscheduler.go
+++ b/internal/cellscheduler/cellscheduler.go
@@ -220,11 +220,11 @@
 	// the advisor.
 	allIndexes []int
 	selector   *candidateselector.Selector
-	// capacity is that of all candidates, earmarked the part of it that so many earmarkers keep in the current round, ahead
+	// capacity is that of all candidates, earmarked the part of it that so many earmarkers keep in the current round, inAdvance
 	// what the gangs need whose tokens are renewed before they have room.
 	capacity, earmarked modeler.Resources
 	earmarkers          int
-	ahead               modeler.Processors
+	inAdvance           modeler.Processors
 	// maxFreeProcessors is the largest free processor capacity of a candidate when the round
 	// began.
 	maxFreeProcessors modeler.Processors
--- a/internal/cellscheduler/gangs.go
+++ b/internal/cellscheduler/gangs.go
@@ -26,18 +26,18 @@
 			c.reserveForGang(s, advisor, chosen)
 			return false
 		}
-		c.renewAhead(s, advisor, approved)
+		c.renewInAdvance(s, advisor, approved)
 		s.earmarks = c.rackToEarmark(s, approved)
 	}
-	if learnsFirst(s, advisor) {
+	if asksInAdvance(s, advisor) {
 		return whenEmpty < candidateselector.GangOversampling*len(s.tasks) || c.hasUnaskedCandidates(s)
 	}
 	return (!fits || c.hasUnaskedCandidates(s)) && c.hasRoomForGang(s)
 }
 
-// learnsFirst reports whether the advisor is asked about the workers of a gang before they have room. What it
+// asksInAdvance reports whether the advisor is asked about the workers of a gang before they have room. What it
 // answers holds for good, and a long call takes longer than most room stays free.
-func learnsFirst(s *step, advisor *configprovider.AdvisorSettings) bool {
+func asksInAdvance(s *step, advisor *configprovider.AdvisorSettings) bool {
 	return s.def.Gang && advicerouter.IsLong(advisor.Latency(1))
 }
 
@@ -73,7 +73,7 @@
 	if len(requested) == 0 {
 		return false
 	}
-	s.renewed, s.renewAheadAt = true, c.now.Add(advisor.TokenLifetime)
+	s.renewed, s.renewInAdvanceAt = true, c.now.Add(advisor.TokenLifetime)
 	s.tokenWorkers = make(map[string]bool, len(requested))
 	for _, id := range requested {
 		s.tokenWorkers[id] = true
@@ -81,20 +81,20 @@
 	return true
 }
 
-// aheadDivisor limits the gangs whose tokens are renewed before they have room: the first ones, which need this
+// inAdvanceDivisor limits the gangs whose tokens are renewed before they have room: the first ones, which need this
 // fraction of the cell.
-const aheadDivisor = 2
+const inAdvanceDivisor = 2
 
-// renewAhead renews the tokens of one of the next gangs to start before there is room for it, for the workers that are
+// renewInAdvance renews the tokens of one of the next gangs to start before there is room for it, for the workers that are
 // expected to have room. A long call takes a large part of a run, for which the room would be reserved and idle
 // otherwise.
-func (c *Scheduler) renewAhead(s *step, advisor *configprovider.AdvisorSettings, approved []int) {
-	if !learnsFirst(s, advisor) || c.ahead >= c.capacity.Processors/aheadDivisor {
+func (c *Scheduler) renewInAdvance(s *step, advisor *configprovider.AdvisorSettings, approved []int) {
+	if !asksInAdvance(s, advisor) || c.inAdvance >= c.capacity.Processors/inAdvanceDivisor {
 		return
 	}
 	needs := s.def.Reservation()
-	c.ahead += needs.Times(len(s.tasks)).Processors
-	if idle, all := c.advisor.router.Idle(advisor.Latency(1), c.now); s.renewalsInFlight > 0 || c.now.Before(s.renewAheadAt) || idle <= all/2 {
+	c.inAdvance += needs.Times(len(s.tasks)).Processors
+	if idle, all := c.advisor.router.Idle(advisor.Latency(1), c.now); s.renewalsInFlight > 0 || c.now.Before(s.renewInAdvanceAt) || idle <= all/2 {
 		return
 	}
 	usableAt := c.now.Add(advisor.Latency(candidateselector.MaxCandidates) + advisor.TokenLifetime/2)
--- a/internal/cellscheduler/renewals.go
+++ b/internal/cellscheduler/renewals.go
@@ -51,7 +51,9 @@
 	answerAt := c.now.Add(2 * advisor.Latency(min(len(workers), candidateselector.MaxCandidates)))
 	workers = slices.DeleteFunc(slices.Clone(workers), func(id string) bool { return s.approved[id].expiresAt.After(answerAt) })
 	slices.SortStableFunc(workers, func(a, b string) int { return s.approved[a].expiresAt.Compare(s.approved[b].expiresAt) })
-	for part := range slices.Chunk(workers, c.renewalSize(advisor, len(workers))) {
+	idle, _ := c.advisor.router.Idle(advisor.BaseLatency, c.now)
+	size := advicerouter.CallSize(advisor.BaseLatency, advisor.LatencyPerWorker, len(workers), idle, candidateselector.MaxCandidates)
+	for part := range slices.Chunk(workers, size) {
 		if !c.requestAdvice(s, advisor, part, renewal) {
 			break
 		}
@@ -60,19 +62,6 @@
 	return requested
 }
 
-// renewalSize returns how many workers to name in each of the calls that renew tokens for the given number of workers.
-// Several calls at the same time take less time than one, but no more than half of the idle instances may be used.
-func (c *Scheduler) renewalSize(advisor *configprovider.AdvisorSettings, workers int) int {
-	if advisor.LatencyPerWorker <= 0 || !advicerouter.IsLong(advisor.Latency(workers)) {
-		return candidateselector.MaxCandidates
-	}
-	idle, _ := c.advisor.router.Idle(advisor.BaseLatency, c.now)
-	calls := max(1, idle/2)
-	// The time for the workers of a call is half of its fixed time.
-	size := max(int(advisor.BaseLatency/advisor.LatencyPerWorker)/2, (workers+calls-1)/calls, 1)
-	return min(size, candidateselector.MaxCandidates)
-}
-
 // hasGangTokens reports whether all members of a gang's run that wait for their start orders have valid
 // tokens.
 func (c *Scheduler) hasGangTokens(p *placement) bool {
--- a/internal/cellscheduler/reservations_test.go
+++ b/internal/cellscheduler/reservations_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// TestLateReservationIsSoftForStepsOnTime: until the first late step is visited, what late gangs reserve is soft, and
-// after that it is nobody else's.
+// TestLateReservationIsSoftForStepsOnTime: until the first late step is visited, steps on time may use what late
+// gangs reserve; after that no other step may.
 func TestLateReservationIsSoftForStepsOnTime(t *testing.T) {
 	c := newRound(1)
 	gang := newGang("gang", 2, 2)
--- a/internal/cellscheduler/round.go
+++ b/internal/cellscheduler/round.go
@@ -29,10 +29,10 @@
 	// workers.
 	renewalsInFlight int
 	nextRenewalAt    time.Time
-	// renewAheadAt is the earliest time at which tokens are renewed again before there is room.
-	renewAheadAt time.Time
-	pendingSince time.Time
-	tasks        []steptracker.Task
+	// renewInAdvanceAt is the earliest time at which tokens are renewed again before there is room.
+	renewInAdvanceAt time.Time
+	pendingSince     time.Time
+	tasks            []steptracker.Task
 	// tokenWorkers are the workers for which the gang last requested new placement tokens.
 	tokenWorkers map[string]bool
 	// reserved is the number of tasks for which the step reserves room on each worker: while an
@@ -196,7 +196,7 @@
 // collectCandidates builds the list of workers that may get new tasks in this round. ranked are the pending steps.
 func (c *Scheduler) collectCandidates(ranked []*step) {
 	c.candidates, c.candidateWorkers = c.candidates[:0], c.candidateWorkers[:0]
-	c.maxFreeProcessors, c.capacity, c.earmarked, c.earmarkers, c.ahead = 0, modeler.Resources{}, modeler.Resources{}, 0, 0
+	c.maxFreeProcessors, c.capacity, c.earmarked, c.earmarkers, c.inAdvance = 0, modeler.Resources{}, modeler.Resources{}, 0, 0
 	requested := make([]modeler.Processors, 0, len(c.workers))
 	for _, w := range c.sortedWorkers() {
 		w.candidateIndex = -1
