bodylimiter: a decoder that panics returns what its body holds

Cause: handlers released a body after decoding it, not deferred. net/http recovers from a panic of a handler, so that the process would have lived on with the one place for decoding taken: no body above 4 KiB would have been decoded any more, and its memory would have stayed charged. No such panic is known; found by reading the code as the person on call.

Change: Read calls the decoder itself and releases the body however it ends, so that no caller can forget it.

Ruled out: a deferred release in each of the three handlers, which the next caller could forget.

--- a/internal/adminserver/adminserver.go
+++ b/internal/adminserver/adminserver.go
@@ -199,7 +199,9 @@
 }
 
 func (s *Server) postTicket(w http.ResponseWriter, r *http.Request) {
-	text, release, err := s.Bodies.Read(w, r, validator.MaxBytes, requestTimeout)
+	var ticket ticketer.Ticket
+	var faults validator.Faults
+	err := s.Bodies.Read(w, r, validator.MaxBytes, requestTimeout, func(text []byte) { ticket, faults = ticketer.Parse("ticket", text) })
 	var ended *bodylimiter.EndedError
 	if errors.As(err, &ended) {
 		w.Header().Set("Connection", "close")
@@ -212,8 +214,6 @@
 		writeJSON(w, http.StatusRequestEntityTooLarge, ErrorResponse{Error: err.Error()})
 		return
 	}
-	ticket, faults := ticketer.Parse("ticket", text)
-	release()
 	if len(faults) > 0 {
 		writeError(w, faults)
 		return
--- a/internal/apiserver/apiserver.go
+++ b/internal/apiserver/apiserver.go
@@ -256,7 +256,8 @@
 			fmt.Sprintf("send 1 to %d letters, digits, dots, dashes or underscores", maxKeyBytes))
 		return "", job, false
 	}
-	text, release, err := s.Bodies.Read(w, r, maxBodyBytes, defaultTimeout)
+	var faults validator.Faults
+	err := s.Bodies.Read(w, r, maxBodyBytes, defaultTimeout, func(text []byte) { job, faults = parseJob(text, contract) })
 	var ended *bodylimiter.EndedError
 	if errors.As(err, &ended) {
 		problem := newProblem("body-ended", "The body was not received", http.StatusServiceUnavailable, RanNo, ended.Error())
@@ -271,8 +272,6 @@
 			fmt.Sprintf("send at most %d bytes: %v", maxBodyBytes, err)).write(w)
 		return "", job, false
 	}
-	job, faults := parseJob(text, contract)
-	release()
 	if len(faults) > 0 {
 		problem := newProblem("bad-request", "The request has faults", http.StatusBadRequest, RanNo, faults.Error())
 		problem.Faults = faults
--- a/internal/bodylimiter/bodylimiter.go
+++ b/internal/bodylimiter/bodylimiter.go
@@ -4,12 +4,10 @@
 // # Usage
 //
 //	limiter := bodylimiter.New(bodylimiter.Budget(memoryLimit, maxBodyBytes), clock, log)
-//	data, release, err := limiter.Read(w, r, maxBodyBytes, timeout)
+//	err := limiter.Read(w, r, maxBodyBytes, timeout, func(data []byte) { job, err = decode(data) })
 //	if err != nil {
 //		// *EndedError: refuse the request and close the connection; *http.MaxBytesError: too large
 //	}
-//	job := decode(data)
-//	release()
 //
 // Read charges the buffer of a body against the budget as bytes arrive, whatever length was declared. The
 // first FreeBytes of a body are part of what a connection costs and are not charged, so that small bodies pass beside a
@@ -135,10 +133,21 @@
 // noRelease is the release function of a body that is not charged.
 func noRelease() {}
 
-// Read reads a body of at most limit bytes for a caller that waits for timeout. The function release returns what the
-// body holds and must be called when it has been decoded. The error is an *EndedError, an *http.MaxBytesError or
-// that of the connection.
-func (l *Limiter) Read(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) (data []byte, release func(), err error) {
+// Read reads a body of at most limit bytes for a caller that waits for timeout, and calls decode with it. What the body
+// holds is returned when decode has returned or panicked. The error is an *EndedError, an *http.MaxBytesError or that of
+// the connection; decode has not been called then.
+func (l *Limiter) Read(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration, decode func(data []byte)) error {
+	data, release, err := l.read(w, r, limit, timeout)
+	if err != nil {
+		return err
+	}
+	defer release()
+	decode(data)
+	return nil
+}
+
+// read reads a body. The function release returns what it holds.
+func (l *Limiter) read(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) (data []byte, release func(), err error) {
 	if r.ContentLength > limit {
 		return nil, nil, &http.MaxBytesError{Limit: limit}
 	}
--- a/internal/bodylimiter/bodylimiter_test.go
+++ b/internal/bodylimiter/bodylimiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -50,7 +51,7 @@
 	served = new(atomic.Int64)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		served.Add(1)
-		data, release, err := l.Read(w, r, testLimit, 3*time.Second)
+		data, release, err := l.read(w, r, testLimit, 3*time.Second)
 		var ended *EndedError
 		if errors.As(err, &ended) {
 			w.Header().Set("Connection", "close")
@@ -161,7 +162,7 @@
 			if !declared {
 				request.ContentLength = -1
 			}
-			data, release, err := l.Read(httptest.NewRecorder(), request, testLimit, time.Second)
+			data, release, err := l.read(httptest.NewRecorder(), request, testLimit, time.Second)
 			var tooLarge *http.MaxBytesError
 			switch {
 			case size > testLimit:
@@ -190,10 +191,32 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		body.Reset(text)
-		_, release, err := l.Read(recorder, request, testLimit, time.Second)
+		_, release, err := l.read(recorder, request, testLimit, time.Second)
 		if err != nil {
 			b.Fatal(err)
 		}
 		release()
 	}
 }
+
+// TestPanickingDecoderReturnsWhatTheBodyHolds: net/http recovers from panics of handlers, so that the process lives on.
+func TestPanickingDecoderReturnsWhatTheBodyHolds(t *testing.T) {
+	l := newLimiter(1 << 20)
+	body := strings.Repeat("x", 8*FreeBytes)
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/", strings.NewReader(body))
+		decoded := 0
+		func() {
+			defer func() { _ = recover() }()
+			_ = l.Read(httptest.NewRecorder(), request, testLimit, time.Second, func(data []byte) {
+				decoded = len(data)
+				panic("decoder")
+			})
+		}()
+		cancel()
+		if decoded != len(body) || l.held() != 0 || len(l.decoding) != 0 {
+			t.Fatalf("%d of %d bytes decoded, %d held and %d decoding afterwards, want none", decoded, len(body), l.held(), len(l.decoding))
+		}
+	}
+}
