cellscheduler: two tests of late starts share how they begin

Cause: eighteen lines stood in both tests, so that a change of one would have left the other behind. Change: completeBesideLateStart has them once; what each test checks is unchanged.

--- a/internal/cellscheduler/readded_test.go
+++ b/internal/cellscheduler/readded_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"dotterelpost.example/dotterelpost/internal/cellscheduler"
 	"dotterelpost.example/dotterelpost/internal/steptracker"
 	"dotterelpost.example/dotterelpost/internal/workerdriver"
 )
@@ -62,20 +63,8 @@
 func TestLateStartIsNotCarriedOutByRelistedWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 2)
-		env.keepIDs, env.restartDelay = true, 7*time.Second
-		key := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "j"}}
-		c, stop := env.startScheduler(1)
+		c, key, stop := env.completeBesideLateStart()
 		defer stop()
-		sleep(100 * time.Millisecond)
-		submittedAt := time.Now()
-		env.withLock(func() {
-			env.unanswered = func(kind string) (time.Duration, bool) {
-				return 11 * time.Second, kind == "start" && time.Since(submittedAt) < 40*time.Millisecond
-			}
-		})
-		submit(t, c, job("j", "plain", step(1, 1000)))
-		sleep(2500 * time.Millisecond)
-		wantState(t, c, "j", steptracker.Completed)
 		left := ""
 		env.withLock(func() {
 			for id, worker := range env.workers {
@@ -93,3 +82,22 @@
 		sleep(10 * time.Second)
 	})
 }
+
+// completeBesideLateStart starts a scheduler and completes a job of one task, whose first start order gets no answer and is
+// carried out 11 s later, beside the run that completed it. It returns the task's key.
+func (env *testEnv) completeBesideLateStart() (c *cellscheduler.Scheduler, key steptracker.TaskKey, stop func()) {
+	env.t.Helper()
+	env.keepIDs, env.restartDelay = true, 7*time.Second
+	c, stop = env.startScheduler(1)
+	sleep(100 * time.Millisecond)
+	submittedAt := time.Now()
+	env.withLock(func() {
+		env.unanswered = func(kind string) (time.Duration, bool) {
+			return 11 * time.Second, kind == "start" && time.Since(submittedAt) < 40*time.Millisecond
+		}
+	})
+	submit(env.t, c, job("j", "plain", step(1, 1000)))
+	sleep(2500 * time.Millisecond)
+	wantState(env.t, c, "j", steptracker.Completed)
+	return c, steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "j"}}, stop
+}
--- a/internal/cellscheduler/replacedlatestarts_test.go
+++ b/internal/cellscheduler/replacedlatestarts_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"dotterelpost.example/dotterelpost/internal/steptracker"
 )
 
 // TestLateStartIsNotCarriedOutByWorkerThatWasReplaced: another worker answers at the address of one that has left the list.
@@ -13,20 +11,8 @@
 func TestLateStartIsNotCarriedOutByWorkerThatWasReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, 2)
-		env.keepIDs, env.restartDelay = true, 7*time.Second
-		key := steptracker.TaskKey{StepKey: steptracker.StepKey{Job: "j"}}
-		c, stop := env.startScheduler(1)
+		c, key, stop := env.completeBesideLateStart()
 		defer stop()
-		sleep(100 * time.Millisecond)
-		submittedAt := time.Now()
-		env.withLock(func() {
-			env.unanswered = func(kind string) (time.Duration, bool) {
-				return 11 * time.Second, kind == "start" && time.Since(submittedAt) < 40*time.Millisecond
-			}
-		})
-		submit(t, c, job("j", "plain", step(1, 1000)))
-		sleep(2500 * time.Millisecond)
-		wantState(t, c, "j", steptracker.Completed)
 		left := ""
 		env.withLock(func() {
 			env.syncDelay = 300 * time.Millisecond
