--- a/review/trial-3/instance.go
+++ b/review/trial-3/instance.go
@@ -73,7 +73,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	p := exec.Command(i.program, "attend")
-	p.Env = []string{"DOTTERELPOST_NODE_FILE=" + i.settings, "PATH=" + os.Getenv("PATH"), "HOME=/tmp", "LANG=C"}
+	p.Env = []string{"DOTTERELPOST_NODE_FILE=" + i.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(i.settings), "LANG=C"}
 	p.Stdout, p.Stderr = log, log
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.Start(); err != nil {
